Set down the design, the packages and the path of a plain request

Change: the design page; the shared names, requests and verdicts; the messages between own processes with a connection that is replaced when it falls silent; settings, logs and shutdown; an entry, an agent and an executor stand-in that serve an idempotent plain request end to end. Result: two tests over real connections pass: 24 concurrent callers each get the answer to their own request, and malformed bodies are refused with the verdict "not run" without a start.

--- /dev/null
+++ b/crates/rattanwinch_agent/src/agent_state.rs
@@ -0,0 +1,81 @@
+use std::sync::Arc;
+use std::sync::atomic::AtomicI64;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwap;
+use rattanwinch_decisions::Gate;
+use rattanwinch_runtime::Clock;
+use rattanwinch_types::Epoch;
+use rattanwinch_types::HeartbeatResponse;
+use rattanwinch_types::Incarnation;
+use rattanwinch_types::Timestamp;
+use slog::Logger;
+use tokio::sync::Semaphore;
+
+use crate::AgentSettings;
+use crate::attempt_table::AttemptTable;
+
+/// What all parts of an agent share. Requests read immutable values and atomics only.
+#[derive(Debug)]
+pub(crate) struct AgentState<E> {
+    /// The settings.
+    pub settings: AgentSettings,
+    /// This life of the agent.
+    pub incarnation: Incarnation,
+    /// The executor on the same VM.
+    pub executor: E,
+    /// What may start now.
+    pub gate: ArcSwap<Gate>,
+    /// The executor's slots for plain requests.
+    pub slots: Semaphore,
+    /// Plain requests that run or wait.
+    pub in_flight: AtomicU32,
+    /// Attempts at non-idempotent requests.
+    pub attempts: AttemptTable,
+    /// The highest epoch seen.
+    pub epoch: AtomicI64,
+    /// The time.
+    pub clock: Clock,
+    /// The log.
+    pub logger: Logger,
+}
+
+impl<E> AgentState<E> {
+    /// The state at start; `incarnation` must be new for each start.
+    pub fn new(
+        settings: AgentSettings,
+        incarnation: Incarnation,
+        executor: E,
+        logger: Logger,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            slots: Semaphore::new(usize::from(settings.slots)),
+            settings,
+            incarnation,
+            executor,
+            gate: ArcSwap::from_pointee(Gate::default()),
+            in_flight: AtomicU32::new(0),
+            attempts: AttemptTable::default(),
+            epoch: AtomicI64::new(0),
+            clock: Clock::start(),
+            logger,
+        })
+    }
+
+    /// The highest epoch seen.
+    pub fn epoch(&self) -> Epoch {
+        Epoch(self.epoch.load(Ordering::Acquire))
+    }
+
+    /// Takes in the response to a heartbeat that was sent at `sent_at`.
+    pub fn apply_response(&self, sent_at: Timestamp, response: &HeartbeatResponse) {
+        self.gate
+            .rcu(|gate| gate.after_heartbeat(sent_at, response));
+    }
+
+    /// Refuses new work from now on.
+    pub fn set_leaving(&self) {
+        self.gate.rcu(|gate| gate.with_leaving());
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_agent/src/bin/rattanwinch-agent.rs
@@ -0,0 +1,59 @@
+//! The daemon beside a target: reads its settings and serves until SIGTERM.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use eyre::Result;
+use rattanwinch_agent::AgentDaemon;
+use rattanwinch_agent::AgentSettings;
+use rattanwinch_runtime::Shutdown;
+use rattanwinch_runtime::json_logger;
+use rattanwinch_targets::HttpExecutor;
+
+/// The agent beside a target: admits requests to its executor and reports to the entries.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Arguments {
+    /// The settings file (INI).
+    #[arg(long, value_name = "FILE")]
+    settings: PathBuf,
+    /// Check the settings, print every error and exit.
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let settings = match AgentSettings::read(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(errors) => {
+            eprintln!("{errors}");
+            return ExitCode::from(2);
+        }
+    };
+    if arguments.check {
+        println!("{}: no errors", arguments.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Two threads: an agent may use 1.7% of a core, so more would only cost memory.
+#[tokio::main(flavor = "multi_thread", worker_threads = 2)]
+async fn run(settings: AgentSettings) -> Result<()> {
+    let signals = Shutdown::new();
+    signals.watch_signals()?;
+    let executor = HttpExecutor::new(settings.executor);
+    let agent = AgentDaemon::new(settings, executor, json_logger("rattanwinch-agent"));
+    let agent = agent.serve().await?;
+    signals.requested().await;
+    agent.drain().finish().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/rattanwinch_callers/src/error_response.rs
@@ -0,0 +1,35 @@
+use poem::IntoResponse as _;
+use poem::Response;
+use poem::http::StatusCode;
+use poem::web::Json;
+use rattanwinch_types::ErrorKind;
+use rattanwinch_types::RequestError;
+
+use crate::WireError;
+use crate::WireErrorBody;
+
+/// The HTTP status of a class of errors.
+#[must_use]
+pub const fn status_of(kind: ErrorKind) -> StatusCode {
+    match kind {
+        ErrorKind::Invalid => StatusCode::BAD_REQUEST,
+        ErrorKind::Conflict => StatusCode::CONFLICT,
+        ErrorKind::NotFound => StatusCode::NOT_FOUND,
+        ErrorKind::Busy => StatusCode::TOO_MANY_REQUESTS,
+        ErrorKind::Unavailable | ErrorKind::Fenced => StatusCode::SERVICE_UNAVAILABLE,
+        ErrorKind::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        ErrorKind::Cancelled => StatusCode::GONE,
+        ErrorKind::Impossible => StatusCode::UNPROCESSABLE_ENTITY,
+        ErrorKind::Failed => StatusCode::BAD_GATEWAY,
+    }
+}
+
+/// The response that tells a caller of an error.
+#[must_use]
+pub fn error_response(error: RequestError) -> Response {
+    let status = status_of(error.kind);
+    let body = WireErrorBody {
+        error: WireError::from(error),
+    };
+    Json(body).with_status(status).into_response()
+}
--- /dev/null
+++ b/crates/rattanwinch_cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command-line program of operators and callers.
--- /dev/null
+++ b/crates/rattanwinch_decisions/src/gate.rs
@@ -0,0 +1,112 @@
+use std::time::Duration;
+
+use rattanwinch_types::ErrorKind;
+use rattanwinch_types::HeartbeatResponse;
+use rattanwinch_types::RequestError;
+use rattanwinch_types::Revision;
+use rattanwinch_types::Timestamp;
+
+/// What a call that asks the gate returns.
+pub type Result<T> = std::result::Result<T, RequestError>;
+
+rattanwinch_types::value! {
+    /// What an agent may start now, from its latest view of the configuration.
+    ///
+    /// The value is immutable; each response to a heartbeat makes a new one. The revision never
+    /// goes back, so a response that was late or comes from an entry that lags changes nothing.
+    pub struct Gate {
+        /// The configuration revision that the view is from.
+        pub config_revision: Revision,
+        /// Whether operators have closed the availability zone.
+        pub zone_closed: bool,
+        /// Whether the target is leaving.
+        pub leaving: bool,
+        /// Until when the view is known to be fresh.
+        pub fresh_until: Timestamp,
+        /// How long after that plain requests are still taken.
+        pub plain_when_stale: Duration,
+    }
+}
+
+impl Default for Gate {
+    /// The gate before the first heartbeat: nothing may start.
+    fn default() -> Self {
+        Self {
+            config_revision: Revision(0),
+            zone_closed: false,
+            leaving: false,
+            fresh_until: Timestamp::ZERO,
+            plain_when_stale: Duration::ZERO,
+        }
+    }
+}
+
+impl Gate {
+    /// The gate after the response to a heartbeat that was sent at `sent_at`.
+    ///
+    /// Freshness runs from the sending, not from the response's arrival, because the entry's
+    /// view may have been taken at any moment in between.
+    #[must_use]
+    pub fn after_heartbeat(&self, sent_at: Timestamp, response: &HeartbeatResponse) -> Self {
+        if response.config_revision < self.config_revision {
+            return self.clone();
+        }
+        Self {
+            config_revision: response.config_revision,
+            zone_closed: response.zone_closed,
+            leaving: self.leaving,
+            fresh_until: self.fresh_until.max(sent_at + response.freshness),
+            plain_when_stale: response.plain_when_stale,
+        }
+    }
+
+    /// The same gate for a target that is leaving.
+    #[must_use]
+    pub fn with_leaving(&self) -> Self {
+        Self {
+            leaving: true,
+            ..self.clone()
+        }
+    }
+
+    /// Whether a gang's task may start.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Unavailable`] with the verdict "not run" if the target is leaving, its zone
+    /// is closed, or the view isn't fresh.
+    pub fn check_start(&self, now: Timestamp) -> Result<()> {
+        self.check_open()?;
+        if now >= self.fresh_until {
+            return refuse("the view of closed availability zones is out of date");
+        }
+        Ok(())
+    }
+
+    /// Whether a plain request may run.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::check_start`], but an outdated view is accepted for `plain_when_stale`.
+    pub fn check_plain(&self, now: Timestamp) -> Result<()> {
+        self.check_open()?;
+        if now >= self.fresh_until + self.plain_when_stale {
+            return refuse("the view of closed availability zones has been out of date too long");
+        }
+        Ok(())
+    }
+
+    fn check_open(&self) -> Result<()> {
+        if self.leaving {
+            return refuse("the target is leaving");
+        }
+        if self.zone_closed {
+            return refuse("operators have closed the availability zone");
+        }
+        Ok(())
+    }
+}
+
+fn refuse(message: &str) -> Result<()> {
+    Err(RequestError::not_run(ErrorKind::Unavailable, message))
+}
--- /dev/null
+++ b/crates/rattanwinch_decisions/src/lib.rs
@@ -0,0 +1,15 @@
+//! The decisions of rattanwinch: pure functions of state, input and time.
+//!
+//! Nothing here does I/O, reads a clock or knows the encoding of a message; randomness comes
+//! only from a seeded argument. Entries and agents feed in what they learn and carry out what
+//! is decided, so that another front end can use the same code.
+//!
+//! Start reading at [`Gate`], which says what an agent may start now, and [`pick_target`], which
+//! routes a plain request.
+
+mod gate;
+mod routing;
+
+pub use gate::Gate;
+pub use routing::TargetLoad;
+pub use routing::pick_target;
--- /dev/null
+++ b/crates/rattanwinch_decisions/src/routing.rs
@@ -0,0 +1,58 @@
+rattanwinch_types::value! { copy
+    /// The load of one target, as far as an entry knows it.
+    pub struct TargetLoad {
+        /// Whether requests may be sent there at all.
+        pub usable: bool,
+        /// Requests that run or wait there.
+        pub in_flight: u32,
+        /// Requests that it runs at once.
+        pub slots: u16,
+    }
+}
+
+impl TargetLoad {
+    /// True if `self` has fewer requests for each slot than `other`.
+    fn is_below(self, other: Self) -> bool {
+        let left = u64::from(self.in_flight) * u64::from(other.slots.max(1));
+        let right = u64::from(other.in_flight) * u64::from(self.slots.max(1));
+        left < right
+    }
+}
+
+/// Picks one of `len` targets: the less loaded of two that `draw` selects, or the least loaded
+/// usable one if neither is usable.
+///
+/// Two choices keep the longest queue short without reading every target, which matters with
+/// thousands of them. Returns the index, or `None` if no target is usable.
+pub fn pick_target(len: usize, draw: u64, load: impl Fn(usize) -> TargetLoad) -> Option<usize> {
+    if len == 0 {
+        return None;
+    }
+    let first = index_below(draw >> 32, len);
+    let second = index_below(draw & u64::from(u32::MAX), len);
+    let (one, two) = (load(first), load(second));
+    match (one.usable, two.usable) {
+        (true, true) if two.is_below(one) => Some(second),
+        (true, _) => Some(first),
+        (false, true) => Some(second),
+        (false, false) => least_loaded(len, load),
+    }
+}
+
+/// Maps 32 random bits to an index below `len` without a division's bias.
+fn index_below(bits: u64, len: usize) -> usize {
+    let scaled = (u128::from(bits) * len as u128) >> 32;
+    usize::try_from(scaled).unwrap_or(len - 1).min(len - 1)
+}
+
+fn least_loaded(len: usize, load: impl Fn(usize) -> TargetLoad) -> Option<usize> {
+    let mut best: Option<(usize, TargetLoad)> = None;
+    for index in 0..len {
+        let candidate = load(index);
+        let better = best.is_none_or(|(_, least)| candidate.is_below(least));
+        if candidate.usable && better {
+            best = Some((index, candidate));
+        }
+    }
+    best.map(|(index, _)| index)
+}
--- /dev/null
+++ b/crates/rattanwinch_demo/src/lib.rs
@@ -0,0 +1,9 @@
+//! A whole site in one process, for the demonstration, the measurements and the tests.
+//!
+//! [`Site`] starts executors (stand-ins), an agent beside each and an entry in front, all over
+//! loopback with the same messages as separate processes exchange.
+
+mod site;
+
+pub use site::Site;
+pub use site::SiteSize;
--- /dev/null
+++ b/crates/rattanwinch_entry/src/entry_daemon.rs
@@ -0,0 +1,202 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use eyre::WrapErr as _;
+use poem::Server;
+use poem::listener::Acceptor as _;
+use poem::listener::Listener as _;
+use poem::listener::TcpListener;
+use rattanwinch_peers::EntryRpcServer as _;
+use rattanwinch_peers::RpcServer;
+use rattanwinch_runtime::MetricsText;
+use rattanwinch_runtime::Shutdown;
+use slog::Logger;
+use slog::error;
+use slog::info;
+use slog::warn;
+
+use crate::EntrySettings;
+use crate::entry_state::EntryState;
+use crate::heartbeats::EntryCalls;
+use crate::http;
+
+/// What starting and stopping an entry returns.
+pub type Result<T> = eyre::Result<T>;
+
+/// Connections of agents and entries: 5,700 agents in the largest region that is planned for.
+const MAX_RPC_CONNECTIONS: u32 = 8192;
+
+/// The time between two sweeps of targets that have been silent for long.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(30);
+
+/// How often a draining entry looks whether its requests have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// An entry that hasn't been started.
+#[derive(Debug)]
+pub struct Starting {
+    metrics: MetricsText,
+}
+
+/// An entry that takes requests.
+#[derive(Debug)]
+pub struct Serving {
+    http: SocketAddr,
+    rpc: RpcServer,
+    shutdown: Shutdown,
+}
+
+/// An entry that tells the balancer to stop and finishes what it has.
+#[derive(Debug)]
+pub struct Draining {
+    rpc: RpcServer,
+    shutdown: Shutdown,
+}
+
+/// An entry process; the type parameter says where it stands in its life.
+#[derive(Debug)]
+pub struct EntryDaemon<S> {
+    state: Arc<EntryState>,
+    stage: S,
+}
+
+impl EntryDaemon<Starting> {
+    /// Makes an entry.
+    #[must_use]
+    pub fn new(settings: EntrySettings, metrics: MetricsText, logger: Logger) -> Self {
+        Self {
+            state: EntryState::new(settings, logger),
+            stage: Starting { metrics },
+        }
+    }
+
+    /// Listens for agents and callers.
+    ///
+    /// # Errors
+    ///
+    /// If an address can't be bound.
+    pub async fn serve(self) -> Result<EntryDaemon<Serving>> {
+        let Self { state, stage } = self;
+        let shutdown = Shutdown::new();
+        let rpc = serve_rpc(&state).await?;
+        let http = serve_http(&state, stage.metrics, &shutdown).await?;
+        shutdown.spawn(sweep(Arc::clone(&state), shutdown.clone()));
+        info!(state.logger, "entry serves"; "entry" => %state.settings.entry,
+            "incarnation" => state.incarnation.0, "http" => %http, "rpc" => %rpc.address());
+        Ok(EntryDaemon {
+            state,
+            stage: Serving {
+                http,
+                rpc,
+                shutdown,
+            },
+        })
+    }
+}
+
+impl EntryDaemon<Serving> {
+    /// Where callers connect.
+    #[must_use]
+    pub fn http_address(&self) -> SocketAddr {
+        self.stage.http
+    }
+
+    /// Where agents connect.
+    #[must_use]
+    pub fn rpc_address(&self) -> SocketAddr {
+        self.stage.rpc.address()
+    }
+
+    /// Becomes not ready, but goes on serving what still arrives.
+    #[must_use]
+    pub fn drain(self) -> EntryDaemon<Draining> {
+        self.state.ready.store(false, Ordering::Release);
+        info!(self.state.logger, "entry drains"; "entry" => %self.state.settings.entry);
+        let Serving { rpc, shutdown, .. } = self.stage;
+        EntryDaemon {
+            state: self.state,
+            stage: Draining { rpc, shutdown },
+        }
+    }
+}
+
+impl EntryDaemon<Draining> {
+    /// Waits until the balancer has stopped sending and the requests have ended, then stops.
+    pub async fn finish(self) {
+        let Draining { rpc, shutdown } = self.stage;
+        let settings = &self.state.settings;
+        tokio::time::sleep(settings.drain_wait).await;
+        let ended = tokio::time::timeout(settings.drain_limit, self.state.requests_ended()).await;
+        if ended.is_err() {
+            warn!(self.state.logger, "drain limit passed with requests still running";
+                "in_flight" => self.state.in_flight.load(Ordering::Acquire));
+        }
+        shutdown.request();
+        shutdown.finished(settings.drain_limit).await;
+        rpc.stop().await;
+    }
+}
+
+impl EntryState {
+    async fn requests_ended(&self) {
+        while self.in_flight.load(Ordering::Acquire) > 0 {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    }
+}
+
+async fn serve_rpc(state: &Arc<EntryState>) -> Result<RpcServer> {
+    let listen = state.settings.rpc_listen;
+    let calls = EntryCalls(Arc::clone(state)).into_rpc();
+    let rpc = RpcServer::start(listen, MAX_RPC_CONNECTIONS, calls)
+        .await
+        .wrap_err_with(|| format!("can't listen on {listen}"))?;
+    // The cell is empty before this, the only place that sets it.
+    let _ = state.rpc_address.set(rpc.address());
+    Ok(rpc)
+}
+
+async fn serve_http(
+    state: &Arc<EntryState>,
+    metrics: MetricsText,
+    shutdown: &Shutdown,
+) -> Result<SocketAddr> {
+    let listen = state.settings.http_listen;
+    let acceptor = TcpListener::bind(listen)
+        .into_acceptor()
+        .await
+        .wrap_err_with(|| format!("can't listen on {listen}"))?;
+    let local = acceptor.local_addr();
+    let address = local
+        .iter()
+        .find_map(|local| local.as_socket_addr().copied());
+    let address = address.ok_or_else(|| eyre::eyre!("no TCP address behind {listen}"))?;
+    let app = http::routes(state, metrics);
+    let (logger, stop) = (state.logger.clone(), shutdown.clone());
+    let limit = state.settings.drain_limit;
+    shutdown.spawn(async move {
+        let server = Server::new_with_acceptor(acceptor);
+        let served = server.run_with_graceful_shutdown(
+            app,
+            async move { stop.requested().await },
+            Some(limit),
+        );
+        if let Err(error) = served.await {
+            error!(logger, "HTTP server failed"; "error" => %error);
+        }
+    });
+    Ok(address)
+}
+
+/// Forgets targets that have been silent for long.
+async fn sweep(state: Arc<EntryState>, shutdown: Shutdown) {
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(SWEEP_INTERVAL) => {}
+            () = shutdown.requested() => return,
+        }
+        state.fleet.forget_silent(state.clock.now());
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_entry/src/entry_state.rs
@@ -0,0 +1,58 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+
+use arc_swap::ArcSwap;
+use rattanwinch_runtime::Clock;
+use rattanwinch_types::Incarnation;
+use slog::Logger;
+
+use crate::EntrySettings;
+use crate::control_view::ControlView;
+use crate::fleet::Fleet;
+use crate::retry_budget::RetryBudget;
+
+/// What all parts of an entry share. Requests read immutable values and atomics only.
+#[derive(Debug)]
+pub(crate) struct EntryState {
+    /// The settings.
+    pub settings: EntrySettings,
+    /// This life of the entry.
+    pub incarnation: Incarnation,
+    /// Where agents connect, once the entry listens.
+    pub rpc_address: OnceLock<SocketAddr>,
+    /// What was last read of the configuration.
+    pub control: ArcSwap<ControlView>,
+    /// The targets.
+    pub fleet: Fleet,
+    /// The share of requests that may be sent a second time.
+    pub retries: RetryBudget,
+    /// Callers' requests that run or wait.
+    pub in_flight: AtomicU32,
+    /// Whether the balancer may send requests.
+    pub ready: AtomicBool,
+    /// The time.
+    pub clock: Clock,
+    /// The log.
+    pub logger: Logger,
+}
+
+impl EntryState {
+    /// The state at start.
+    pub fn new(settings: EntrySettings, logger: Logger) -> Arc<Self> {
+        Arc::new(Self {
+            settings,
+            incarnation: Incarnation(rand::random()),
+            rpc_address: OnceLock::new(),
+            control: ArcSwap::from_pointee(ControlView::default()),
+            fleet: Fleet::default(),
+            retries: RetryBudget::default(),
+            in_flight: AtomicU32::new(0),
+            ready: AtomicBool::new(true),
+            clock: Clock::start(),
+            logger,
+        })
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_entry/src/heartbeats.rs
@@ -0,0 +1,73 @@
+use std::sync::Arc;
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::async_trait;
+use rattanwinch_peers::EntryRpcServer;
+use rattanwinch_peers::InvalidWire;
+use rattanwinch_peers::WireHeartbeat;
+use rattanwinch_peers::WireHeartbeatResponse;
+use rattanwinch_peers::rpc_error;
+use rattanwinch_types::EntryAddress;
+use rattanwinch_types::ErrorKind;
+use rattanwinch_types::Heartbeat;
+use rattanwinch_types::HeartbeatResponse;
+use rattanwinch_types::RequestError;
+use rattanwinch_types::Timestamp;
+use slog::info;
+use slog::warn;
+use smallvec::SmallVec;
+
+use crate::entry_state::EntryState;
+use crate::fleet::Heard;
+
+/// The calls that agents make to an entry.
+#[derive(Debug)]
+pub(crate) struct EntryCalls(pub Arc<EntryState>);
+
+#[async_trait]
+impl EntryRpcServer for EntryCalls {
+    async fn heartbeat(&self, wire: WireHeartbeat) -> RpcResult<WireHeartbeatResponse> {
+        let heartbeat = Heartbeat::try_from(wire).map_err(|error| invalid(&error))?;
+        let response = self.0.take_heartbeat(&heartbeat, self.0.clock.now());
+        Ok(response.into())
+    }
+}
+
+fn invalid(error: &InvalidWire) -> jsonrpsee::types::ErrorObjectOwned {
+    rpc_error(RequestError::not_run(ErrorKind::Invalid, error.to_string()))
+}
+
+impl EntryState {
+    /// Takes in a heartbeat that arrived at `now`.
+    pub fn take_heartbeat(&self, heartbeat: &Heartbeat, now: Timestamp) -> HeartbeatResponse {
+        let heard = self.fleet.hear(heartbeat, now);
+        match heard {
+            Heard::Known => {}
+            Heard::New => info!(self.logger, "target announced itself";
+                "target" => %heartbeat.target, "zone" => %heartbeat.zone,
+                "address" => %heartbeat.address),
+            Heard::Duplicate => warn!(self.logger, "second agent for a target refused";
+                "target" => %heartbeat.target, "address" => %heartbeat.address),
+        }
+        let control = self.control.load();
+        HeartbeatResponse {
+            entries: self.entry_addresses(),
+            deciding: None,
+            freshness: control.freshness(now),
+            config_revision: control.revision,
+            zone_closed: self.fleet.is_closed(&heartbeat.zone),
+            plain_when_stale: control.plain_when_stale,
+            stop: SmallVec::new(),
+            forget: SmallVec::new(),
+            duplicate: heard == Heard::Duplicate,
+        }
+    }
+
+    fn entry_addresses(&self) -> Vec<EntryAddress> {
+        let own = self.rpc_address.get().map(|address| EntryAddress {
+            entry: self.settings.entry.clone(),
+            address: *address,
+        });
+        own.into_iter().collect()
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_entry/src/http.rs
@@ -0,0 +1,28 @@
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use poem::Route;
+use poem::endpoint::make_sync;
+use poem::get;
+use poem::http::StatusCode;
+use rattanwinch_callers::plain_routes;
+use rattanwinch_runtime::MetricsText;
+
+use crate::entry_state::EntryState;
+
+/// The whole HTTP interface of an entry.
+pub(crate) fn routes(state: &Arc<EntryState>, metrics: MetricsText) -> Route {
+    let ready_state = Arc::clone(state);
+    let ready = make_sync(move |_| {
+        if ready_state.ready.load(Ordering::Acquire) {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+    });
+    Route::new()
+        .nest("/v1/requests", plain_routes(Arc::clone(state)))
+        .at("/live", get(make_sync(|_| StatusCode::OK)))
+        .at("/ready", get(ready))
+        .at("/metrics", get(make_sync(move |_| metrics.render())))
+}
--- /dev/null
+++ b/crates/rattanwinch_entry/src/lib.rs
@@ -0,0 +1,24 @@
+//! The entry process: takes callers' requests, routes plain ones to targets, and takes the
+//! heartbeats of agents.
+//!
+//! [`EntryDaemon`] is the whole process in its life cycle; the binary `rattanwinch-entry` only
+//! reads the settings and starts it. Routing is decided by `rattanwinch_decisions`. The path of
+//! a plain request starts in `plain_requests.rs`; what it reads is in `fleet.rs`.
+
+mod control_view;
+mod entry_daemon;
+mod entry_settings;
+mod entry_state;
+mod fleet;
+mod heartbeats;
+mod http;
+mod plain_requests;
+mod retry_budget;
+mod target;
+
+pub use entry_daemon::Draining;
+pub use entry_daemon::EntryDaemon;
+pub use entry_daemon::Result;
+pub use entry_daemon::Serving;
+pub use entry_daemon::Starting;
+pub use entry_settings::EntrySettings;
--- /dev/null
+++ b/crates/rattanwinch_peers/src/agent_connection.rs
@@ -0,0 +1,156 @@
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Weak;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use jsonrpsee::ws_client::WsClient;
+use jsonrpsee::ws_client::WsClientBuilder;
+use rattanwinch_types::ErrorKind;
+use rattanwinch_types::RequestError;
+use tokio::sync::Notify;
+
+use crate::AgentRpcClient;
+use crate::MAX_MESSAGE_BYTES;
+
+/// The time between two pings on a connection.
+pub const CONNECTION_PING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A connection without an answer to a ping for this long is replaced.
+pub const CONNECTION_PING_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Above the longest deadline of a plain request (12 h), because deadlines are kept by callers of
+/// this package.
+const CALL_TIMEOUT: Duration = Duration::from_secs(13 * 3600);
+
+/// Calls in flight on one connection; an agent admits far fewer.
+const MAX_CALLS_IN_FLIGHT: usize = 4096;
+
+/// A WebSocket to one agent that is replaced when it falls silent.
+///
+/// Calls take the client of the moment and keep it until they end, so a replaced connection
+/// lives on until its last call has ended.
+pub struct AgentConnection {
+    address: SocketAddr,
+    client: ArcSwapOption<WsClient>,
+    changed: Notify,
+}
+
+impl fmt::Debug for AgentConnection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let connected = self.client.load().is_some();
+        f.debug_struct("AgentConnection")
+            .field("address", &self.address)
+            .field("connected", &connected)
+            .finish_non_exhaustive()
+    }
+}
+
+impl AgentConnection {
+    /// Starts to connect in the background; the connection is kept up until the last reference
+    /// to the returned value is dropped.
+    #[must_use]
+    pub fn open(address: SocketAddr) -> Arc<Self> {
+        let client = ArcSwapOption::empty();
+        let connection = Arc::new(Self {
+            address,
+            client,
+            changed: Notify::new(),
+        });
+        tokio::spawn(maintain(Arc::downgrade(&connection), address));
+        connection
+    }
+
+    /// The agent's address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The client of the moment.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Unavailable`] with the verdict "not run" if there is no connection now.
+    pub fn client(&self) -> Result<Arc<WsClient>, RequestError> {
+        self.client.load_full().ok_or_else(|| {
+            let message = format!("no connection to the agent at {}", self.address);
+            RequestError::not_run(ErrorKind::Unavailable, message)
+        })
+    }
+
+    /// Waits until there is a client other than `old`.
+    pub async fn replaced(&self, old: &Arc<WsClient>) -> Arc<WsClient> {
+        loop {
+            let changed = self.changed.notified();
+            if let Some(client) = self.client.load_full()
+                && !Arc::ptr_eq(&client, old)
+            {
+                return client;
+            }
+            changed.await;
+        }
+    }
+
+    fn set(&self, client: Option<Arc<WsClient>>) {
+        self.client.store(client);
+        self.changed.notify_waiters();
+    }
+}
+
+/// Connects, pings, and replaces the connection when a ping stays unanswered.
+async fn maintain(connection: Weak<AgentConnection>, address: SocketAddr) {
+    loop {
+        let opened = connect(address).await;
+        let Some(alive) = connection.upgrade() else {
+            return;
+        };
+        let Some(client) = opened else {
+            drop(alive);
+            tokio::time::sleep(CONNECTION_PING_INTERVAL).await;
+            continue;
+        };
+        alive.set(Some(Arc::clone(&client)));
+        drop(alive);
+        if !ping_until_silent(&connection, &client).await {
+            return;
+        }
+        // A failed connection is taken away only if no new one can be had, so that calls can
+        // still reach the agent while the replacement is opened.
+        let replacement = connect(address).await;
+        let Some(alive) = connection.upgrade() else {
+            return;
+        };
+        alive.set(replacement);
+    }
+}
+
+/// Pings until an answer stays out; false if nobody uses the connection any longer.
+async fn ping_until_silent(connection: &Weak<AgentConnection>, client: &Arc<WsClient>) -> bool {
+    loop {
+        tokio::time::sleep(CONNECTION_PING_INTERVAL).await;
+        if connection.strong_count() == 0 {
+            return false;
+        }
+        let ping = tokio::time::timeout(CONNECTION_PING_TIMEOUT, client.ping()).await;
+        if !matches!(ping, Ok(Ok(_))) {
+            return true;
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Option<Arc<WsClient>> {
+    let building = WsClientBuilder::default()
+        .connection_timeout(CONNECTION_PING_TIMEOUT)
+        .request_timeout(CALL_TIMEOUT)
+        .max_concurrent_requests(MAX_CALLS_IN_FLIGHT)
+        .max_request_size(MAX_MESSAGE_BYTES)
+        .max_response_size(MAX_MESSAGE_BYTES)
+        .build(format!("ws://{address}"));
+    let client = tokio::time::timeout(CONNECTION_PING_TIMEOUT, building)
+        .await
+        .ok()?
+        .ok()?;
+    Some(Arc::new(client))
+}
--- /dev/null
+++ b/crates/rattanwinch_peers/src/wire/invalid_wire.rs
@@ -0,0 +1,36 @@
+use std::fmt;
+
+use rattanwinch_types::InvalidName;
+use rattanwinch_types::InvalidShape;
+
+/// A message whose fields don't make sense, with what was expected.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InvalidWire(String);
+
+impl InvalidWire {
+    /// Names the field and what was expected of it.
+    #[must_use]
+    pub fn new(field: &str, expected: &str) -> Self {
+        Self(format!("field {field}: expected {expected}"))
+    }
+}
+
+impl fmt::Display for InvalidWire {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for InvalidWire {}
+
+impl From<InvalidName> for InvalidWire {
+    fn from(error: InvalidName) -> Self {
+        Self(error.to_string())
+    }
+}
+
+impl From<InvalidShape> for InvalidWire {
+    fn from(error: InvalidShape) -> Self {
+        Self(error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_peers/src/wire/peer_state.rs
@@ -0,0 +1,106 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rattanwinch_types::EntryName;
+use rattanwinch_types::Epoch;
+use rattanwinch_types::Incarnation;
+use rattanwinch_types::PeerState;
+use rattanwinch_types::Revision;
+use rattanwinch_types::ZoneName;
+use rattanwinch_types::ZoneSummary;
+
+use super::InvalidWire;
+use super::to_millis;
+
+rattanwinch_types::value! { wire
+    /// A [`ZoneSummary`] as it travels.
+    pub struct WireZoneSummary {
+        /// The availability zone.
+        pub zone: String,
+        /// The decider's epoch.
+        pub epoch: i64,
+        /// Free blocks of 1, 2, 4 and 8 accelerators.
+        pub free_blocks: [u32; 4],
+        /// Accelerators of live workers.
+        pub accelerators: u32,
+        /// Jobs that wait.
+        pub waiting: u32,
+    }
+}
+
+impl From<ZoneSummary> for WireZoneSummary {
+    fn from(summary: ZoneSummary) -> Self {
+        Self {
+            zone: summary.zone.into(),
+            epoch: summary.epoch.0,
+            free_blocks: summary.free_blocks,
+            accelerators: summary.accelerators,
+            waiting: summary.waiting,
+        }
+    }
+}
+
+impl TryFrom<WireZoneSummary> for ZoneSummary {
+    type Error = InvalidWire;
+
+    fn try_from(wire: WireZoneSummary) -> Result<Self, InvalidWire> {
+        Ok(Self {
+            zone: ZoneName::new(wire.zone)?,
+            epoch: Epoch(wire.epoch),
+            free_blocks: wire.free_blocks,
+            accelerators: wire.accelerators,
+            waiting: wire.waiting,
+        })
+    }
+}
+
+rattanwinch_types::value! { wire
+    /// A [`PeerState`] as it travels.
+    pub struct WirePeerState {
+        /// The entry.
+        pub entry: String,
+        /// This life of the entry.
+        pub incarnation: u64,
+        /// Where it takes calls.
+        pub address: SocketAddr,
+        /// The configuration revision that it acts on.
+        pub config_revision: i64,
+        /// The age of its last successful control read, in milliseconds.
+        pub control_age_ms: Option<u64>,
+        /// True once it takes no new requests.
+        pub draining: bool,
+        /// The zones that it decides.
+        pub zones: Vec<WireZoneSummary>,
+    }
+}
+
+impl From<PeerState> for WirePeerState {
+    fn from(state: PeerState) -> Self {
+        Self {
+            entry: state.entry.into(),
+            incarnation: state.incarnation.0,
+            address: state.address,
+            config_revision: state.config_revision.0,
+            control_age_ms: state.control_age.map(to_millis),
+            draining: state.draining,
+            zones: state.zones.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl TryFrom<WirePeerState> for PeerState {
+    type Error = InvalidWire;
+
+    fn try_from(wire: WirePeerState) -> Result<Self, InvalidWire> {
+        let zones = wire.zones.into_iter().map(ZoneSummary::try_from);
+        Ok(Self {
+            entry: EntryName::new(wire.entry)?,
+            incarnation: Incarnation(wire.incarnation),
+            address: wire.address,
+            config_revision: Revision(wire.config_revision),
+            control_age: wire.control_age_ms.map(Duration::from_millis),
+            draining: wire.draining,
+            zones: zones.collect::<Result<_, _>>()?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! The client of the platform's key-value service.
--- /dev/null
+++ b/crates/rattanwinch_runtime/src/logger.rs
@@ -0,0 +1,38 @@
+use std::io;
+use std::sync::Mutex;
+
+use slog::Drain as _;
+use slog::FnValue;
+use slog::Logger;
+use slog::PushFnValue;
+use slog::o;
+
+/// Log records that may wait for the writer; more are dropped and counted by `slog-async`.
+const QUEUED_RECORDS: usize = 4096;
+
+/// Makes a logger that writes one JSON object a line to standard error.
+///
+/// Each line has `ts_unix_ms`, `level`, `msg` and `process`, then the fields of the record.
+pub fn json_logger(process: &str) -> Logger {
+    let drain = slog_json::Json::new(io::stderr())
+        .add_key_value(o!(
+            "ts_unix_ms" => FnValue(|_| {
+                let since = std::time::UNIX_EPOCH.elapsed().unwrap_or_default();
+                u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+            }),
+            "level" => FnValue(|record| record.level().as_str()),
+            "msg" => PushFnValue(|record, ser| ser.emit(record.msg())),
+        ))
+        .build();
+    let drain = Mutex::new(drain).fuse();
+    let drain = slog_async::Async::new(drain)
+        .chan_size(QUEUED_RECORDS)
+        .build()
+        .fuse();
+    Logger::root(drain, o!("process" => process.to_owned()))
+}
+
+/// A logger that drops every record, for tests.
+pub fn discard_logger() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
--- /dev/null
+++ b/crates/rattanwinch_runtime/src/shutdown.rs
@@ -0,0 +1,67 @@
+use std::time::Duration;
+
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Tells all tasks of a daemon to stop, and waits for them.
+#[derive(Clone, Debug, Default)]
+pub struct Shutdown {
+    requested: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl Shutdown {
+    /// Makes a handle that nobody has asked to stop.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Asks all tasks to stop.
+    pub fn request(&self) {
+        self.requested.cancel();
+    }
+
+    /// True once a stop was asked for.
+    #[must_use]
+    pub fn is_requested(&self) -> bool {
+        self.requested.is_cancelled()
+    }
+
+    /// Waits until a stop is asked for.
+    pub async fn requested(&self) {
+        self.requested.cancelled().await;
+    }
+
+    /// Runs a task that [`Self::finished`] waits for.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.tasks.spawn(task);
+    }
+
+    /// Waits until all tasks have ended; false if `limit` passed first.
+    pub async fn finished(&self, limit: Duration) -> bool {
+        self.tasks.close();
+        tokio::time::timeout(limit, self.tasks.wait()).await.is_ok()
+    }
+
+    /// Asks for a stop on SIGTERM and SIGINT.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error if the signals can't be watched.
+    pub fn watch_signals(&self) -> std::io::Result<()> {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let requested = self.requested.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            requested.cancel();
+        });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_standins/src/executor/standin_executor.rs
@@ -0,0 +1,155 @@
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use poem::EndpointExt as _;
+use poem::IntoResponse as _;
+use poem::Response;
+use poem::Route;
+use poem::Server;
+use poem::handler;
+use poem::http::StatusCode;
+use poem::listener::Acceptor as _;
+use poem::listener::Listener as _;
+use poem::listener::TcpListener;
+use poem::post;
+use poem::web::Data;
+use poem::web::Json;
+use rattanwinch_runtime::Shutdown;
+use rattanwinch_targets::WireRequest;
+use rattanwinch_targets::WireResponse;
+use rattanwinch_types::Answer;
+use tokio::sync::Semaphore;
+
+use super::WorkOrder;
+
+/// What the stand-in's parts share.
+struct State {
+    slots: Semaphore,
+    fails_everything: AtomicBool,
+    started: AtomicU64,
+    runs: Mutex<Vec<String>>,
+}
+
+/// An executor with a number of slots behind the HTTP interface of `docs/executor-api.md`.
+pub struct StandinExecutor {
+    address: SocketAddr,
+    state: Arc<State>,
+    shutdown: Shutdown,
+}
+
+impl fmt::Debug for StandinExecutor {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("StandinExecutor")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl StandinExecutor {
+    /// Listens on `address`, where port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error if the address can't be bound.
+    ///
+    /// # Panics
+    ///
+    /// If the listener has no TCP address, which can't be with a TCP listener.
+    pub async fn start(address: SocketAddr, slots: usize) -> io::Result<Self> {
+        let state = Arc::new(State {
+            slots: Semaphore::new(slots),
+            fails_everything: AtomicBool::new(false),
+            started: AtomicU64::new(0),
+            runs: Mutex::new(Vec::new()),
+        });
+        let acceptor = TcpListener::bind(address).into_acceptor().await?;
+        let local = acceptor.local_addr();
+        let address = local
+            .iter()
+            .find_map(|local| local.as_socket_addr().copied());
+        let address = address.expect("a TCP listener has a TCP address");
+        let app = Route::new()
+            .at("/v1/requests", post(run_request))
+            .data(Arc::clone(&state));
+        let shutdown = Shutdown::new();
+        let stop = shutdown.clone();
+        shutdown.spawn(async move {
+            let server = Server::new_with_acceptor(acceptor);
+            let stopped = async move { stop.requested().await };
+            // A stand-in has no log; a broken listener shows as refused connections.
+            let _ = server.run_with_graceful_shutdown(app, stopped, None).await;
+        });
+        Ok(Self {
+            address,
+            state,
+            shutdown,
+        })
+    }
+
+    /// Where the executor takes calls.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Makes everything fail from now on, or lets it succeed again.
+    pub fn set_fails_everything(&self, fails: bool) {
+        self.state.fails_everything.store(fails, Ordering::Release);
+    }
+
+    /// The requests that were started so far.
+    #[must_use]
+    pub fn started(&self) -> u64 {
+        self.state.started.load(Ordering::Acquire)
+    }
+
+    /// Every request that was started, as `organisation/id#attempt`, in order.
+    ///
+    /// # Panics
+    ///
+    /// If a task that recorded a run panicked.
+    #[must_use]
+    pub fn runs(&self) -> Vec<String> {
+        self.state
+            .runs
+            .lock()
+            .expect("recording a run doesn't panic")
+            .clone()
+    }
+
+    /// Stops at once.
+    pub fn stop(&self) {
+        self.shutdown.request();
+    }
+}
+
+#[handler]
+async fn run_request(Data(state): Data<&Arc<State>>, Json(req): Json<WireRequest>) -> Response {
+    let Ok(_slot) = state.slots.try_acquire() else {
+        return (StatusCode::SERVICE_UNAVAILABLE, "all slots are taken").into_response();
+    };
+    state.started.fetch_add(1, Ordering::AcqRel);
+    let run = format!("{}/{}#{}", req.organisation, req.id, req.attempt);
+    state
+        .runs
+        .lock()
+        .expect("recording a run doesn't panic")
+        .push(run.clone());
+    let order = WorkOrder::parse(&req.payload);
+    if !order.work.is_zero() {
+        tokio::time::sleep(order.work).await;
+    }
+    if order.fail || state.fails_everything.load(Ordering::Acquire) {
+        return (StatusCode::INTERNAL_SERVER_ERROR, "the work failed").into_response();
+    }
+    let mut text = format!("done {run}: {}", req.payload);
+    let missing = order.answer_bytes.saturating_sub(text.len());
+    text.extend(std::iter::repeat_n('.', missing));
+    Json(WireResponse::from(Answer::whole(text))).into_response()
+}
--- /dev/null
+++ b/crates/rattanwinch_standins/src/lib.rs
@@ -0,0 +1,9 @@
+//! Stand-ins for what lies outside rattanwinch, for tests, measurements and the demonstration.
+//!
+//! [`StandinExecutor`] behaves as an executor on a target VM: it has slots, answers plain
+//! requests and can be told to fail. Nothing here ships; no package that ships depends on it.
+
+mod executor;
+
+pub use executor::StandinExecutor;
+pub use executor::WorkOrder;
--- /dev/null
+++ b/crates/rattanwinch_targets/src/executor.rs
@@ -0,0 +1,54 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use rattanwinch_types::Answer;
+use rattanwinch_types::AttemptKey;
+use rattanwinch_types::MemberKey;
+use rattanwinch_types::RequestError;
+use rattanwinch_types::StopMode;
+
+use crate::TaskOrder;
+use crate::TaskReport;
+
+/// What a call to an executor returns; the error says whether the request or task may have run.
+pub type Result<T> = std::result::Result<T, RequestError>;
+
+/// What an agent needs of the executor beside it.
+pub trait Executor: Send + Sync + 'static {
+    /// Runs one attempt at a plain request and returns its whole answer, at most `limit` later.
+    fn run_request(
+        &self,
+        attempt: &AttemptKey,
+        payload: &Arc<str>,
+        limit: Duration,
+    ) -> impl Future<Output = Result<Answer>> + Send;
+
+    /// Loads a task without running it; it is dropped when its lease expires.
+    fn load_task(&self, order: &TaskOrder) -> impl Future<Output = Result<()>> + Send;
+
+    /// Runs a loaded task.
+    fn run_task(&self, member: &MemberKey) -> impl Future<Output = Result<()>> + Send;
+
+    /// Throttles, checkpoints or stops a task.
+    fn stop_task(
+        &self,
+        member: &MemberKey,
+        mode: StopMode,
+    ) -> impl Future<Output = Result<()>> + Send;
+
+    /// Extends the leases of the given tasks to `lease` from now.
+    fn renew_tasks(
+        &self,
+        members: &[MemberKey],
+        lease: Duration,
+    ) -> impl Future<Output = Result<()>> + Send;
+
+    /// Lists all tasks that the executor has or remembers.
+    fn tasks(&self) -> impl Future<Output = Result<Vec<TaskReport>>> + Send;
+
+    /// Returns the whole output of a task that succeeded.
+    fn output(&self, member: &MemberKey) -> impl Future<Output = Result<Answer>> + Send;
+
+    /// Lets the executor forget a task that has ended.
+    fn forget_task(&self, member: &MemberKey) -> impl Future<Output = Result<()>> + Send;
+}
--- /dev/null
+++ b/crates/rattanwinch_types/src/peer_state.rs
@@ -0,0 +1,45 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bon::Builder;
+
+use crate::EntryName;
+use crate::Epoch;
+use crate::Incarnation;
+use crate::Revision;
+use crate::ZoneName;
+
+crate::value! {
+    /// What a zone's decider tells the other entries, so that they can choose a zone for a job.
+    pub struct ZoneSummary {
+        /// The availability zone.
+        pub zone: ZoneName,
+        /// The decider's epoch.
+        pub epoch: Epoch,
+        /// Free blocks by size: of 1, 2, 4 and 8 accelerators, each counted at its largest size.
+        pub free_blocks: [u32; 4],
+        /// Accelerators of live workers.
+        pub accelerators: u32,
+        /// Jobs that wait.
+        pub waiting: u32,
+    }
+}
+
+/// What two entries tell each other in a ping and in its answer.
+#[derive(Clone, Debug, PartialEq, Eq, Builder)]
+pub struct PeerState {
+    /// The entry.
+    pub entry: EntryName,
+    /// This life of the entry.
+    pub incarnation: Incarnation,
+    /// Where it takes calls from other rattanwinch processes.
+    pub address: SocketAddr,
+    /// The configuration revision that it acts on.
+    pub config_revision: Revision,
+    /// The time since it sent its last successful control read; `None` before the first.
+    pub control_age: Option<Duration>,
+    /// True once it takes no new requests.
+    pub draining: bool,
+    /// The zones that it decides.
+    pub zones: Vec<ZoneSummary>,
+}
--- /dev/null
+++ b/crates/rattanwinch_types/src/plain_request.rs
@@ -0,0 +1,80 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use bon::Builder;
+
+use crate::Digest;
+use crate::ErrorKind;
+use crate::RequestError;
+use crate::RequestKey;
+use crate::Timestamp;
+
+/// The largest payload of a request and the largest answer of one task, in bytes of text.
+pub const MAX_PAYLOAD_BYTES: usize = 256 * 1024;
+
+/// How far ahead the deadline of a non-idempotent request may lie. Claims are kept for 24 h, so
+/// a retry within this time always finds the claim of an earlier attempt.
+pub const MAX_DEADLINE_AHEAD: Duration = Duration::from_secs(12 * 3600);
+
+/// A request that one slot of one target answers.
+#[derive(Clone, Debug, PartialEq, Eq, Builder)]
+pub struct PlainRequest {
+    /// The organisation and the caller's id.
+    pub key: RequestKey,
+    /// Whether running it twice does no harm.
+    pub idempotent: bool,
+    /// When the caller stops waiting, in milliseconds since the Unix epoch.
+    pub deadline: Timestamp,
+    /// The text for the executor, at most [`MAX_PAYLOAD_BYTES`].
+    pub payload: Arc<str>,
+}
+
+impl PlainRequest {
+    /// The digest of all that the caller asked, for telling a retry from a reused id.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        Digest::of_fields(&[
+            b"plain",
+            self.key.organisation.as_str().as_bytes(),
+            self.key.id.as_str().as_bytes(),
+            &[u8::from(self.idempotent)],
+            &self.deadline.as_millis().to_be_bytes(),
+            self.payload.as_bytes(),
+        ])
+    }
+
+    /// Checks the size and the deadline.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Invalid`] with the verdict "not run" if the payload is too large or the
+    /// deadline too far ahead; [`ErrorKind::Deadline`] if the deadline has passed, with "may
+    /// have run" for a non-idempotent request, whose earlier claim may be gone by then.
+    pub fn check(&self, now: Timestamp) -> Result<(), RequestError> {
+        if self.payload.len() > MAX_PAYLOAD_BYTES {
+            let message = format!(
+                "payload has {} bytes: expected at most {MAX_PAYLOAD_BYTES}",
+                self.payload.len()
+            );
+            return Err(RequestError::not_run(ErrorKind::Invalid, message));
+        }
+        if self.deadline <= now {
+            let error = RequestError::not_run(
+                ErrorKind::Deadline,
+                "deadline_unix_ms has passed: expected a time to come",
+            );
+            return Err(if self.idempotent {
+                error
+            } else {
+                error.with_verdict_at_least(crate::Verdict::MayHaveRun)
+            });
+        }
+        if !self.idempotent && now.until(self.deadline) > MAX_DEADLINE_AHEAD {
+            return Err(RequestError::not_run(
+                ErrorKind::Invalid,
+                "deadline_unix_ms is more than 12 h ahead, the most for a non-idempotent request",
+            ));
+        }
+        Ok(())
+    }
+}
