--- a/crates/rattanwinch_types/src/name.rs
+++ b/crates/rattanwinch_types/src/name.rs
@@ -126,3 +126,13 @@
     EntryName,
     "entry"
 );
+name!(
+    /// The id of an operators' exception; unique in the configuration.
+    ExceptionId,
+    "exception id"
+);
+name!(
+    /// The id of a change to the configuration, given by its author's program.
+    ChangeId,
+    "change id"
+);
