Add the stored forms of the configuration document and of change records

Entries, deciders and the operators' interface all read config/current, so its JSON form lives in one place.

--- a/crates/rattanwinch_platform/src/lib.rs
+++ b/crates/rattanwinch_platform/src/lib.rs
@@ -1,10 +1,11 @@
 //! The client of the platform's key-value service.
 //!
 //! [`Store`] is what rattanwinch needs of it: compare-and-swap over a few keys, reads, and leases
-//! that remove keys of processes that are gone. [`keys`] builds every key. What is stored under
-//! a key is made and read by the packages that own it.
+//! that remove keys of processes that are gone. [`keys`] builds every key. [`records`] has the JSON
+//! forms of what is stored under them.
 
 pub mod keys;
+pub mod records;
 mod store;
 mod store_error;
 mod transaction;
