Decide changes of the configuration as pure functions

Operators change one document, so each change is checked against the whole of it: names that don't exist, duplicates, things still in use, numbers out of range, a missing reason or author. effect() gives the sentences of the dry run and of the change record.

--- /dev/null
+++ b/crates/rattanwinch_decisions/src/config_changes/default_key.rs
@@ -0,0 +1,105 @@
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use rattanwinch_types::FleetDefaults;
+
+/// A day in milliseconds, the most for any default that is a duration.
+const DAY_MS: u64 = 24 * 3600 * 1000;
+
+rattanwinch_types::value! { copy
+    /// A fleet-wide default; the name of each ends in its unit.
+    pub enum DefaultKey {
+        /// How long plain requests go on without a fresh view of closed zones.
+        PlainWhenStaleMs,
+        /// Attempts at an idempotent gang.
+        MaxAttempts,
+        /// The longest time of a checkpoint.
+        CheckpointLimitMs,
+        /// The longest time of a stop.
+        StopLimitMs,
+        /// The weight of completion time in placement.
+        CompletionWeightPercent,
+        /// The share of requests that has to be answered in time.
+        ServiceLevelPpm,
+    }
+}
+
+impl DefaultKey {
+    /// Every key, in the order of declaration.
+    pub const ALL: [Self; 6] = [
+        Self::PlainWhenStaleMs,
+        Self::MaxAttempts,
+        Self::CheckpointLimitMs,
+        Self::StopLimitMs,
+        Self::CompletionWeightPercent,
+        Self::ServiceLevelPpm,
+    ];
+
+    /// The stable text used in messages and commands.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::PlainWhenStaleMs => "plain_when_stale_ms",
+            Self::MaxAttempts => "max_attempts",
+            Self::CheckpointLimitMs => "checkpoint_limit_ms",
+            Self::StopLimitMs => "stop_limit_ms",
+            Self::CompletionWeightPercent => "completion_weight_percent",
+            Self::ServiceLevelPpm => "service_level_ppm",
+        }
+    }
+
+    /// Reads the stable text.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|key| key.as_str() == text)
+    }
+
+    /// The values that are allowed.
+    ///
+    /// A service level of 100% is left out, because it has no error budget to burn.
+    #[must_use]
+    pub const fn range(self) -> RangeInclusive<u64> {
+        match self {
+            Self::PlainWhenStaleMs => 0..=7 * DAY_MS,
+            Self::MaxAttempts => 1..=100,
+            Self::CheckpointLimitMs | Self::StopLimitMs => 0..=DAY_MS,
+            Self::CompletionWeightPercent => 0..=100,
+            Self::ServiceLevelPpm => 1..=999_999,
+        }
+    }
+
+    /// The value among the defaults.
+    #[must_use]
+    pub fn get(self, defaults: &FleetDefaults) -> u64 {
+        let millis = |span: Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        match self {
+            Self::PlainWhenStaleMs => millis(defaults.plain_when_stale),
+            Self::MaxAttempts => defaults.max_attempts.into(),
+            Self::CheckpointLimitMs => millis(defaults.checkpoint_limit),
+            Self::StopLimitMs => millis(defaults.stop_limit),
+            Self::CompletionWeightPercent => defaults.completion_weight_percent.into(),
+            Self::ServiceLevelPpm => defaults.service_level_ppm.into(),
+        }
+    }
+
+    /// Sets the value; false, with nothing changed, if it is out of [`Self::range`].
+    pub fn set(self, defaults: &mut FleetDefaults, value: u64) -> bool {
+        if !self.range().contains(&value) {
+            return false;
+        }
+        // The range is narrower than each type, so no value is cut.
+        let small = u32::try_from(value).unwrap_or(u32::MAX);
+        let span = Duration::from_millis(value);
+        match self {
+            Self::PlainWhenStaleMs => defaults.plain_when_stale = span,
+            Self::MaxAttempts => defaults.max_attempts = small,
+            Self::CheckpointLimitMs => defaults.checkpoint_limit = span,
+            Self::StopLimitMs => defaults.stop_limit = span,
+            Self::CompletionWeightPercent => {
+                defaults.completion_weight_percent = u8::try_from(value).unwrap_or(u8::MAX);
+            }
+            Self::ServiceLevelPpm => defaults.service_level_ppm = small,
+        }
+        true
+    }
+}
--- a/crates/rattanwinch_decisions/src/lib.rs
+++ b/crates/rattanwinch_decisions/src/lib.rs
@@ -5,11 +5,19 @@
 //! is decided, so that another front end can use the same code.
 //!
 //! Start reading at [`Gate`], which says what an agent may start now, and [`pick_target`], which
-//! routes a plain request.
+//! routes a plain request. [`apply`] changes the configuration.
 
+mod config_changes;
 mod gate;
 mod routing;
 
+pub use config_changes::ChangeError;
+pub use config_changes::ConfigChange;
+pub use config_changes::DefaultKey;
+pub use config_changes::MAX_AUTHOR_BYTES;
+pub use config_changes::MAX_REASON_BYTES;
+pub use config_changes::apply;
+pub use config_changes::effect;
 pub use gate::Gate;
 pub use routing::TargetLoad;
 pub use routing::pick_target;
