Run non-idempotent requests at most once by claims in the store

Cause: a plain request that must not run twice was refused, and an entry knew nothing of the configuration. Change: a claim is a typestate in the decisions; the entry writes it to the store before it sends the attempt, asks the target about an attempt that it finds, and records the outcome. The control read loop brings the configuration, deciders and entries and the freshness of an entry. A refusal before the store was asked says "not run" only if the caller says that it sends the id for the first time.

--- a/crates/rattanwinch_callers/src/wire.rs
+++ b/crates/rattanwinch_callers/src/wire.rs
@@ -74,6 +74,10 @@
         /// Whether running it twice does no harm.
         #[serde(default = "yes")]
         pub idempotent: bool,
+        /// Whether the caller sends this id for the first time. Without it, a refusal of a
+        /// non-idempotent request before its claim was checked says "may have run".
+        #[serde(default)]
+        pub first_submission: bool,
         /// When the caller stops waiting, in milliseconds since the Unix epoch.
         pub deadline_unix_ms: u64,
         /// The text for the executor, at most 256 KiB.
@@ -88,6 +92,7 @@
         Ok(Self {
             key: key(wire.organisation, wire.id)?,
             idempotent: wire.idempotent,
+            first_submission: wire.first_submission,
             deadline: Timestamp::from_millis(wire.deadline_unix_ms),
             payload: Arc::from(wire.payload),
         })
--- /dev/null
+++ b/crates/rattanwinch_decisions/src/claims/claim.rs
@@ -0,0 +1,331 @@
+use rattanwinch_types::ClaimOutcome;
+use rattanwinch_types::ClaimRecord;
+use rattanwinch_types::Digest;
+use rattanwinch_types::ErrorKind;
+use rattanwinch_types::Incarnation;
+use rattanwinch_types::RequestError;
+use rattanwinch_types::Revision;
+use rattanwinch_types::TargetName;
+use rattanwinch_types::Verdict;
+
+use super::AskResponse;
+use super::ClaimStep;
+use super::WriteResponse;
+
+/// Attempts at one request; each needs a proof that the one before it never ran.
+const MAX_ATTEMPTS: u32 = 8;
+
+rattanwinch_types::value! { copy
+    /// What is known of attempts before the one that is under way.
+    enum Earlier {
+        /// There was none, or each is known never to run.
+        NeverRan,
+        /// The caller may have sent the request before, and the store hasn't been asked.
+        Unknown,
+    }
+}
+
+impl Earlier {
+    /// The verdict on a request whose present attempt certainly doesn't run.
+    const fn verdict(self) -> Verdict {
+        match self {
+            Self::NeverRan => Verdict::NotRun,
+            Self::Unknown => Verdict::MayHaveRun,
+        }
+    }
+}
+
+rattanwinch_types::value! {
+    /// No attempt is under way.
+    pub struct Unclaimed {
+        /// What is known of earlier attempts.
+        earlier: Earlier,
+        /// The number of the next attempt.
+        attempt: u32,
+        /// The revision of the claim that the next one replaces; `None` if there is none.
+        expected: Option<Revision>,
+    }
+}
+
+rattanwinch_types::value! {
+    /// The claim of an attempt is being written.
+    pub struct Proposed {
+        /// What is known of earlier attempts.
+        earlier: Earlier,
+        /// The claim.
+        record: ClaimRecord,
+        /// The revision of the claim that it replaces.
+        expected: Option<Revision>,
+    }
+}
+
+rattanwinch_types::value! {
+    /// The claim is in the store; nothing was sent.
+    pub struct Claimed {
+        /// The claim.
+        record: ClaimRecord,
+        /// The revision at which it was written.
+        revision: Revision,
+    }
+}
+
+rattanwinch_types::value! {
+    /// The attempt may have reached its target.
+    pub struct Dispatched {
+        /// The claim.
+        record: ClaimRecord,
+        /// The revision at which it was last written.
+        revision: Revision,
+    }
+}
+
+/// A non-idempotent request on its way; the type parameter says how far it has come.
+///
+/// Each transition takes the claim, so that an attempt can't be sent twice or before its claim
+/// was confirmed.
+#[derive(Debug)]
+pub struct Claim<S> {
+    digest: Digest,
+    stage: S,
+}
+
+impl Claim<Unclaimed> {
+    /// A request that arrived, with the digest of what was asked.
+    ///
+    /// Unless the caller says that it sends the request for the first time, an earlier attempt
+    /// may have run, and a refusal before the store was asked can't say "not run".
+    #[must_use]
+    pub const fn new(digest: Digest, first_submission: bool) -> Self {
+        let earlier = if first_submission {
+            Earlier::NeverRan
+        } else {
+            Earlier::Unknown
+        };
+        Self {
+            digest,
+            stage: Unclaimed {
+                earlier,
+                attempt: 1,
+                expected: None,
+            },
+        }
+    }
+
+    /// Proposes the next attempt at a life of a target's agent.
+    #[must_use]
+    pub fn propose(self, target: TargetName, incarnation: Incarnation) -> Claim<Proposed> {
+        let Unclaimed {
+            earlier,
+            attempt,
+            expected,
+        } = self.stage;
+        let digest = self.digest;
+        let record = ClaimRecord {
+            digest,
+            attempt,
+            target,
+            incarnation,
+            outcome: None,
+        };
+        Claim {
+            digest,
+            stage: Proposed {
+                earlier,
+                record,
+                expected,
+            },
+        }
+    }
+
+    /// Ends the request because it can't be attempted now.
+    #[must_use]
+    pub fn give_up(self, error: RequestError) -> ClaimStep {
+        done(Err(
+            error.with_verdict_at_least(self.stage.earlier.verdict())
+        ))
+    }
+}
+
+impl Claim<Proposed> {
+    /// The claim to write.
+    #[must_use]
+    pub const fn record(&self) -> &ClaimRecord {
+        &self.stage.record
+    }
+
+    /// The revision of the claim to replace; `None` if there must be none.
+    #[must_use]
+    pub const fn expected(&self) -> Option<Revision> {
+        self.stage.expected
+    }
+
+    /// Goes on with what the store answered.
+    #[must_use]
+    pub fn written(self, response: WriteResponse) -> ClaimStep {
+        let Self { digest, stage } = self;
+        match response {
+            WriteResponse::Applied(revision) => {
+                let stage = Claimed {
+                    record: stage.record,
+                    revision,
+                };
+                ClaimStep::Dispatch(Claim { digest, stage })
+            }
+            WriteResponse::Found(record, revision) => judge_found(digest, record, revision),
+            WriteResponse::Missing => done(Err(RequestError::may_have_run(
+                ErrorKind::Conflict,
+                "the claim of an earlier attempt is no longer in the store",
+            ))),
+            WriteResponse::InUse => done(Err(RequestError::not_run(
+                ErrorKind::Conflict,
+                "the id was used before for a job: expected a new id",
+            ))),
+            // The claim may be written later, but only a confirmed one is followed by a dispatch;
+            // whoever finds it asks the target, which then refuses it for good.
+            WriteResponse::Unknown => done(Err(RequestError::new(
+                stage.earlier.verdict(),
+                ErrorKind::Unavailable,
+                "the platform's store didn't confirm the claim of the request; \
+                 it may be sent again with the same id",
+            ))),
+        }
+    }
+}
+
+impl Claim<Claimed> {
+    /// The number of the attempt.
+    #[must_use]
+    pub const fn attempt(&self) -> u32 {
+        self.stage.record.attempt
+    }
+
+    /// The target of the attempt.
+    #[must_use]
+    pub const fn target(&self) -> &TargetName {
+        &self.stage.record.target
+    }
+
+    /// The life of the target's agent that the attempt is for.
+    #[must_use]
+    pub const fn incarnation(&self) -> Incarnation {
+        self.stage.record.incarnation
+    }
+
+    /// Goes on with the result of sending the attempt to its target.
+    #[must_use]
+    pub fn sent(self, outcome: ClaimOutcome) -> ClaimStep {
+        let Self { digest, stage } = self;
+        let claim = Claim {
+            digest,
+            stage: Dispatched {
+                record: stage.record,
+                revision: stage.revision,
+            },
+        };
+        match outcome {
+            Err(error) if error.verdict == Verdict::MayHaveRun => ClaimStep::Ask(claim),
+            outcome => claim.ended(outcome),
+        }
+    }
+}
+
+impl Claim<Dispatched> {
+    /// The number of the attempt.
+    #[must_use]
+    pub const fn attempt(&self) -> u32 {
+        self.stage.record.attempt
+    }
+
+    /// The target of the attempt.
+    #[must_use]
+    pub const fn target(&self) -> &TargetName {
+        &self.stage.record.target
+    }
+
+    /// The life of the target's agent that the attempt is for.
+    #[must_use]
+    pub const fn incarnation(&self) -> Incarnation {
+        self.stage.record.incarnation
+    }
+
+    /// Goes on with what the target answered about the attempt.
+    #[must_use]
+    pub fn asked(self, response: AskResponse) -> ClaimStep {
+        match response {
+            AskResponse::Ended(outcome) => self.ended(outcome),
+            AskResponse::NeverRuns => self.next_attempt(),
+            AskResponse::Gone => done(Err(RequestError::may_have_run(
+                ErrorKind::Unavailable,
+                "the target's agent was replaced before it told how the request ended",
+            ))),
+            AskResponse::Unreachable => done(Err(RequestError::may_have_run(
+                ErrorKind::Unavailable,
+                "the target can't be reached to ask how the request ended",
+            ))),
+        }
+    }
+
+    /// Takes the target's word on how the attempt ended.
+    fn ended(self, outcome: ClaimOutcome) -> ClaimStep {
+        match &outcome {
+            Err(error) if error.is_retryable_elsewhere() => self.next_attempt(),
+            // Nothing ran and another target wouldn't help; a later retry asks the target again.
+            Err(error) if error.verdict != Verdict::Ran => done(outcome),
+            _ => {
+                let Dispatched {
+                    mut record,
+                    revision,
+                } = self.stage;
+                record.outcome = Some(outcome.clone());
+                ClaimStep::Done {
+                    outcome,
+                    record: Some((record, revision)),
+                }
+            }
+        }
+    }
+
+    /// The attempt is known never to run, so another may be claimed.
+    fn next_attempt(self) -> ClaimStep {
+        let Dispatched { record, revision } = self.stage;
+        if record.attempt >= MAX_ATTEMPTS {
+            return done(Err(RequestError::not_run(
+                ErrorKind::Busy,
+                "every target that was tried refused the request",
+            )));
+        }
+        let stage = Unclaimed {
+            earlier: Earlier::NeverRan,
+            attempt: record.attempt + 1,
+            expected: Some(revision),
+        };
+        ClaimStep::Pick(Claim {
+            digest: self.digest,
+            stage,
+        })
+    }
+}
+
+/// Decides what to do about a claim that someone else wrote.
+fn judge_found(digest: Digest, record: ClaimRecord, revision: Revision) -> ClaimStep {
+    if record.digest != digest {
+        return done(Err(RequestError::not_run(
+            ErrorKind::Conflict,
+            "the id was used before with another body: expected the same body or a new id",
+        )));
+    }
+    if let Some(outcome) = record.outcome {
+        return done(outcome);
+    }
+    ClaimStep::Ask(Claim {
+        digest,
+        stage: Dispatched { record, revision },
+    })
+}
+
+const fn done(outcome: ClaimOutcome) -> ClaimStep {
+    ClaimStep::Done {
+        outcome,
+        record: None,
+    }
+}
--- a/crates/rattanwinch_decisions/src/lib.rs
+++ b/crates/rattanwinch_decisions/src/lib.rs
@@ -5,12 +5,22 @@
 //! is decided, so that another front end can use the same code.
 //!
 //! Start reading at [`Gate`], which says what an agent may start now, and [`pick_target`], which
-//! routes a plain request. [`apply`] changes the configuration.
+//! routes a plain request. [`Claim`] is how a non-idempotent request runs at most once, and
+//! [`apply`] changes the configuration.
 
+mod claims;
 mod config_changes;
 mod gate;
 mod routing;
 
+pub use claims::AskResponse;
+pub use claims::Claim;
+pub use claims::ClaimStep;
+pub use claims::Claimed;
+pub use claims::Dispatched;
+pub use claims::Proposed;
+pub use claims::Unclaimed;
+pub use claims::WriteResponse;
 pub use config_changes::ChangeError;
 pub use config_changes::ConfigChange;
 pub use config_changes::DefaultKey;
--- a/crates/rattanwinch_demo/src/site.rs
+++ b/crates/rattanwinch_demo/src/site.rs
@@ -21,6 +21,9 @@
 /// A free port on loopback.
 const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
+/// How often a waiting caller looks whether the site is ready.
+const READY_POLL: Duration = Duration::from_millis(10);
+
 /// Workers of one rack, as the sites of today have them.
 const WORKERS_PER_RACK: usize = 3;
 
@@ -113,3 +116,20 @@
         format!("http://{}{path}", self.entry.http_address())
     }
 }
+
+impl Site {
+    /// Waits until the entry can route to every target.
+    ///
+    /// # Errors
+    ///
+    /// If that takes longer than `limit`.
+    pub async fn wait_until_ready(&self, limit: Duration) -> Result<()> {
+        let ready = async {
+            while self.entry.connected_targets() < self.agents.len() {
+                tokio::time::sleep(READY_POLL).await;
+            }
+        };
+        let waited = tokio::time::timeout(limit, ready).await;
+        waited.map_err(|_| eyre::eyre!("not every target was connected within {limit:?}"))
+    }
+}
--- a/crates/rattanwinch_entry/src/control_view.rs
+++ b/crates/rattanwinch_entry/src/control_view.rs
@@ -1,5 +1,8 @@
+use std::sync::Arc;
 use std::time::Duration;
 
+use rattanwinch_platform::Versioned;
+use rattanwinch_types::FleetConfig;
 use rattanwinch_types::Revision;
 use rattanwinch_types::Timestamp;
 
@@ -10,35 +13,33 @@
 /// The longest that one heartbeat extends an agent's freshness.
 const AGENT_FRESH_FOR: Duration = Duration::from_secs(2);
 
-/// How long agents take plain requests without a fresh view by default: the longest outage of
-/// the store that the design covers (6 h).
-const PLAIN_WHEN_STALE: Duration = Duration::from_secs(6 * 3600);
-
-/// What an entry last read of the configuration.
-#[derive(Clone, Debug)]
+/// What an entry last read of the store's control keys.
+#[derive(Clone, Debug, Default)]
 pub(crate) struct ControlView {
-    /// The revision of the configuration document.
+    /// The revision of the configuration document; 0 before there is one.
     pub revision: Revision,
+    /// The configuration.
+    pub config: Arc<FleetConfig>,
+    /// The decider keys of all zones.
+    pub deciders: Arc<[Versioned]>,
+    /// The registrations of all entries.
+    pub entries: Arc<[Versioned]>,
     /// When the last successful control read was sent.
     pub confirmed_at: Option<Timestamp>,
-    /// How long after its freshness an agent still takes plain requests.
-    pub plain_when_stale: Duration,
-}
-
-impl Default for ControlView {
-    fn default() -> Self {
-        Self {
-            revision: Revision(0),
-            confirmed_at: None,
-            plain_when_stale: PLAIN_WHEN_STALE,
-        }
-    }
+    /// Which store was read; another id means other data.
+    pub cluster: Option<u64>,
+    /// Whether the store has gone back behind a revision that this entry, a peer or an agent
+    /// knows. Nothing is decided until an operator has restarted the entries.
+    pub regressed: bool,
 }
 
 impl ControlView {
     /// How long an agent may start tasks, counted from when it sent the heartbeat that is
     /// answered at `now`: what is left of the entry's own freshness, at most 2 s.
     pub fn freshness(&self, now: Timestamp) -> Duration {
+        if self.regressed {
+            return Duration::ZERO;
+        }
         let until = self
             .confirmed_at
             .map_or(Timestamp::ZERO, |at| at + FRESH_FOR);
--- a/crates/rattanwinch_entry/src/entry_daemon.rs
+++ b/crates/rattanwinch_entry/src/entry_daemon.rs
@@ -10,6 +10,7 @@
 use poem::listener::TcpListener;
 use rattanwinch_peers::EntryRpcServer as _;
 use rattanwinch_peers::RpcServer;
+use rattanwinch_platform::Store;
 use rattanwinch_runtime::MetricsText;
 use rattanwinch_runtime::Shutdown;
 use slog::Logger;
@@ -18,6 +19,7 @@
 use slog::warn;
 
 use crate::EntrySettings;
+use crate::control_reads;
 use crate::entry_state::EntryState;
 use crate::heartbeats::EntryCalls;
 use crate::http;
@@ -55,19 +57,19 @@
     shutdown: Shutdown,
 }
 
-/// An entry process; the type parameter says where it stands in its life.
+/// An entry process; `L` says where it stands in its life.
 #[derive(Debug)]
-pub struct EntryDaemon<S> {
-    state: Arc<EntryState>,
-    stage: S,
+pub struct EntryDaemon<S, L> {
+    state: Arc<EntryState<S>>,
+    stage: L,
 }
 
-impl EntryDaemon<Starting> {
-    /// Makes an entry.
+impl<S: Store> EntryDaemon<S, Starting> {
+    /// Makes an entry in front of `store`.
     #[must_use]
-    pub fn new(settings: EntrySettings, metrics: MetricsText, logger: Logger) -> Self {
+    pub fn new(settings: EntrySettings, store: S, metrics: MetricsText, logger: Logger) -> Self {
         Self {
-            state: EntryState::new(settings, logger),
+            state: EntryState::new(settings, store, logger),
             stage: Starting { metrics },
         }
     }
@@ -77,12 +79,13 @@
     /// # Errors
     ///
     /// If an address can't be bound.
-    pub async fn serve(self) -> Result<EntryDaemon<Serving>> {
+    pub async fn serve(self) -> Result<EntryDaemon<S, Serving>> {
         let Self { state, stage } = self;
         let shutdown = Shutdown::new();
         let rpc = serve_rpc(&state).await?;
         let http = serve_http(&state, stage.metrics, &shutdown).await?;
         shutdown.spawn(sweep(Arc::clone(&state), shutdown.clone()));
+        shutdown.spawn(control_reads::run(Arc::clone(&state), shutdown.clone()));
         info!(state.logger, "entry serves"; "entry" => %state.settings.entry,
             "incarnation" => state.incarnation.0, "http" => %http, "rpc" => %rpc.address());
         Ok(EntryDaemon {
@@ -96,7 +99,7 @@
     }
 }
 
-impl EntryDaemon<Serving> {
+impl<S: Store> EntryDaemon<S, Serving> {
     /// Where callers connect.
     #[must_use]
     pub fn http_address(&self) -> SocketAddr {
@@ -109,9 +112,20 @@
         self.stage.rpc.address()
     }
 
+    /// The number of targets that have announced themselves and are connected.
+    #[must_use]
+    pub fn connected_targets(&self) -> usize {
+        let targets = self.state.fleet.targets();
+        targets
+            .iter()
+            .filter(|target| target.connection.client().is_ok())
+            .count()
+    }
+
     /// Becomes not ready, but goes on serving what still arrives.
     #[must_use]
-    pub fn drain(self) -> EntryDaemon<Draining> {
+    pub fn drain(self) -> EntryDaemon<S, Draining> {
+        self.state.draining.store(true, Ordering::Release);
         self.state.ready.store(false, Ordering::Release);
         info!(self.state.logger, "entry drains"; "entry" => %self.state.settings.entry);
         let Serving { rpc, shutdown, .. } = self.stage;
@@ -122,7 +136,7 @@
     }
 }
 
-impl EntryDaemon<Draining> {
+impl<S: Store> EntryDaemon<S, Draining> {
     /// Waits until the balancer has stopped sending and the requests have ended, then stops.
     pub async fn finish(self) {
         let Draining { rpc, shutdown } = self.stage;
@@ -139,7 +153,7 @@
     }
 }
 
-impl EntryState {
+impl<S: Store> EntryState<S> {
     async fn requests_ended(&self) {
         while self.in_flight.load(Ordering::Acquire) > 0 {
             tokio::time::sleep(DRAIN_POLL).await;
@@ -147,7 +161,7 @@
     }
 }
 
-async fn serve_rpc(state: &Arc<EntryState>) -> Result<RpcServer> {
+async fn serve_rpc<S: Store>(state: &Arc<EntryState<S>>) -> Result<RpcServer> {
     let listen = state.settings.rpc_listen;
     let calls = EntryCalls(Arc::clone(state)).into_rpc();
     let rpc = RpcServer::start(listen, MAX_RPC_CONNECTIONS, calls)
@@ -158,8 +172,8 @@
     Ok(rpc)
 }
 
-async fn serve_http(
-    state: &Arc<EntryState>,
+async fn serve_http<S: Store>(
+    state: &Arc<EntryState<S>>,
     metrics: MetricsText,
     shutdown: &Shutdown,
 ) -> Result<SocketAddr> {
@@ -191,7 +205,7 @@
 }
 
 /// Forgets targets that have been silent for long.
-async fn sweep(state: Arc<EntryState>, shutdown: Shutdown) {
+async fn sweep<S: Store>(state: Arc<EntryState<S>>, shutdown: Shutdown) {
     loop {
         tokio::select! {
             () = tokio::time::sleep(SWEEP_INTERVAL) => {}
--- a/crates/rattanwinch_entry/src/entry_state.rs
+++ b/crates/rattanwinch_entry/src/entry_state.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicU32;
 
 use arc_swap::ArcSwap;
+use rattanwinch_platform::Store;
 use rattanwinch_runtime::Clock;
 use rattanwinch_types::Incarnation;
 use slog::Logger;
@@ -12,13 +13,16 @@
 use crate::EntrySettings;
 use crate::control_view::ControlView;
 use crate::fleet::Fleet;
+use crate::in_flight::InFlight;
 use crate::retry_budget::RetryBudget;
 
 /// What all parts of an entry share. Requests read immutable values and atomics only.
 #[derive(Debug)]
-pub(crate) struct EntryState {
+pub(crate) struct EntryState<S> {
     /// The settings.
     pub settings: EntrySettings,
+    /// The platform's store.
+    pub store: S,
     /// This life of the entry.
     pub incarnation: Incarnation,
     /// Where agents connect, once the entry listens.
@@ -31,28 +35,40 @@
     pub retries: RetryBudget,
     /// Callers' requests that run or wait.
     pub in_flight: AtomicU32,
-    /// Whether the balancer may send requests.
+    /// Whether the balancer may send requests: not before the first control read, and not once
+    /// the entry drains.
     pub ready: AtomicBool,
+    /// Whether a planned stop has begun.
+    pub draining: AtomicBool,
     /// The time.
     pub clock: Clock,
     /// The log.
     pub logger: Logger,
 }
 
-impl EntryState {
+impl<S: Store> EntryState<S> {
     /// The state at start.
-    pub fn new(settings: EntrySettings, logger: Logger) -> Arc<Self> {
+    pub fn new(settings: EntrySettings, store: S, logger: Logger) -> Arc<Self> {
         Arc::new(Self {
             settings,
+            store,
             incarnation: Incarnation(rand::random()),
             rpc_address: OnceLock::new(),
             control: ArcSwap::from_pointee(ControlView::default()),
             fleet: Fleet::default(),
             retries: RetryBudget::default(),
             in_flight: AtomicU32::new(0),
-            ready: AtomicBool::new(true),
+            ready: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
             clock: Clock::start(),
             logger,
         })
     }
 }
+
+impl<S> EntryState<S> {
+    /// Counts something that a planned stop has to wait for, until the value is dropped.
+    pub fn count_in_flight(&self) -> InFlight<'_> {
+        InFlight::enter(&self.in_flight)
+    }
+}
--- a/crates/rattanwinch_entry/src/fleet.rs
+++ b/crates/rattanwinch_entry/src/fleet.rs
@@ -36,6 +36,8 @@
     by_zone: HashMap<ZoneName, Arc<[Arc<Target>]>>,
     /// The zones that operators have closed.
     closed: HashSet<ZoneName>,
+    /// The targets that operators have excluded.
+    excluded: HashSet<TargetName>,
 }
 
 /// The targets of the fleet. Requests read the view of the moment without waiting.
@@ -67,11 +69,6 @@
         }
     }
 
-    /// Whether operators have closed the zone.
-    pub fn is_closed(&self, zone: &ZoneName) -> bool {
-        self.view.load().closed.contains(zone)
-    }
-
     /// Forgets targets that have been silent for long.
     pub fn forget_silent(&self, now: Timestamp) {
         let view = self.view.load();
@@ -84,6 +81,25 @@
         }
     }
 
+    /// Replaces the sets of closed zones and of excluded targets.
+    pub fn set_closed(&self, zones: &HashSet<ZoneName>, targets: &HashSet<TargetName>) {
+        self.view.rcu(|view| FleetView {
+            closed: zones.clone(),
+            excluded: targets.clone(),
+            ..FleetView::clone(view)
+        });
+    }
+
+    /// Every target, in no order.
+    pub fn targets(&self) -> Vec<Arc<Target>> {
+        self.view.load().targets.values().map(Arc::clone).collect()
+    }
+
+    /// The target with the given name.
+    pub fn target(&self, name: &TargetName) -> Option<Arc<Target>> {
+        self.view.load().targets.get(name).map(Arc::clone)
+    }
+
     /// Picks a target for a plain request: in `home` if one is usable there, else in any other
     /// open zone. `excluded` has failed the request before.
     pub fn pick(
@@ -118,7 +134,8 @@
         let load = |index: usize| {
             let target = &targets[index];
             let mut load = target.load(now);
-            load.usable &= !excluded.contains(&target.name);
+            load.usable &=
+                !excluded.contains(&target.name) && !self.excluded.contains(&target.name);
             load
         };
         pick_target(targets.len(), draw, load).map(|index| Arc::clone(&targets[index]))
--- a/crates/rattanwinch_entry/src/heartbeats.rs
+++ b/crates/rattanwinch_entry/src/heartbeats.rs
@@ -7,6 +7,7 @@
 use rattanwinch_peers::WireHeartbeat;
 use rattanwinch_peers::WireHeartbeatResponse;
 use rattanwinch_peers::rpc_error;
+use rattanwinch_platform::Store;
 use rattanwinch_types::EntryAddress;
 use rattanwinch_types::ErrorKind;
 use rattanwinch_types::Heartbeat;
@@ -22,10 +23,10 @@
 
 /// The calls that agents make to an entry.
 #[derive(Debug)]
-pub(crate) struct EntryCalls(pub Arc<EntryState>);
+pub(crate) struct EntryCalls<S>(pub Arc<EntryState<S>>);
 
 #[async_trait]
-impl EntryRpcServer for EntryCalls {
+impl<S: Store> EntryRpcServer for EntryCalls<S> {
     async fn heartbeat(&self, wire: WireHeartbeat) -> RpcResult<WireHeartbeatResponse> {
         let heartbeat = Heartbeat::try_from(wire).map_err(|error| invalid(&error))?;
         let response = self.0.take_heartbeat(&heartbeat, self.0.clock.now());
@@ -37,7 +38,7 @@
     rpc_error(RequestError::not_run(ErrorKind::Invalid, error.to_string()))
 }
 
-impl EntryState {
+impl<S: Store> EntryState<S> {
     /// Takes in a heartbeat that arrived at `now`.
     pub fn take_heartbeat(&self, heartbeat: &Heartbeat, now: Timestamp) -> HeartbeatResponse {
         let heard = self.fleet.hear(heartbeat, now);
@@ -55,8 +56,8 @@
             deciding: None,
             freshness: control.freshness(now),
             config_revision: control.revision,
-            zone_closed: self.fleet.is_closed(&heartbeat.zone),
-            plain_when_stale: control.plain_when_stale,
+            zone_closed: control.config.zone_closure(&heartbeat.zone).is_some(),
+            plain_when_stale: control.config.defaults.plain_when_stale,
             stop: SmallVec::new(),
             forget: SmallVec::new(),
             duplicate: heard == Heard::Duplicate,
--- a/crates/rattanwinch_entry/src/http.rs
+++ b/crates/rattanwinch_entry/src/http.rs
@@ -6,12 +6,14 @@
 use poem::get;
 use poem::http::StatusCode;
 use rattanwinch_callers::plain_routes;
+use rattanwinch_platform::Store;
 use rattanwinch_runtime::MetricsText;
 
 use crate::entry_state::EntryState;
+use crate::plain_requests::PlainRequests;
 
 /// The whole HTTP interface of an entry.
-pub(crate) fn routes(state: &Arc<EntryState>, metrics: MetricsText) -> Route {
+pub(crate) fn routes<S: Store>(state: &Arc<EntryState<S>>, metrics: MetricsText) -> Route {
     let ready_state = Arc::clone(state);
     let ready = make_sync(move |_| {
         if ready_state.ready.load(Ordering::Acquire) {
@@ -21,7 +23,10 @@
         }
     });
     Route::new()
-        .nest("/v1/requests", plain_routes(Arc::clone(state)))
+        .nest(
+            "/v1/requests",
+            plain_routes(Arc::new(PlainRequests(Arc::clone(state)))),
+        )
         .at("/live", get(make_sync(|_| StatusCode::OK)))
         .at("/ready", get(ready))
         .at("/metrics", get(make_sync(move |_| metrics.render())))
--- a/crates/rattanwinch_entry/src/lib.rs
+++ b/crates/rattanwinch_entry/src/lib.rs
@@ -5,6 +5,8 @@
 //! reads the settings and starts it. Routing is decided by `rattanwinch_decisions`. The path of
 //! a plain request starts in `plain_requests.rs`; what it reads is in `fleet.rs`.
 
+mod claims;
+mod control_reads;
 mod control_view;
 mod entry_daemon;
 mod entry_settings;
@@ -12,6 +14,7 @@
 mod fleet;
 mod heartbeats;
 mod http;
+mod in_flight;
 mod plain_requests;
 mod retry_budget;
 mod target;
--- a/crates/rattanwinch_entry/src/plain_requests.rs
+++ b/crates/rattanwinch_entry/src/plain_requests.rs
@@ -1,6 +1,4 @@
 use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use metrics::counter;
@@ -9,11 +7,13 @@
 use rattanwinch_peers::AgentRpcClient as _;
 use rattanwinch_peers::WirePlainAttempt;
 use rattanwinch_peers::request_error;
+use rattanwinch_platform::Store;
 use rattanwinch_types::Answer;
 use rattanwinch_types::ErrorKind;
 use rattanwinch_types::PlainRequest;
 use rattanwinch_types::RequestError;
 use rattanwinch_types::TargetName;
+use rattanwinch_types::Verdict;
 use smallvec::SmallVec;
 
 use crate::entry_state::EntryState;
@@ -22,56 +22,49 @@
 /// Targets that a request is sent to at the most.
 const MAX_TARGETS: usize = 3;
 
-/// Counts a caller's request, until it is dropped.
-struct InFlight<'a>(&'a AtomicU32);
+/// What callers' plain requests are handed to.
+#[derive(Debug)]
+pub(crate) struct PlainRequests<S>(pub Arc<EntryState<S>>);
 
-impl<'a> InFlight<'a> {
-    fn enter(counter: &'a AtomicU32) -> Self {
-        counter.fetch_add(1, Ordering::AcqRel);
-        Self(counter)
-    }
-}
-
-impl Drop for InFlight<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
-impl PlainBackend for EntryState {
+impl<S: Store> PlainBackend for PlainRequests<S> {
     async fn run(&self, req: PlainRequest) -> Result<Answer> {
-        let _in_flight = InFlight::enter(&self.in_flight);
-        let outcome = self.run_plain(req).await;
+        let _in_flight = self.0.count_in_flight();
+        let outcome = self.0.run_plain(req).await;
         let verdict = outcome
             .as_ref()
-            .map_or_else(|error| error.verdict.as_str(), |_| "ran");
-        counter!("plain_requests_total", "verdict" => verdict).increment(1);
+            .map_or_else(|error| error.verdict, |_| Verdict::Ran);
+        counter!("plain_requests_total", "verdict" => verdict.as_str()).increment(1);
         outcome
     }
 }
 
-impl EntryState {
-    async fn run_plain(&self, req: PlainRequest) -> Result<Answer> {
+impl<S: Store> EntryState<S> {
+    async fn run_plain(self: &Arc<Self>, req: PlainRequest) -> Result<Answer> {
         req.check(self.clock.now())?;
-        if !req.idempotent {
-            let message = "this entry takes idempotent requests only";
-            return Err(RequestError::not_run(ErrorKind::Invalid, message));
+        if req.idempotent {
+            self.run_idempotent(&req).await
+        } else {
+            self.run_once(&req).await
         }
-        self.run_idempotent(&req).await
     }
 
     /// Tries one target after another, within the retry budget.
     async fn run_idempotent(&self, req: &PlainRequest) -> Result<Answer> {
         let mut failed: SmallVec<[TargetName; MAX_TARGETS]> = SmallVec::new();
+        let mut worst = Verdict::NotRun;
         loop {
-            let target = self.pick_target(&failed)?;
+            let target = match self.pick_target(&failed) {
+                Ok(target) => target,
+                Err(error) => return Err(error.with_verdict_at_least(worst)),
+            };
             let error = match self.run_at(&target, req, 1).await {
                 Ok(answer) => {
                     self.retries.earn();
                     return Ok(answer);
                 }
-                Err(error) => error,
+                Err(error) => error.with_verdict_at_least(worst),
             };
+            worst = error.verdict;
             failed.push(target.name.clone());
             // An idempotent request may run twice, so a lost answer is tried again as well.
             let elsewhere = matches!(error.kind, ErrorKind::Busy | ErrorKind::Unavailable);
@@ -83,7 +76,8 @@
         }
     }
 
-    fn pick_target(&self, excluded: &[TargetName]) -> Result<Arc<Target>> {
+    /// Picks a target that takes requests now and isn't in `excluded`.
+    pub(crate) fn pick_target(&self, excluded: &[TargetName]) -> Result<Arc<Target>> {
         let now = self.clock.now();
         let draw = rand::random();
         self.fleet
@@ -94,7 +88,8 @@
             })
     }
 
-    /// Sends one attempt to one target and waits until the deadline.
+    /// Sends one attempt to one target and waits until the deadline, or until its connection is
+    /// replaced because it fell silent.
     pub(crate) async fn run_at(
         &self,
         target: &Arc<Target>,
@@ -105,7 +100,11 @@
         let _sent = target.count_sent();
         let wire = WirePlainAttempt::new(req, attempt, target.incarnation);
         let limit = self.clock.now().until(req.deadline);
-        let response = tokio::time::timeout(limit, client.run_request(wire)).await;
+        let call = tokio::time::timeout(limit, client.run_request(wire));
+        let response = tokio::select! {
+            response = call => response,
+            _ = target.connection.replaced(&client) => return Err(connection_replaced()),
+        };
         match response {
             Ok(Ok(answer)) => Answer::try_from(answer).map_err(|error| {
                 let message = format!("the agent's answer is damaged: {error}");
@@ -124,3 +123,9 @@
     );
     RequestError::may_have_run(ErrorKind::Deadline, message)
 }
+
+/// The request went out on a connection that has been replaced, so its answer won't come there.
+fn connection_replaced() -> RequestError {
+    let message = "the connection to the target fell silent and was replaced";
+    RequestError::may_have_run(ErrorKind::Unavailable, message)
+}
--- a/crates/rattanwinch_peers/src/wire/plain.rs
+++ b/crates/rattanwinch_peers/src/wire/plain.rs
@@ -114,6 +114,7 @@
         Ok(Self {
             key: wire.attempt.key.try_into()?,
             idempotent: wire.idempotent,
+            first_submission: false,
             deadline: Timestamp::from_millis(wire.deadline_unix_ms),
             payload: Arc::from(wire.payload),
         })
--- a/crates/rattanwinch_types/src/lib.rs
+++ b/crates/rattanwinch_types/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod accelerator_set;
 mod answer;
+mod claim_record;
 mod digest;
 mod fleet_config;
 mod gang_shape;
@@ -29,6 +30,8 @@
 
 pub use accelerator_set::AcceleratorSet;
 pub use answer::Answer;
+pub use claim_record::ClaimOutcome;
+pub use claim_record::ClaimRecord;
 pub use digest::Digest;
 pub use fleet_config::Exception;
 pub use fleet_config::ExceptionEffect;
--- a/crates/rattanwinch_types/src/plain_request.rs
+++ b/crates/rattanwinch_types/src/plain_request.rs
@@ -23,6 +23,10 @@
     pub key: RequestKey,
     /// Whether running it twice does no harm.
     pub idempotent: bool,
+    /// Whether the caller sends this id for the first time; lets a refusal say "not run" where
+    /// an earlier submission could have run. Not part of what was asked.
+    #[builder(default)]
+    pub first_submission: bool,
     /// When the caller stops waiting, in milliseconds since the Unix epoch.
     pub deadline: Timestamp,
     /// The text for the executor, at most [`MAX_PAYLOAD_BYTES`].
@@ -63,7 +67,7 @@
                 ErrorKind::Deadline,
                 "deadline_unix_ms has passed: expected a time to come",
             );
-            return Err(if self.idempotent {
+            return Err(if self.idempotent || self.first_submission {
                 error
             } else {
                 error.with_verdict_at_least(crate::Verdict::MayHaveRun)
--- a/crates/rattanwinch_types/src/request_key.rs
+++ b/crates/rattanwinch_types/src/request_key.rs
@@ -4,7 +4,9 @@
 use crate::RequestId;
 
 crate::value! { copy
-    /// The version of a key in the platform's store (its modification revision).
+    /// The version of a key in the platform's store (its modification revision); 0 is older
+    /// than any.
+    #[derive(Default)]
     pub struct Revision(pub i64);
 }
 
