Add the client of the store and a stand-in for it

Cause: entries need compare-and-swap, leases and the control read, and tests need a store that fails in the ways of the real one.

Change: EtcdStore speaks the etcd v3 JSON gateway. It groups independent transactions into one call, keeps to a budget of calls in any one-second window, and reads transactions whose response was lost back by content.

Two transactions share a call only if neither writes a key that the other writes or compares: the store evaluates all nested comparisons before it applies any write, so comparing a key that is written in the same call would allow write skew.

--- /dev/null
+++ b/crates/rattanwinch_platform/src/etcd/call_kind.rs
@@ -0,0 +1,50 @@
+rattanwinch_types::value! { copy
+    /// The kinds of calls, for the budget and the metrics.
+    pub(crate) enum CallKind {
+        /// A read of keys.
+        Read,
+        /// The control read.
+        Control,
+        /// A read of keys whose writes were lost.
+        ReadBack,
+        /// A group of transactions.
+        Commit,
+        /// A new lease.
+        LeaseGrant,
+        /// The renewal of a lease.
+        LeaseKeepAlive,
+        /// The end of a lease.
+        LeaseRevoke,
+    }
+}
+
+impl CallKind {
+    /// The text of the metric label.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Control => "control",
+            Self::ReadBack => "read_back",
+            Self::Commit => "commit",
+            Self::LeaseGrant => "lease_grant",
+            Self::LeaseKeepAlive => "lease_keepalive",
+            Self::LeaseRevoke => "lease_revoke",
+        }
+    }
+
+    /// Whether the call counts as a read; renewals of leases count as writes.
+    pub const fn is_read(self) -> bool {
+        matches!(self, Self::Read | Self::Control | Self::ReadBack)
+    }
+
+    /// The path below the endpoint.
+    pub const fn path(self) -> &'static str {
+        match self {
+            Self::Read => "/v3/kv/range",
+            Self::Control | Self::ReadBack | Self::Commit => "/v3/kv/txn",
+            Self::LeaseGrant => "/v3/lease/grant",
+            Self::LeaseKeepAlive => "/v3/lease/keepalive",
+            Self::LeaseRevoke => "/v3/lease/revoke",
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_platform/src/etcd/etcd_store.rs
@@ -0,0 +1,256 @@
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Instant;
+
+use bon::bon;
+use rattanwinch_types::Revision;
+use slog::Logger;
+use slog::o;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
+
+use super::CallKind;
+use super::Committer;
+use super::Gateway;
+use super::LeaseKeeper;
+use super::Pending;
+use super::decode_items;
+use super::key_of;
+use super::prefix_end;
+use super::range_of;
+use super::range_of_prefix;
+use crate::ControlRead;
+use crate::Page;
+use crate::ProcessLease;
+use crate::Result;
+use crate::Store;
+use crate::StoreError;
+use crate::StoreSettings;
+use crate::StoreView;
+use crate::Transaction;
+use crate::TransactionOutcome;
+use crate::Versioned;
+use crate::Write;
+use crate::keys;
+use crate::keys::Key;
+use crate::wire::JsonBytes;
+use crate::wire::JsonInt;
+use crate::wire::WireRange;
+use crate::wire::WireRangeResponse;
+use crate::wire::WireRequestOp;
+use crate::wire::WireResponseOp;
+use crate::wire::WireTxn;
+use crate::wire::WireTxnResponse;
+
+/// The largest value that the store takes.
+pub const MAX_VALUE_BYTES: usize = 1_000_000;
+
+/// The transactions that may wait for the committer: ten seconds' worth of full calls.
+const MAX_WAITING: usize = 6400;
+
+/// The client of a store that speaks the etcd v3 JSON gateway.
+///
+/// It is started within a tokio runtime. Dropping it stops its tasks and leaves the process's
+/// lease to expire; [`EtcdStore::close`] ends the lease at once.
+#[derive(Debug)]
+pub struct EtcdStore {
+    gateway: Arc<Gateway>,
+    leases: Arc<LeaseKeeper>,
+    transactions: mpsc::Sender<Pending>,
+    committing: JoinHandle<()>,
+    renewal: JoinHandle<()>,
+    _stop: DropGuard,
+}
+
+#[bon]
+impl EtcdStore {
+    /// Starts a client; it connects with the first call.
+    ///
+    /// `client_name` is sent with each call, so that the store's operators can tell clients apart.
+    ///
+    /// # Panics
+    ///
+    /// If `settings` has no endpoint, if `client_name` isn't a valid header value, or outside of
+    /// a tokio runtime.
+    #[builder(start_fn = builder, finish_fn = start)]
+    pub fn new(
+        settings: StoreSettings,
+        #[builder(into)] client_name: Arc<str>,
+        logger: Option<Logger>,
+    ) -> Self {
+        assert!(!settings.endpoints.is_empty(), "a store has an endpoint");
+        let logger = logger.unwrap_or_else(|| Logger::root(slog::Discard, o!()));
+        let gateway = Arc::new(Gateway::new(settings, client_name));
+        let leases = Arc::new(LeaseKeeper::new(Arc::clone(&gateway), logger.clone()));
+        let (transactions, incoming) = mpsc::channel(MAX_WAITING);
+        let committer = Committer::new(Arc::clone(&gateway), Arc::clone(&leases), incoming, logger);
+        let committing = tokio::spawn(committer.run());
+        let stop = CancellationToken::new();
+        let (stopped, keeper) = (stop.clone(), Arc::clone(&leases));
+        let renewal = tokio::spawn(async move {
+            stopped.run_until_cancelled(keeper.run()).await;
+        });
+        Self {
+            gateway,
+            leases,
+            transactions,
+            committing,
+            renewal,
+            _stop: stop.drop_guard(),
+        }
+    }
+
+    /// The state of the process's lease and its changes. Whoever puts keys with
+    /// [`crate::Retention::WithProcess`] watches it and writes them again on each new lease.
+    #[must_use]
+    pub fn process_lease(&self) -> watch::Receiver<ProcessLease> {
+        self.leases.subscribe()
+    }
+
+    /// What the responses so far have told of the store.
+    #[must_use]
+    pub fn view(&self) -> Option<StoreView> {
+        self.gateway.view()
+    }
+
+    /// Sends the transactions that still wait, then ends the process's lease, which removes the
+    /// keys that are attached to it.
+    pub async fn close(self) {
+        drop(self.transactions);
+        // Each transaction waits and each call lasts for a limited time, so this ends. A panic of
+        // the committer was told to the transactions that waited for it.
+        let _ = self.committing.await;
+        self.renewal.abort();
+        self.leases.revoke().await;
+    }
+}
+
+impl Store for EtcdStore {
+    async fn transact(&self, transaction: Transaction) -> Result<TransactionOutcome> {
+        check(&transaction)?;
+        let (reply, outcome) = oneshot::channel();
+        let pending = Pending {
+            transaction,
+            since: Instant::now(),
+            reply,
+        };
+        self.transactions
+            .try_send(pending)
+            .map_err(|_| StoreError::not_applied("too many writes wait for the store"))?;
+        outcome
+            .await
+            .unwrap_or_else(|_| Err(StoreError::may_be_applied("the client was stopped")))
+    }
+
+    async fn read(&self, key: &Key) -> Result<Option<Versioned>> {
+        let response = self.range(&range_of(key)).await?;
+        Ok(items(response.kvs)?.into_iter().next())
+    }
+
+    async fn read_page(&self, prefix: &Key, after: Option<&Key>, limit: u32) -> Result<Page> {
+        let first = after.map_or_else(|| JsonBytes::from(prefix), next_key);
+        let range = WireRange {
+            key: first,
+            range_end: prefix_end(prefix),
+            limit: JsonInt(i64::from(limit)),
+            ..WireRange::default()
+        };
+        let response = self.range(&range).await?;
+        Ok(Page {
+            items: items(response.kvs)?,
+            more: response.more,
+            revision: Revision(response.header.revision.0),
+        })
+    }
+
+    async fn read_control(&self, known: Revision) -> Result<ControlRead> {
+        let config = WireRange {
+            min_mod_revision: JsonInt(known.0.saturating_add(1)),
+            ..range_of(&keys::config())
+        };
+        let ranges = [
+            config,
+            range_of_prefix(&keys::deciders()),
+            range_of_prefix(&keys::entries()),
+        ];
+        let body = WireTxn {
+            success: ranges.into_iter().map(WireRequestOp::Range).collect(),
+            ..WireTxn::default()
+        };
+        let response: WireTxnResponse = self
+            .gateway
+            .call(CallKind::Control, &body)
+            .await
+            .map_err(|error| error.of_read())?;
+        control_read(response)
+    }
+}
+
+impl EtcdStore {
+    async fn range(&self, range: &WireRange) -> Result<WireRangeResponse> {
+        let response = self.gateway.call(CallKind::Read, range).await;
+        response.map_err(|error| error.of_read())
+    }
+}
+
+fn control_read(response: WireTxnResponse) -> Result<ControlRead> {
+    let mut ranges = response.responses.into_iter().map(|op| match op {
+        WireResponseOp::Range(range) => Ok(range),
+        _ => Err(unexpected("a response that isn't of a range")),
+    });
+    let mut next = || {
+        ranges
+            .next()
+            .unwrap_or_else(|| Err(unexpected("fewer than three ranges")))
+    };
+    let (config, deciders, entries) = (next()?, next()?, next()?);
+    Ok(ControlRead {
+        revision: Revision(response.header.revision.0),
+        cluster: response.header.cluster_id.0,
+        has_config: config.count.0 > 0,
+        config: items(config.kvs)?.into_iter().next(),
+        deciders: items(deciders.kvs)?,
+        entries: items(entries.kvs)?,
+    })
+}
+
+fn items(kvs: Vec<crate::wire::WireKeyValue>) -> Result<Vec<Versioned>> {
+    decode_items(kvs).map_err(|error| unexpected(&error))
+}
+
+/// Only reads get here, so nothing was applied.
+fn unexpected(what: &str) -> StoreError {
+    StoreError::not_applied(format!("response not as expected: {what}"))
+}
+
+/// The least key that is greater than the given one.
+fn next_key(key: &Key) -> JsonBytes {
+    let mut next = key.as_bytes().to_vec();
+    next.push(0);
+    JsonBytes::from(&*next)
+}
+
+/// The store refuses these as a part of a call that others share, so they are refused before.
+fn check(transaction: &Transaction) -> Result<()> {
+    let mut keys = BTreeSet::new();
+    for write in &transaction.writes {
+        let key = key_of(write);
+        if !keys.insert(key) {
+            let message = format!("two writes of {key} in one transaction");
+            return Err(StoreError::not_applied(message));
+        }
+        if let Write::Put { value, .. } = write
+            && value.len() > MAX_VALUE_BYTES
+        {
+            return Err(StoreError::not_applied(format!(
+                "a value of {} bytes for {key}, expected at most {MAX_VALUE_BYTES}",
+                value.len()
+            )));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/rattanwinch_platform/src/store_settings.rs
@@ -0,0 +1,87 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bon::Builder;
+use rattanwinch_runtime::SettingsFile;
+
+/// The settings of the client of the store.
+#[derive(Clone, Debug, PartialEq, Eq, Builder)]
+pub struct StoreSettings {
+    /// The addresses of the store; the next one is taken when one fails.
+    pub endpoints: Vec<SocketAddr>,
+    /// How long one call may take.
+    #[builder(default = Duration::from_secs(1))]
+    pub call_timeout: Duration,
+    /// How long a call or transaction may wait for its turn before it is refused.
+    #[builder(default = Duration::from_secs(2))]
+    pub max_wait: Duration,
+    /// The share of calls that write, in any one-second window.
+    #[builder(default = 10)]
+    pub writes_per_second: u32,
+    /// The share of calls that read, in any one-second window.
+    #[builder(default = 60)]
+    pub reads_per_second: u32,
+    /// The time to live of the process's lease; the store counts it in whole seconds.
+    #[builder(default = Duration::from_secs(10))]
+    pub lease_ttl: Duration,
+    /// The time between two renewals of the process's lease.
+    #[builder(default = Duration::from_secs(3))]
+    pub lease_interval: Duration,
+}
+
+impl StoreSettings {
+    /// Takes the settings from the section `[store]` of an open file.
+    ///
+    /// `None` means that the file has recorded at least one error, which its `finish` returns.
+    pub fn from_file(file: &mut SettingsFile) -> Option<Self> {
+        let address = "an IP address and port, such as 127.0.0.1:2379";
+        let endpoints: Option<Vec<SocketAddr>> = file.list("store", "endpoints", address);
+        if endpoints.as_ref().is_some_and(Vec::is_empty) {
+            file.error(
+                "store",
+                "endpoints",
+                "nothing",
+                "at least one IP address and port",
+            );
+        }
+        let call_timeout = positive_millis(file, "call_timeout_ms", Duration::from_secs(1));
+        let max_wait = file.millis("store", "max_wait_ms", Duration::from_secs(2));
+        let writes_per_second = positive(file, "writes_per_second", 10);
+        let reads_per_second = positive(file, "reads_per_second", 60);
+        let lease_ttl = positive(file, "lease_ttl_s", 10);
+        let lease_interval = positive_millis(file, "lease_interval_ms", Duration::from_secs(3));
+        let lease_ttl = lease_ttl.map(|seconds| Duration::from_secs(u64::from(seconds)));
+        if lease_interval >= lease_ttl && lease_ttl.is_some() {
+            let expected = "less than lease_ttl_s";
+            file.error("store", "lease_interval_ms", "a longer time", expected);
+        }
+        Some(Self {
+            endpoints: endpoints.filter(|endpoints| !endpoints.is_empty())?,
+            call_timeout: call_timeout?,
+            max_wait: max_wait?,
+            writes_per_second: writes_per_second?,
+            reads_per_second: reads_per_second?,
+            lease_ttl: lease_ttl?,
+            lease_interval: lease_interval.filter(|interval| Some(*interval) < lease_ttl)?,
+        })
+    }
+}
+
+/// A budget or time of zero would refuse every call.
+fn positive(file: &mut SettingsFile, key: &str, default: u32) -> Option<u32> {
+    let value = file.optional("store", key, default, "1 or more");
+    if value == Some(0) {
+        file.error("store", key, "0", "1 or more");
+        return None;
+    }
+    value
+}
+
+fn positive_millis(file: &mut SettingsFile, key: &str, default: Duration) -> Option<Duration> {
+    let value = file.millis("store", key, default);
+    if value == Some(Duration::ZERO) {
+        file.error("store", key, "0", "1 or more milliseconds");
+        return None;
+    }
+    value
+}
--- /dev/null
+++ b/crates/rattanwinch_platform/tests/support/mod.rs
@@ -0,0 +1,48 @@
+//! A stand-in for the store and clients of it.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rattanwinch_platform::EtcdStore;
+use rattanwinch_platform::StoreSettings;
+use rattanwinch_platform::TransactionOutcome;
+use rattanwinch_platform::keys::Key;
+use rattanwinch_standins::StandinStore;
+use rattanwinch_standins::StoreLimits;
+use rattanwinch_types::Revision;
+
+/// Starts a stand-in on a free port.
+pub async fn start_store() -> StandinStore {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let started = StandinStore::start(any, StoreLimits::default()).await;
+    started.expect("a free port on loopback")
+}
+
+/// Settings with default budgets.
+pub fn settings(store: &StandinStore) -> StoreSettings {
+    StoreSettings::builder()
+        .endpoints(vec![store.address()])
+        .build()
+}
+
+/// Starts a client.
+pub fn client(settings: StoreSettings) -> Arc<EtcdStore> {
+    let client = EtcdStore::builder()
+        .settings(settings)
+        .client_name("entry-a");
+    Arc::new(client.start())
+}
+
+/// A key below the prefix.
+pub fn key(name: &str) -> Key {
+    Key::from(format!("/rattanwinch/test/{name}"))
+}
+
+/// The revision of an applied transaction.
+pub fn applied(outcome: TransactionOutcome) -> Revision {
+    match outcome {
+        TransactionOutcome::Applied(revision) => revision,
+        TransactionOutcome::Conflict(found) => panic!("expected Applied, found {found:?}"),
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_platform/tests/transactions.rs
@@ -0,0 +1,161 @@
+//! Transactions and reads over HTTP against the stand-in.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use rattanwinch_platform::Condition;
+use rattanwinch_platform::MAX_VALUE_BYTES;
+use rattanwinch_platform::Retention;
+use rattanwinch_platform::Store as _;
+use rattanwinch_platform::Transaction;
+use rattanwinch_platform::TransactionOutcome;
+use rattanwinch_platform::keys;
+use rattanwinch_types::EntryName;
+use rattanwinch_types::Revision;
+use rattanwinch_types::Verdict;
+use rattanwinch_types::ZoneName;
+use support::applied;
+use support::client;
+use support::key;
+use support::settings;
+use support::start_store;
+
+fn put(name: &str, value: &str) -> Transaction {
+    Transaction::new().with_put(key(name), value.as_bytes(), Retention::Permanent)
+}
+
+/// Guards against a compare-and-swap that is applied although its key has changed, and against a
+/// conflict that doesn't show the newer value.
+#[tokio::test(flavor = "multi_thread")]
+async fn compare_and_swap_is_applied_only_on_the_expected_revision() {
+    let store = start_store().await;
+    let client = client(settings(&store));
+    let create = put("a", "1").with_condition(Condition::Absent(key("a")));
+    let first = applied(client.transact(create.clone()).await.unwrap());
+    let again = client.transact(create).await.unwrap();
+    let found = client.read(&key("a")).await.unwrap().unwrap();
+    assert_eq!(&*found.value, b"1");
+    assert_eq!(found.revision, first);
+    assert_eq!(again, TransactionOutcome::Conflict(vec![found]));
+    let change = put("a", "2").with_condition(Condition::At(key("a"), first));
+    let second = applied(client.transact(change.clone()).await.unwrap());
+    assert!(second > first);
+    let outcome = client.transact(change).await.unwrap();
+    assert!(matches!(outcome, TransactionOutcome::Conflict(found) if found[0].revision == second));
+    applied(
+        client
+            .transact(Transaction::new().with_delete(key("a")))
+            .await
+            .unwrap(),
+    );
+    assert_eq!(client.read(&key("a")).await.unwrap(), None);
+}
+
+/// Guards against two winners of one takeover.
+#[tokio::test(flavor = "multi_thread")]
+async fn exactly_one_of_many_racing_creations_wins() {
+    let store = start_store().await;
+    let clients = [client(settings(&store)), client(settings(&store))];
+    let races = (0..40).map(|index| {
+        let client = Arc::clone(&clients[index % 2]);
+        let create = put("race", &index.to_string()).with_condition(Condition::Absent(key("race")));
+        tokio::spawn(async move { client.transact(create).await })
+    });
+    let outcomes = join_all(races).await;
+    let mut winners = 0;
+    for outcome in outcomes {
+        match outcome.unwrap() {
+            Ok(TransactionOutcome::Applied(_)) => winners += 1,
+            Ok(TransactionOutcome::Conflict(found)) => assert_eq!(found.len(), 1),
+            // Transactions on one key can't share a call, so some find no turn.
+            Err(error) => assert_eq!(error.verdict, Verdict::NotRun, "{error}"),
+        }
+    }
+    assert_eq!(winners, 1);
+}
+
+/// Guards against one call for each transaction, which the store's rate doesn't allow.
+#[tokio::test(flavor = "multi_thread")]
+async fn transactions_that_arrive_together_share_calls() {
+    let store = start_store().await;
+    let client = client(settings(&store));
+    let names: Vec<_> = (0..200).map(|index| format!("shared-{index}")).collect();
+    let sent = names.iter().map(|name| client.transact(put(name, name)));
+    for outcome in join_all(sent).await {
+        applied(outcome.unwrap());
+    }
+    // The first leaves at once with what is there, the others in groups of 64.
+    let calls = store.counts().of("txn_write");
+    assert!((4..=5).contains(&calls), "{calls} calls");
+    let page = client.read_page(&key("shared-"), None, 150).await.unwrap();
+    assert_eq!((page.items.len(), page.more), (150, true));
+    let last = &page.items[149].key;
+    let rest = client
+        .read_page(&key("shared-"), Some(last), 150)
+        .await
+        .unwrap();
+    assert_eq!((rest.items.len(), rest.more), (50, false));
+    assert!(rest.items[0].key > *last);
+}
+
+/// Guards against a first write that waits for others.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_first_transaction_leaves_at_once() {
+    let store = start_store().await;
+    let client = client(settings(&store));
+    client.read(&key("warm")).await.unwrap();
+    let quick = tokio::time::timeout(Duration::from_millis(90), client.transact(put("a", "1")));
+    applied(
+        quick
+            .await
+            .expect("less than the interval of calls")
+            .unwrap(),
+    );
+}
+
+/// Guards against a transaction that makes the store refuse the others of its call.
+#[tokio::test(flavor = "multi_thread")]
+async fn transactions_that_the_store_would_refuse_are_not_sent() {
+    let store = start_store().await;
+    let client = client(settings(&store));
+    let large = vec![0; MAX_VALUE_BYTES + 1];
+    let large = Transaction::new().with_put(key("a"), large, Retention::Permanent);
+    let twice = put("b", "1").with_delete(key("b"));
+    for transaction in [large, twice] {
+        let error = client.transact(transaction).await.unwrap_err();
+        assert_eq!(error.verdict, Verdict::NotRun);
+    }
+    assert_eq!(store.counts().of("txn_write"), 0);
+    let largest = vec![0; MAX_VALUE_BYTES];
+    let largest = Transaction::new().with_put(key("a"), largest, Retention::Permanent);
+    applied(client.transact(largest).await.unwrap());
+}
+
+/// Guards against a control read that misses a change or costs more than one call.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_control_read_is_one_call_and_leaves_out_a_known_document() {
+    let store = start_store().await;
+    let client = client(settings(&store));
+    let none = client.read_control(Revision(0)).await.unwrap();
+    assert!(!none.has_config && none.config.is_none());
+    let zone = ZoneName::new("zone-a").unwrap();
+    let entry = EntryName::new("entry-a").unwrap();
+    let write = Transaction::new()
+        .with_put(keys::config(), *b"document", Retention::Permanent)
+        .with_put(keys::decider(&zone), *b"entry-a", Retention::Permanent)
+        .with_put(keys::entry(&entry), *b"address", Retention::Permanent);
+    let revision = applied(client.transact(write).await.unwrap());
+    store.reset_counts();
+    let newer = client.read_control(Revision(0)).await.unwrap();
+    assert_eq!(newer.config.unwrap().revision, revision);
+    assert_eq!(newer.deciders[0].key, keys::decider(&zone));
+    assert_eq!(newer.entries[0].key, keys::entry(&entry));
+    assert_eq!(Some(newer.cluster), client.view().map(|view| view.cluster));
+    let known = client.read_control(revision).await.unwrap();
+    assert!(known.has_config && known.config.is_none());
+    assert_eq!(store.counts().of("txn_read"), 2);
+    assert_eq!(store.counts().calls.values().sum::<u64>(), 2);
+}
--- /dev/null
+++ b/crates/rattanwinch_standins/src/store/shared.rs
@@ -0,0 +1,117 @@
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use rattanwinch_runtime::Clock;
+use rattanwinch_types::Timestamp;
+use tokio::sync::watch;
+
+use super::CallClass;
+use super::CallCounter;
+use super::KvRefusal;
+use super::KvResult;
+use super::KvState;
+use super::StoreFaults;
+use super::StoreMode;
+
+/// What the parts of the stand-in share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    clock: Clock,
+    state: Mutex<KvState>,
+    snapshots: Mutex<Vec<KvState>>,
+    counter: Mutex<CallCounter>,
+    /// What the store was told to do wrong.
+    pub faults: watch::Sender<StoreFaults>,
+    /// The revision up to which changes can be read, for waiting watches.
+    pub changed: watch::Sender<i64>,
+}
+
+impl Shared {
+    /// A store with the given state.
+    pub fn new(state: KvState, counter: CallCounter) -> Self {
+        Self {
+            clock: Clock::start(),
+            state: Mutex::new(state),
+            snapshots: Mutex::new(Vec::new()),
+            counter: Mutex::new(counter),
+            faults: watch::Sender::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    /// Lets a call through the faults and counts it.
+    pub async fn admit(&self, client: &str, kind: &str, class: CallClass) -> KvResult<()> {
+        let mut faults = self.faults.subscribe();
+        let mode = faults.borrow_and_update().mode_for(client);
+        match mode {
+            StoreMode::Up => {}
+            StoreMode::Refuse => return Err(KvRefusal::Unavailable),
+            StoreMode::Hang => {
+                let up = faults.wait_for(|faults| faults.mode_for(client) != StoreMode::Hang);
+                drop(up.await);
+                return Err(KvRefusal::Unavailable);
+            }
+        }
+        self.counter().count(kind, class, Instant::now())?;
+        let delay_ms = faults.borrow().delay_ms;
+        if delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        Ok(())
+    }
+
+    /// Whether the answer of a write that took effect is to be cut off.
+    pub fn loses_answer(&self) -> bool {
+        self.faults.send_if_modified(|faults| {
+            let loses = faults.lose_answers > 0;
+            faults.lose_answers = faults.lose_answers.saturating_sub(1);
+            loses
+        })
+    }
+
+    /// Runs an operation on the state, after the leases that have expired by now are gone.
+    pub fn with_state<T>(&self, operation: impl FnOnce(&mut KvState, Timestamp) -> T) -> T {
+        let now = self.clock.now();
+        let mut state = lock(&self.state);
+        state.expire(now);
+        let result = operation(&mut state, now);
+        self.changed.send_if_modified(|revision| {
+            let changed = *revision != state.revision;
+            *revision = state.revision;
+            changed
+        });
+        result
+    }
+
+    /// Keeps the present state and returns its number.
+    pub fn snapshot(&self) -> usize {
+        let state = self.with_state(|state, _| state.clone());
+        let mut snapshots = lock(&self.snapshots);
+        snapshots.push(state);
+        snapshots.len() - 1
+    }
+
+    /// Goes back to a snapshot under another cluster id; false if there is no such snapshot.
+    pub fn restore(&self, snapshot: usize) -> bool {
+        let Some(mut older) = lock(&self.snapshots).get(snapshot).cloned() else {
+            return false;
+        };
+        older.set_cluster_id(rand::random());
+        self.with_state(|state, _| *state = older);
+        true
+    }
+
+    /// The counter of calls.
+    pub fn counter(&self) -> MutexGuard<'_, CallCounter> {
+        lock(&self.counter)
+    }
+}
+
+/// The operations under the locks don't panic, so a lock isn't poisoned.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+}
