--- a/crates/rattanwinch_demo/tests/plain_requests.rs
+++ b/crates/rattanwinch_demo/tests/plain_requests.rs
@@ -1,7 +1,6 @@
 //! The path of a plain request over real connections: caller, entry, agent, executor.
 
 use std::time::Duration;
-use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use rattanwinch_demo::Site;
@@ -18,7 +17,7 @@
 }
 
 async fn post(site: &Site, body: &Value) -> (u16, Value) {
-    let url = site.url("/v1/requests");
+    let url = site.url(0, "/v1/requests");
     let response = reqwest::Client::new()
         .post(url)
         .json(body)
@@ -30,20 +29,16 @@
 }
 
 async fn small_site() -> Site {
-    let site = Site::start(SiteSize {
+    let size = SiteSize {
         zones: 2,
         targets: 3,
         slots: 2,
-    })
-    .await
-    .expect("site starts");
-    let until = SystemTime::now() + READY_BOUND;
-    let probe = json!({"organisation": "probe", "id": "p", "payload": "",
-        "deadline_unix_ms": deadline_in(READY_BOUND)});
-    while post(&site, &probe).await.0 != 200 {
-        assert!(SystemTime::now() < until, "no target within the bound");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+        entries: 2,
+    };
+    let site = Site::start(size).await.expect("site starts");
+    site.wait_until_ready(READY_BOUND)
+        .await
+        .expect("targets connect");
     site
 }
 
@@ -73,13 +68,13 @@
     let started: u64 = site.executors.iter().map(StandinExecutor::started).sum();
     let bodies = [
         json!({"organisation": "a/b", "id": "1", "deadline_unix_ms": deadline, "payload": ""}),
-        json!({"organisation": "a", "id": "", "deadline_unix_ms": deadline, "payload": ""}),
-        json!({"organisation": "a", "id": "1", "deadline_unix_ms": 5, "payload": ""}),
-        json!({"organisation": "a", "id": "1", "deadline_unix_ms": deadline, "payload": "", "x": 1}),
-        json!({"organisation": "a", "id": "1", "payload": ""}),
-        json!({"organisation": "a", "id": "1", "deadline_unix_ms": deadline,
+        json!({"organisation": "letrafa", "id": "", "deadline_unix_ms": deadline, "payload": ""}),
+        json!({"organisation": "letrafa", "id": "1", "deadline_unix_ms": 5, "payload": ""}),
+        json!({"organisation": "letrafa", "id": "1", "deadline_unix_ms": deadline, "payload": "", "x": 1}),
+        json!({"organisation": "letrafa", "id": "1", "payload": ""}),
+        json!({"organisation": "letrafa", "id": "1", "deadline_unix_ms": deadline,
             "payload": "x".repeat(300_000)}),
-        json!({"organisation": "a", "id": "1", "deadline_unix_ms": deadline,
+        json!({"organisation": "letrafa", "id": "1", "deadline_unix_ms": deadline,
             "payload": "x".repeat(2_000_000)}),
     ];
     for body in bodies {
--- a/crates/rattanwinch_entry/src/plain_requests.rs
+++ b/crates/rattanwinch_entry/src/plain_requests.rs
@@ -12,6 +12,7 @@
 use rattanwinch_types::ErrorKind;
 use rattanwinch_types::PlainRequest;
 use rattanwinch_types::RequestError;
+use rattanwinch_types::Revision;
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Verdict;
 use smallvec::SmallVec;
@@ -41,6 +42,7 @@
 impl<S: Store> EntryState<S> {
     async fn run_plain(self: &Arc<Self>, req: PlainRequest) -> Result<Answer> {
         req.check(self.clock.now())?;
+        self.check_organisation(&req)?;
         if req.idempotent {
             self.run_idempotent(&req).await
         } else {
@@ -48,6 +50,20 @@
         }
     }
 
+    fn check_organisation(&self, req: &PlainRequest) -> Result<()> {
+        let control = self.control.load();
+        if control.revision == Revision::default() {
+            let message = "this entry hasn't read the configuration yet";
+            return Err(RequestError::not_run(ErrorKind::Unavailable, message));
+        }
+        if !control.config.has_organisation(&req.key.organisation) {
+            let name = &req.key.organisation;
+            let message = format!("organisation {name} isn't in the configuration");
+            return Err(RequestError::not_run(ErrorKind::NotFound, message));
+        }
+        Ok(())
+    }
+
     /// Tries one target after another, within the retry budget.
     async fn run_idempotent(&self, req: &PlainRequest) -> Result<Answer> {
         let mut failed: SmallVec<[TargetName; MAX_TARGETS]> = SmallVec::new();
