--- a/crates/rattanwinch_demo/src/site.rs
+++ b/crates/rattanwinch_demo/src/site.rs
@@ -31,7 +31,8 @@
 use rattanwinch_types::ZoneName;
 
 /// A free port on loopback.
-const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+pub(crate) const ANY_PORT: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 /// How often a waiting caller looks whether the site is ready.
 const READY_POLL: Duration = Duration::from_millis(10);
@@ -40,7 +41,7 @@
 const ORGANISATIONS: [&str; 4] = ["letrafa", "gait", "dealers", "inspectors"];
 
 /// Workers of one rack, as the sites of today have them.
-const WORKERS_PER_RACK: usize = 3;
+pub(crate) const WORKERS_PER_RACK: usize = 3;
 
 rattanwinch_types::value! { copy
     /// How large a site is.
@@ -111,27 +112,7 @@
     ///
     /// If the store refuses.
     pub async fn write_config(&self, config: &FleetConfig) -> Result<()> {
-        let store = self.client("site");
-        let document = ConfigDocument {
-            config: config.clone(),
-            recent: Vec::new(),
-        };
-        let put =
-            Transaction::new().with_put(keys::config(), document.to_json(), Retention::Permanent);
-        store.transact(put).await?;
-        Ok(())
-    }
-
-    /// A client of the site's store.
-    #[must_use]
-    pub fn client(&self, name: &str) -> EtcdStore {
-        let settings = StoreSettings::builder()
-            .endpoints(vec![self.store.address()])
-            .build();
-        EtcdStore::builder()
-            .settings(settings)
-            .client_name(name)
-            .start()
+        write_config(self.store.address(), config).await
     }
 
     async fn add_entry(&mut self, index: usize, size: SiteSize) -> Result<()> {
@@ -148,7 +129,7 @@
             )
             .drain_wait(Duration::from_millis(100))
             .build();
-        let store = self.client(&name);
+        let store = client(self.store.address(), &name);
         let entry = EntryDaemon::new(settings, store, install_metrics(), discard_logger());
         self.entries.push(entry.serve().await?);
         Ok(())
@@ -215,7 +196,7 @@
 }
 
 /// The configuration of a site: its zones and the organisations of the demonstration.
-fn site_config(size: SiteSize) -> Result<FleetConfig> {
+pub(crate) fn site_config(size: SiteSize) -> Result<FleetConfig> {
     let zones = (0..size.zones).map(zone_name).collect::<Result<_>>()?;
     let organisations = ORGANISATIONS.map(|name| {
         let name = Organisation::new(name)?;
@@ -231,3 +212,22 @@
         ..FleetConfig::default()
     })
 }
+
+fn client(store: SocketAddr, name: &str) -> EtcdStore {
+    let settings = StoreSettings::builder().endpoints(vec![store]).build();
+    EtcdStore::builder()
+        .settings(settings)
+        .client_name(name)
+        .start()
+}
+
+/// Replaces the configuration in the store, whatever it was.
+pub(crate) async fn write_config(store: SocketAddr, config: &FleetConfig) -> Result<()> {
+    let document = ConfigDocument {
+        config: config.clone(),
+        recent: Vec::new(),
+    };
+    let put = Transaction::new().with_put(keys::config(), document.to_json(), Retention::Permanent);
+    client(store, "site").transact(put).await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/rattanwinch_demo/src/testing/http_calls.rs
@@ -0,0 +1,88 @@
+use std::time::Duration;
+use std::time::UNIX_EPOCH;
+
+use rattanwinch_standins::StandinExecutor;
+use serde_json::Value;
+use serde_json::json;
+
+/// How often a wait looks again.
+const POLL: Duration = Duration::from_millis(10);
+
+/// The time that a test's plain request has by default.
+const DEADLINE: Duration = Duration::from_secs(10);
+
+/// What an entry answered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HttpAnswer {
+    /// The status; 0 if the connection failed.
+    pub status: u16,
+    /// The body; null if there was none.
+    pub body: Value,
+}
+
+impl HttpAnswer {
+    /// The verdict: `ran` for a success, the error's verdict otherwise, and `may_have_run` if the
+    /// connection failed.
+    #[must_use]
+    pub fn verdict(&self) -> &str {
+        let verdict = self.body["verdict"].as_str();
+        let of_error = self.body["error"]["verdict"].as_str();
+        verdict.or(of_error).unwrap_or("may_have_run")
+    }
+}
+
+/// Milliseconds since the Unix epoch, `span` from now.
+#[must_use]
+pub fn deadline_in(span: Duration) -> u64 {
+    let deadline = UNIX_EPOCH.elapsed().unwrap_or_default() + span;
+    u64::try_from(deadline.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// The body of a plain request of the organisation `letrafa`.
+#[must_use]
+pub fn plain_body(id: &str, payload: &str, idempotent: bool) -> Value {
+    json!({"organisation": "letrafa", "id": id, "payload": payload, "idempotent": idempotent,
+        "deadline_unix_ms": deadline_in(DEADLINE)})
+}
+
+/// Posts a body over a connection of its own.
+pub async fn post(url: String, body: Value) -> HttpAnswer {
+    let failed = HttpAnswer {
+        status: 0,
+        body: Value::Null,
+    };
+    let Ok(client) = reqwest::Client::builder().no_proxy().build() else {
+        return failed;
+    };
+    let Ok(response) = client.post(url).json(&body).send().await else {
+        return failed;
+    };
+    let status = response.status().as_u16();
+    HttpAnswer {
+        status,
+        body: response.json().await.unwrap_or(Value::Null),
+    }
+}
+
+/// How often the executors started any attempt at the request `organisation/id`.
+#[must_use]
+pub fn count_runs(executors: &[StandinExecutor], request: &str) -> usize {
+    let prefix = format!("{request}#");
+    let runs = executors.iter().flat_map(StandinExecutor::runs);
+    runs.filter(|run| run.starts_with(&prefix)).count()
+}
+
+/// Waits until `condition` holds.
+///
+/// # Panics
+///
+/// If it doesn't hold within `bound`.
+pub async fn until(bound: Duration, what: &str, mut condition: impl FnMut() -> bool) {
+    let waiting = async {
+        while !condition() {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    let held = tokio::time::timeout(bound, waiting).await;
+    assert!(held.is_ok(), "{what} wasn't so within {bound:?}");
+}
--- a/crates/rattanwinch_entry/src/claims.rs
+++ b/crates/rattanwinch_entry/src/claims.rs
@@ -199,7 +199,7 @@
     let call = client.attempt_outcome(WireAttemptKey::from(key.clone()));
     let response = tokio::select! {
         response = tokio::time::timeout(limit, call) => response.ok()?.ok()?,
-        _ = target.connection.replaced(&client) => return None,
+        _ = target.connection.given_up(&client) => return None,
     };
     match response {
         WireAttemptOutcome::Answered(answer) => Answer::try_from(answer)
--- a/crates/rattanwinch_entry/src/entry_daemon.rs
+++ b/crates/rattanwinch_entry/src/entry_daemon.rs
@@ -121,11 +121,7 @@
     /// The number of targets that have announced themselves and are connected.
     #[must_use]
     pub fn connected_targets(&self) -> usize {
-        let targets = self.state.fleet.targets();
-        targets
-            .iter()
-            .filter(|target| target.connection.client().is_ok())
-            .count()
+        self.state.fleet.connected()
     }
 
     /// Becomes not ready, but goes on serving what still arrives.
--- a/crates/rattanwinch_entry/src/fleet.rs
+++ b/crates/rattanwinch_entry/src/fleet.rs
@@ -90,9 +90,13 @@
         });
     }
 
-    /// Every target, in no order.
-    pub fn targets(&self) -> Vec<Arc<Target>> {
-        self.view.load().targets.values().map(Arc::clone).collect()
+    /// The number of targets that are connected.
+    pub fn connected(&self) -> usize {
+        let view = self.view.load();
+        view.targets
+            .values()
+            .filter(|target| target.connection.client().is_ok())
+            .count()
     }
 
     /// The target with the given name.
--- a/crates/rattanwinch_entry/src/http.rs
+++ b/crates/rattanwinch_entry/src/http.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use metrics::gauge;
 use poem::Route;
 use poem::endpoint::make_sync;
 use poem::get;
@@ -22,6 +23,11 @@
             StatusCode::SERVICE_UNAVAILABLE
         }
     });
+    let metrics_state = Arc::clone(state);
+    let metrics_text = make_sync(move |_| {
+        gauge!("targets_connected").set(metrics_state.fleet.connected() as f64);
+        metrics.render()
+    });
     Route::new()
         .nest(
             "/v1/requests",
@@ -29,5 +35,5 @@
         )
         .at("/live", get(make_sync(|_| StatusCode::OK)))
         .at("/ready", get(ready))
-        .at("/metrics", get(make_sync(move |_| metrics.render())))
+        .at("/metrics", get(metrics_text))
 }
--- a/crates/rattanwinch_entry/src/plain_requests.rs
+++ b/crates/rattanwinch_entry/src/plain_requests.rs
@@ -104,8 +104,8 @@
             })
     }
 
-    /// Sends one attempt to one target and waits until the deadline, or until its connection is
-    /// replaced because it fell silent.
+    /// Sends one attempt to one target and waits until the deadline, or until its connection
+    /// is given up because it fell silent.
     pub(crate) async fn run_at(
         &self,
         target: &Arc<Target>,
@@ -119,7 +119,7 @@
         let call = tokio::time::timeout(limit, client.run_request(wire));
         let response = tokio::select! {
             response = call => response,
-            _ = target.connection.replaced(&client) => return Err(connection_replaced()),
+            _ = target.connection.given_up(&client) => return Err(connection_lost()),
         };
         match response {
             Ok(Ok(answer)) => Answer::try_from(answer).map_err(|error| {
@@ -140,8 +140,8 @@
     RequestError::may_have_run(ErrorKind::Deadline, message)
 }
 
-/// The request went out on a connection that has been replaced, so its answer won't come there.
-fn connection_replaced() -> RequestError {
-    let message = "the connection to the target fell silent and was replaced";
+/// The request went out on a connection that was given up, so its answer won't come there.
+fn connection_lost() -> RequestError {
+    let message = "the connection to the target fell silent";
     RequestError::may_have_run(ErrorKind::Unavailable, message)
 }
--- a/crates/rattanwinch_peers/src/agent_connection.rs
+++ b/crates/rattanwinch_peers/src/agent_connection.rs
@@ -80,14 +80,19 @@
         })
     }
 
-    /// Waits until there is a client other than `old`.
-    pub async fn replaced(&self, old: &Arc<WsClient>) -> Arc<WsClient> {
+    /// Waits until `client` is no longer the client of the moment, because it fell silent.
+    ///
+    /// The agent may be frozen, so that there is no new client to wait for either.
+    pub async fn given_up(&self, client: &Arc<WsClient>) {
         loop {
             let changed = self.changed.notified();
-            if let Some(client) = self.client.load_full()
-                && !Arc::ptr_eq(&client, old)
-            {
-                return client;
+            let same = self
+                .client
+                .load()
+                .as_ref()
+                .is_some_and(|now| Arc::ptr_eq(now, client));
+            if !same {
+                return;
             }
             changed.await;
         }
