Hold, release and report the members of gangs at the agent

Cause: a gang's start needs agents that keep accelerators, run a task only on the word of the decider of the highest epoch, and tell how each member stands. Change: the life cycle of a member as typestate and a pure table of one agent's members with fencing, tombstones, leases and invariants; the agent's task that owns the table, carries out its actions at the executor and serves the gang interface; tasks with leases in the stand-in for the executor. Heartbeats start once the executor's tasks have been adopted.

--- a/crates/rattanwinch_agent/src/agent_daemon.rs
+++ b/crates/rattanwinch_agent/src/agent_daemon.rs
@@ -5,6 +5,7 @@
 
 use eyre::WrapErr as _;
 use rattanwinch_peers::AgentRpcServer as _;
+use rattanwinch_peers::GangRpcServer as _;
 use rattanwinch_peers::RpcServer;
 use rattanwinch_runtime::Shutdown;
 use rattanwinch_targets::Executor;
@@ -15,7 +16,11 @@
 
 use crate::AgentSettings;
 use crate::agent_state::AgentState;
+use crate::gang_calls::GangCalls;
 use crate::heartbeats;
+use crate::member_owner::MemberOwner;
+use crate::members::MemberInbox;
+use crate::members::Members;
 use crate::rpc::AgentCalls;
 
 /// What starting and stopping an agent returns.
@@ -31,6 +36,7 @@
 #[derive(Debug)]
 pub struct Starting {
     logger: Logger,
+    inbox: MemberInbox,
 }
 
 /// An agent that takes work.
@@ -59,14 +65,16 @@
     #[must_use]
     pub fn new(settings: AgentSettings, executor: E, logger: Logger) -> Self {
         let incarnation = Incarnation(rand::random());
-        let state = AgentState::new(settings, incarnation, executor, logger.clone());
+        let (members, inbox) = Members::channel();
+        let state = AgentState::new(settings, incarnation, executor, members, logger.clone());
         Self {
             state,
-            stage: Starting { logger },
+            stage: Starting { logger, inbox },
         }
     }
 
-    /// Listens for calls and begins to send heartbeats.
+    /// Listens for calls. Heartbeats begin once the executor's tasks have been adopted, so that
+    /// no entry takes an agent that was replaced for one without members.
     ///
     /// # Errors
     ///
@@ -75,15 +83,21 @@
         let listen = self.state.settings.listen;
         // Entries hold one connection each, and a second one while they replace it.
         let max_connections = 256;
-        let calls = AgentCalls(Arc::clone(&self.state)).into_rpc();
+        let mut calls = AgentCalls(Arc::clone(&self.state)).into_rpc();
+        calls
+            .merge(GangCalls(Arc::clone(&self.state)).into_rpc())
+            .wrap_err("two interfaces have a method of the same name")?;
         let server = RpcServer::start(listen, max_connections, calls)
             .await
             .wrap_err_with(|| format!("can't listen on {listen}"))?;
         let shutdown = Shutdown::new();
+        let Starting { logger, inbox } = self.stage;
+        let owner = MemberOwner::new(Arc::clone(&self.state), inbox);
+        shutdown.spawn(owner.run(shutdown.clone()));
         let beats = heartbeats::run(Arc::clone(&self.state), server.address(), shutdown.clone());
         shutdown.spawn(beats);
         shutdown.spawn(sweep(Arc::clone(&self.state), shutdown.clone()));
-        info!(self.stage.logger, "agent serves"; "target" => %self.state.settings.target,
+        info!(logger, "agent serves"; "target" => %self.state.settings.target,
             "zone" => %self.state.settings.zone, "listen" => %server.address());
         Ok(AgentDaemon {
             state: self.state,
--- a/crates/rattanwinch_agent/src/agent_state.rs
+++ b/crates/rattanwinch_agent/src/agent_state.rs
@@ -15,6 +15,7 @@
 
 use crate::AgentSettings;
 use crate::attempt_table::AttemptTable;
+use crate::members::Members;
 
 /// What all parts of an agent share. Requests read immutable values and atomics only.
 #[derive(Debug)]
@@ -33,7 +34,9 @@
     pub in_flight: AtomicU32,
     /// Attempts at non-idempotent requests.
     pub attempts: AttemptTable,
-    /// The highest epoch seen.
+    /// Reaches the task that owns the members of gangs.
+    pub members: Members,
+    /// The highest epoch seen, as that task publishes it.
     pub epoch: AtomicI64,
     /// The time.
     pub clock: Clock,
@@ -47,6 +50,7 @@
         settings: AgentSettings,
         incarnation: Incarnation,
         executor: E,
+        members: Members,
         logger: Logger,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -57,6 +61,7 @@
             gate: ArcSwap::from_pointee(Gate::default()),
             in_flight: AtomicU32::new(0),
             attempts: AttemptTable::default(),
+            members,
             epoch: AtomicI64::new(0),
             clock: Clock::start(),
             logger,
--- a/crates/rattanwinch_agent/src/heartbeats.rs
+++ b/crates/rattanwinch_agent/src/heartbeats.rs
@@ -23,12 +23,17 @@
 /// Entry lists from responses that may wait to be read.
 const QUEUED_ENTRY_LISTS: usize = 16;
 
-/// Sends heartbeats to every known entry until the daemon stops.
+/// Sends heartbeats to every known entry, from the adoption of the executor's tasks until the
+/// daemon stops.
 pub(crate) async fn run<E: Executor>(
     state: Arc<AgentState<E>>,
     address: SocketAddr,
     shutdown: Shutdown,
 ) {
+    tokio::select! {
+        true = state.members.adopted() => {}
+        () = shutdown.requested() => return,
+    }
     let (tx, mut rx) = mpsc::channel(QUEUED_ENTRY_LISTS);
     let mut known = BTreeMap::new();
     for entry in state.settings.entries.clone() {
@@ -105,7 +110,7 @@
     /// Sends one heartbeat and takes in the response; true if there was one.
     async fn send(&self, sent_at: Timestamp, limit: Duration) -> bool {
         let heartbeat = self.state.heartbeat(self.address);
-        let response = match self.client.heartbeat(heartbeat, limit).await {
+        let mut response = match self.client.heartbeat(heartbeat, limit).await {
             Ok(response) => response,
             Err(error) => {
                 debug!(self.state.logger, "heartbeat wasn't answered";
@@ -120,7 +125,11 @@
         }
         self.state.apply_response(sent_at, &response);
         // A full queue means that enough entry lists wait already.
-        let _ = self.tx.try_send(response.entries);
+        let _ = self.tx.try_send(std::mem::take(&mut response.entries));
+        if response.deciding.is_some() {
+            let members = &self.state.members;
+            members.heartbeat_answered(sent_at, response).await;
+        }
         true
     }
 }
@@ -141,7 +150,7 @@
             leaving: gate.leaving,
             epoch: self.epoch(),
             config_revision: gate.config_revision,
-            members: Vec::new(),
+            members: self.members.reports(),
         }
     }
 }
--- a/crates/rattanwinch_agent/src/lib.rs
+++ b/crates/rattanwinch_agent/src/lib.rs
@@ -8,7 +8,12 @@
 mod agent_settings;
 mod agent_state;
 mod attempt_table;
+mod gang_calls;
 mod heartbeats;
+mod member_actions;
+mod member_message;
+mod member_owner;
+mod members;
 mod plain_requests;
 mod rpc;
 
--- /dev/null
+++ b/crates/rattanwinch_agent/src/member_owner.rs
@@ -0,0 +1,328 @@
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use metrics::counter;
+use rattanwinch_decisions::Actions;
+use rattanwinch_decisions::Hold;
+use rattanwinch_decisions::ListRequest;
+use rattanwinch_decisions::MemberState;
+use rattanwinch_decisions::MemberTable;
+use rattanwinch_decisions::ObservedTask;
+use rattanwinch_decisions::Release;
+use rattanwinch_runtime::Shutdown;
+use rattanwinch_targets::Executor;
+use rattanwinch_types::AcceleratorSet;
+use rattanwinch_types::ErrorKind;
+use rattanwinch_types::HoldOrder;
+use rattanwinch_types::MemberKey;
+use rattanwinch_types::RequestError;
+use slog::error;
+use slog::info;
+use slog::warn;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
+
+use crate::agent_state::AgentState;
+use crate::member_message::AnswerTo;
+use crate::member_message::MemberMessage;
+use crate::member_message::Result;
+use crate::member_message::Step;
+use crate::members::MemberInbox;
+use crate::members::Reports;
+
+/// How often the executor's tasks are listed while there are members: half of a heartbeat's
+/// interval, so that each heartbeat reports what is at most this old.
+const LIST_INTERVAL: Duration = Duration::from_millis(250);
+
+/// How soon the executor's tasks are asked for again at start.
+const ADOPT_RETRY: Duration = Duration::from_millis(500);
+
+/// A command that is answered when an action at the executor has been.
+#[derive(Debug)]
+struct Waiter {
+    member: MemberKey,
+    awaits: Awaits,
+    answer: AnswerTo<()>,
+}
+
+/// What a waiter waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Awaits {
+    Load,
+    Run,
+    Stop,
+}
+
+impl From<Step> for Awaits {
+    fn from(step: Step) -> Self {
+        match step {
+            Step::Load => Self::Load,
+            Step::Run => Self::Run,
+            Step::Stop(_) => Self::Stop,
+        }
+    }
+}
+
+/// The task that owns the member table. It alone changes the table and never waits for the
+/// executor: each call is a task of its own, whose result comes back as a message.
+pub(crate) struct MemberOwner<E> {
+    state: Arc<AgentState<E>>,
+    table: MemberTable,
+    messages: mpsc::Receiver<MemberMessage>,
+    reports: watch::Sender<Reports>,
+    waiters: Vec<Waiter>,
+    listing: bool,
+}
+
+impl<E: Executor> MemberOwner<E> {
+    /// Makes the owner; [`Self::run`] is its life.
+    pub fn new(state: Arc<AgentState<E>>, inbox: MemberInbox) -> Self {
+        let count = u32::from(state.settings.accelerators);
+        let bits = u8::MAX.checked_shr(8 - count.min(8)).unwrap_or(0);
+        Self {
+            state,
+            table: MemberTable::new(AcceleratorSet::from_bits(bits)),
+            messages: inbox.messages,
+            reports: inbox.reports,
+            waiters: Vec::new(),
+            listing: false,
+        }
+    }
+
+    /// Adopts the executor's tasks, then serves messages until the daemon stops. Running tasks
+    /// are then left to the executor for the next agent.
+    pub async fn run(mut self, shutdown: Shutdown) {
+        tokio::select! {
+            tasks = adoptable_tasks(Arc::clone(&self.state)) => self.adopt(&tasks),
+            () = shutdown.requested() => return,
+        }
+        let mut interval = tokio::time::interval(LIST_INTERVAL);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            // The interval isn't followed while there is no member, so an idle agent isn't woken.
+            let has_members = self.table.members().next().is_some();
+            tokio::select! {
+                Some(message) = self.messages.recv() => self.take(message),
+                _ = interval.tick(), if has_members => self.tick(),
+                () = shutdown.requested() => return,
+            }
+            self.settle();
+        }
+    }
+
+    fn adopt(&mut self, tasks: &[ObservedTask]) {
+        let actions = self.table.adopt(tasks, self.state.clock.now());
+        if !tasks.is_empty() {
+            info!(self.state.logger, "adopted the executor's tasks"; "tasks" => tasks.len(),
+                "epoch" => self.table.epoch().0);
+        }
+        self.perform(actions);
+        self.settle();
+    }
+
+    fn tick(&mut self) {
+        let actions = self.table.tick(self.state.clock.now());
+        self.perform(actions);
+        if self.table.is_active() && !self.listing {
+            self.listing = true;
+            let request = self.table.list_request();
+            tokio::spawn(Arc::clone(&self.state).list(request));
+        }
+    }
+
+    fn take(&mut self, message: MemberMessage) {
+        let now = self.state.clock.now();
+        match message {
+            MemberMessage::Adopt(epoch, answer) => {
+                let accepted = self.table.accept_epoch(epoch);
+                // Nobody may wait for the answer any longer; so it is with the others below.
+                let _ = answer.send(accepted.map(|()| self.table.reports()));
+            }
+            MemberMessage::Hold(order, answer) => self.hold(order, answer),
+            MemberMessage::Release(member, epoch, answer) => {
+                let gate = self.state.gate.load();
+                let release = self.table.release(&member, epoch, &gate, now);
+                drop(gate);
+                self.answer_release(member, release, answer);
+            }
+            MemberMessage::Abort(member, epoch, answer) => {
+                let aborted = self.table.abort(&member, epoch, now);
+                self.answer_stop(member, aborted, answer);
+            }
+            MemberMessage::Stop(order, epoch, answer) => {
+                let stopped = self.table.stop(&order, epoch, now);
+                self.answer_stop(order.member, stopped, answer);
+            }
+            MemberMessage::CheckOutput(member, answer) => {
+                let _ = answer.send(self.table.check_output(&member));
+            }
+            MemberMessage::HeartbeatAnswered(sent_at, response) => {
+                let actions = self.table.heartbeat_answered(sent_at, &response, now);
+                self.perform(actions);
+            }
+            MemberMessage::Done(member, step, result) => self.done(&member, step, &result),
+            MemberMessage::Listed(request, tasks) => self.listed(request, tasks),
+        }
+    }
+
+    fn hold(&mut self, order: HoldOrder, answer: AnswerTo<()>) {
+        let member = order.member.clone();
+        let gate = self.state.gate.load();
+        match self.table.hold(order, &gate, self.state.clock.now()) {
+            Ok(Hold::Held) => drop(answer.send(Ok(()))),
+            Ok(Hold::Loading) => self.wait(member, Awaits::Load, answer),
+            Ok(Hold::Load(action)) => {
+                self.wait(member, Awaits::Load, answer);
+                tokio::spawn(Arc::clone(&self.state).perform(action));
+            }
+            Err(error) => drop(answer.send(Err(error))),
+        }
+    }
+
+    fn answer_release(
+        &mut self,
+        member: MemberKey,
+        release: Result<Release>,
+        answer: AnswerTo<()>,
+    ) {
+        match release {
+            Ok(Release::Running) => drop(answer.send(Ok(()))),
+            Ok(Release::Starting) => self.wait(member, Awaits::Run, answer),
+            Ok(Release::Run(action)) => {
+                self.wait(member, Awaits::Run, answer);
+                tokio::spawn(Arc::clone(&self.state).perform(action));
+            }
+            Err(error) => drop(answer.send(Err(error))),
+        }
+    }
+
+    fn answer_stop(&mut self, member: MemberKey, stopped: Result<Actions>, answer: AnswerTo<()>) {
+        match stopped {
+            Ok(actions) => {
+                let running = matches!(self.table.member(&member), Some(MemberState::Running(_)));
+                if running && actions.is_empty() {
+                    // The executor was told before.
+                    return drop(answer.send(Ok(())));
+                }
+                self.perform(actions);
+                // Answered by `settle` if the executor has nothing of the member.
+                self.wait(member, Awaits::Stop, answer);
+            }
+            Err(error) => drop(answer.send(Err(error))),
+        }
+    }
+
+    fn done(&mut self, member: &MemberKey, step: Step, result: &Result<()>) {
+        let now = self.state.clock.now();
+        let actions = match step {
+            Step::Load => self.table.loaded(member, result, now),
+            Step::Run => self.table.ran(member, result, now),
+            Step::Stop(mode) => {
+                self.table.stopped(member, mode, result, now);
+                Actions::new()
+            }
+        };
+        self.perform(actions);
+        if let Err(error) = result {
+            warn!(self.state.logger, "the executor refused or didn't answer"; "member" => %member,
+                "step" => ?step, "error" => %error);
+        }
+        let answer = match (step, result) {
+            (Step::Load, Ok(())) => self.check_still_held(member),
+            // An abort is recorded, whatever the executor answers; heartbeats tell the end.
+            (Step::Stop(_), _) => Ok(()),
+            (_, result) => result.clone(),
+        };
+        self.answer_waiters(member, step.into(), &answer);
+    }
+
+    fn listed(&mut self, request: ListRequest, tasks: Result<Vec<ObservedTask>>) {
+        self.listing = false;
+        match tasks {
+            Ok(tasks) => {
+                let actions = self.table.listed(request, &tasks, self.state.clock.now());
+                self.perform(actions);
+            }
+            Err(error) => {
+                warn!(self.state.logger, "the executor's tasks can't be listed"; "error" => %error);
+            }
+        }
+    }
+
+    /// A hold that ended while its task was being loaded is refused.
+    fn check_still_held(&self, member: &MemberKey) -> Result<()> {
+        if self.table.member(member).is_some_and(MemberState::is_live) {
+            return Ok(());
+        }
+        let message = format!("{member} was aborted or its hold expired while it was loaded");
+        Err(RequestError::not_run(ErrorKind::Cancelled, message))
+    }
+
+    fn perform(&self, actions: Actions) {
+        for action in actions {
+            tokio::spawn(Arc::clone(&self.state).perform(action));
+        }
+    }
+
+    fn wait(&mut self, member: MemberKey, awaits: Awaits, answer: AnswerTo<()>) {
+        self.waiters.push(Waiter {
+            member,
+            awaits,
+            answer,
+        });
+    }
+
+    fn answer_waiters(&mut self, member: &MemberKey, awaits: Awaits, answer: &Result<()>) {
+        let matches = |waiter: &mut Waiter| waiter.member == *member && waiter.awaits == awaits;
+        for waiter in self.waiters.extract_if(.., matches) {
+            let _ = waiter.answer.send(answer.clone());
+        }
+    }
+
+    /// After each message: answers who waits for nothing any longer, checks the invariants and
+    /// publishes what changed.
+    fn settle(&mut self) {
+        let table = &self.table;
+        let settled = |waiter: &mut Waiter| {
+            let member = table.member(&waiter.member);
+            let stopped =
+                waiter.awaits == Awaits::Stop && !member.is_some_and(MemberState::is_active);
+            stopped || waiter.answer.is_closed()
+        };
+        for waiter in self.waiters.extract_if(.., settled) {
+            let _ = waiter.answer.send(Ok(()));
+        }
+        for violation in self.table.check_invariants() {
+            let invariant = violation.invariant.as_str();
+            error!(self.state.logger, "invariant violated"; "invariant" => invariant,
+                "member" => %violation.member);
+            counter!("rattanwinch_invariant_violations_total", "invariant" => invariant)
+                .increment(1);
+        }
+        self.state
+            .epoch
+            .store(self.table.epoch().0, Ordering::Release);
+        let reports = Some(self.table.reports());
+        self.reports.send_if_modified(|published| {
+            let changed = *published != reports;
+            *published = reports;
+            changed
+        });
+    }
+}
+
+/// Asks the executor for its tasks until it answers.
+async fn adoptable_tasks<E: Executor>(state: Arc<AgentState<E>>) -> Vec<ObservedTask> {
+    loop {
+        match state.executor_tasks().await {
+            Ok(tasks) => return tasks,
+            Err(error) => {
+                warn!(state.logger, "can't read the executor's tasks, so the agent isn't announced";
+                    "error" => %error);
+            }
+        }
+        tokio::time::sleep(ADOPT_RETRY).await;
+    }
+}
--- a/crates/rattanwinch_agent/src/rpc.rs
+++ b/crates/rattanwinch_agent/src/rpc.rs
@@ -22,7 +22,7 @@
 #[derive(Debug)]
 pub(crate) struct AgentCalls<E>(pub Arc<AgentState<E>>);
 
-fn invalid(error: &InvalidWire) -> RequestError {
+pub(crate) fn invalid(error: &InvalidWire) -> RequestError {
     RequestError::not_run(ErrorKind::Invalid, error.to_string())
 }
 
--- /dev/null
+++ b/crates/rattanwinch_decisions/src/members/action.rs
@@ -0,0 +1,47 @@
+use rattanwinch_types::HoldOrder;
+use rattanwinch_types::MemberKey;
+use rattanwinch_types::StopMode;
+use rattanwinch_types::Timestamp;
+use smallvec::SmallVec;
+
+/// What one command or result asks of the executor, in order.
+pub type Actions = SmallVec<[Action; 2]>;
+
+rattanwinch_types::value! {
+    /// A call that the agent has to make to its executor.
+    ///
+    /// Leases are given as points in time, so that the agent computes what is left of them right
+    /// before the call; a pause in between then can't lengthen a lease.
+    pub enum Action {
+        /// Load a task without running it. The result goes to `MemberTable::loaded`.
+        Load {
+            /// What to load.
+            order: HoldOrder,
+            /// When the executor has to drop the task unless it is renewed.
+            lease_until: Timestamp,
+        },
+        /// Run a loaded task. The result goes to `MemberTable::ran`.
+        Run {
+            /// The member.
+            member: MemberKey,
+            /// The call must not be made at or after this time.
+            start_before: Timestamp,
+        },
+        /// Throttle, checkpoint or stop a task. The result goes to `MemberTable::stopped`.
+        Stop {
+            /// The member.
+            member: MemberKey,
+            /// How.
+            mode: StopMode,
+        },
+        /// Extend the leases of running tasks; the result isn't needed.
+        Renew {
+            /// The members.
+            members: SmallVec<[MemberKey; 1]>,
+            /// The end of the new lease.
+            lease_until: Timestamp,
+        },
+        /// Let the executor forget an ended task; the result isn't needed.
+        Forget(MemberKey),
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_decisions/src/members/tombstones.rs
@@ -0,0 +1,111 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rattanwinch_types::AttemptKey;
+use rattanwinch_types::Epoch;
+use rattanwinch_types::RequestKey;
+use rattanwinch_types::Timestamp;
+use rattanwinch_types::Verdict;
+
+/// How long a tombstone is kept at least. TCP gives up on an unanswered segment after about
+/// 15 min with Linux's default of 15 retries, so no copy of a message arrives later.
+pub const TOMBSTONE_RETENTION: Duration = Duration::from_secs(20 * 60);
+
+/// The most tombstones that are kept, at most 1.5 MB of the agent's 32 MB. They allow 3 ended
+/// members a second for the whole retention; a worker at the two-year size has a few a day.
+pub const MAX_TOMBSTONES: usize = 4096;
+
+rattanwinch_types::value! {
+    /// The record that attempts at a job up to a number never start here again.
+    pub(super) struct Tombstone {
+        /// The highest attempt that is barred; lower ones are barred with it.
+        pub attempt: u32,
+        /// Whether that attempt ran here.
+        pub verdict: Verdict,
+        /// The highest epoch known when it was recorded.
+        pub epoch: Epoch,
+        /// When it was recorded.
+        pub recorded_at: Timestamp,
+    }
+}
+
+/// The attempts that never start here again.
+///
+/// A tombstone matters as long as a copy of a hold can arrive after the member ended: that hold
+/// would be followed by an equally late release. It is dropped in two cases only: a decider of
+/// the highest epoch answered a heartbeat that was sent more than [`TOMBSTONE_RETENTION`] after
+/// the record, so no copy is on its way and the decider isn't one that was frozen all the time;
+/// or room is needed and the highest epoch has passed the tombstone's, so each late copy is
+/// refused as fenced. Otherwise the table is full, and new holds are refused.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Tombstones {
+    by_job: BTreeMap<RequestKey, Tombstone>,
+}
+
+impl Tombstones {
+    /// The number of tombstones.
+    pub fn len(&self) -> usize {
+        self.by_job.len()
+    }
+
+    /// The tombstone that bars an attempt.
+    pub fn covering(&self, attempt: &AttemptKey) -> Option<&Tombstone> {
+        let tombstone = self.by_job.get(&attempt.key)?;
+        (attempt.attempt <= tombstone.attempt).then_some(tombstone)
+    }
+
+    /// Whether the attempt ran here, if a tombstone bars it.
+    pub fn verdict(&self, attempt: &AttemptKey) -> Option<Verdict> {
+        let tombstone = self.covering(attempt)?;
+        Some(if attempt.attempt == tombstone.attempt {
+            tombstone.verdict
+        } else {
+            // Only the latest attempt's verdict is kept.
+            Verdict::MayHaveRun
+        })
+    }
+
+    /// Makes room for `count` more; false if each tombstone still matters.
+    pub fn make_room(&mut self, count: usize, highest: Epoch) -> bool {
+        let missing = (self.len() + count).saturating_sub(MAX_TOMBSTONES);
+        if missing == 0 {
+            return true;
+        }
+        let fenced = self.by_job.iter().filter(|(_, it)| it.epoch < highest);
+        let mut fenced: Vec<_> = fenced
+            .map(|(key, it)| (it.recorded_at, key.clone()))
+            .collect();
+        if fenced.len() < missing {
+            return false;
+        }
+        fenced.sort_unstable();
+        for (_, key) in fenced.into_iter().take(missing) {
+            self.by_job.remove(&key);
+        }
+        true
+    }
+
+    /// Bars an attempt and all lower ones.
+    pub fn record(&mut self, attempt: &AttemptKey, tombstone: Tombstone) {
+        let entry = self.by_job.entry(attempt.key.clone());
+        entry
+            .and_modify(|known| {
+                if known.attempt < tombstone.attempt {
+                    known.attempt = tombstone.attempt;
+                    known.verdict = tombstone.verdict;
+                } else if known.attempt == tombstone.attempt {
+                    known.verdict = known.verdict.max(tombstone.verdict);
+                }
+                known.epoch = known.epoch.max(tombstone.epoch);
+                known.recorded_at = known.recorded_at.max(tombstone.recorded_at);
+            })
+            .or_insert(tombstone);
+    }
+
+    /// Drops those that a heartbeat sent at `sent_at` and answered by the decider shows to be
+    /// out of use.
+    pub fn drop_retained(&mut self, sent_at: Timestamp) {
+        self.by_job
+            .retain(|_, it| sent_at <= it.recorded_at + TOMBSTONE_RETENTION);
+    }
+}
--- a/crates/rattanwinch_standins/src/executor/standin_executor.rs
+++ b/crates/rattanwinch_standins/src/executor/standin_executor.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use poem::EndpointExt as _;
 use poem::IntoResponse as _;
@@ -27,6 +28,8 @@
 use tokio::sync::Semaphore;
 
 use super::WorkOrder;
+use super::task_routes::TaskService;
+use super::task_routes::task_routes;
 
 /// What the stand-in's parts share.
 struct State {
@@ -36,10 +39,12 @@
     runs: Mutex<Vec<String>>,
 }
 
-/// An executor with a number of slots behind the HTTP interface of `docs/executor-api.md`.
+/// An executor with a number of slots and 8 accelerators behind the HTTP interface of
+/// `docs/executor-api.md`.
 pub struct StandinExecutor {
     address: SocketAddr,
     state: Arc<State>,
+    tasks: Arc<TaskService>,
     shutdown: Shutdown,
 }
 
@@ -68,15 +73,16 @@
             started: AtomicU64::new(0),
             runs: Mutex::new(Vec::new()),
         });
+        let tasks = Arc::new(TaskService::default());
         let acceptor = TcpListener::bind(address).into_acceptor().await?;
         let local = acceptor.local_addr();
         let address = local
             .iter()
             .find_map(|local| local.as_socket_addr().copied());
         let address = address.expect("a TCP listener has a TCP address");
-        let app = Route::new()
-            .at("/v1/requests", post(run_request))
-            .data(Arc::clone(&state));
+        let app = task_routes(Route::new().at("/v1/requests", post(run_request)))
+            .data(Arc::clone(&state))
+            .data(Arc::clone(&tasks));
         let shutdown = Shutdown::new();
         let stop = shutdown.clone();
         shutdown.spawn(async move {
@@ -88,6 +94,7 @@
         Ok(Self {
             address,
             state,
+            tasks,
             shutdown,
         })
     }
@@ -101,6 +108,23 @@
     /// Makes everything fail from now on, or lets it succeed again.
     pub fn set_fails_everything(&self, fails: bool) {
         self.state.fails_everything.store(fails, Ordering::Release);
+        self.tasks.set_fails_everything(fails);
+    }
+
+    /// Delays every call about gang tasks from now on. A call takes effect after the delay, even
+    /// if its client has given up by then.
+    pub fn set_task_delay(&self, delay: Duration) {
+        self.tasks.set_delay(delay);
+    }
+
+    /// Every gang task that was started, as `organisation/id#attempt.index`, in order.
+    ///
+    /// # Panics
+    ///
+    /// If a call about tasks panicked.
+    #[must_use]
+    pub fn task_starts(&self) -> Vec<String> {
+        self.tasks.tasks().starts().to_vec()
     }
 
     /// The requests that were started so far.
--- /dev/null
+++ b/crates/rattanwinch_standins/src/executor/standin_tasks.rs
@@ -0,0 +1,201 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use poem::http::StatusCode;
+use rattanwinch_targets::TaskReport;
+use rattanwinch_targets::TaskState;
+use rattanwinch_targets::WireResponse;
+use rattanwinch_targets::WireTaskOrder;
+use rattanwinch_types::AcceleratorSet;
+use rattanwinch_types::Answer;
+use rattanwinch_types::Epoch;
+use rattanwinch_types::MemberKey;
+use rattanwinch_types::StopMode;
+
+use super::WorkOrder;
+
+/// A refusal: the status and what was wrong.
+pub(super) type Refusal = (StatusCode, &'static str);
+
+/// What a call about a task returns.
+pub(super) type Result<T> = std::result::Result<T, Refusal>;
+
+/// A throttled task needs this many times the time for what is left of its work.
+const THROTTLE_FACTOR: u32 = 4;
+
+const UNKNOWN: Refusal = (StatusCode::NOT_FOUND, "no such task");
+
+/// One task and where it stands since the last look at it.
+#[derive(Debug)]
+struct Task {
+    order: WireTaskOrder,
+    state: TaskState,
+    lease_until: Instant,
+    /// When the work is done, once it runs.
+    done_at: Instant,
+    /// Whether the work fails at its end.
+    fails: bool,
+    throttled: bool,
+}
+
+impl Task {
+    const fn is_live(&self) -> bool {
+        matches!(self.state, TaskState::Loaded | TaskState::Running)
+    }
+
+    /// Moves the task on to what it is at `now`: its work may be done or its lease expired.
+    fn advance(&mut self, now: Instant) {
+        if !self.is_live() {
+            return;
+        }
+        let running = self.state == TaskState::Running;
+        if running && self.done_at <= now.min(self.lease_until) {
+            self.state = if self.fails {
+                TaskState::Failed("the work failed".into())
+            } else {
+                TaskState::Succeeded
+            };
+        } else if self.lease_until <= now {
+            self.state = TaskState::Expired;
+        }
+    }
+}
+
+/// The gang tasks of the stand-in for an executor, with the accelerators that they use.
+///
+/// Work and leases are followed by looking at the clock whenever a task is asked about.
+#[derive(Debug, Default)]
+pub(super) struct StandinTasks {
+    tasks: BTreeMap<MemberKey, Task>,
+    starts: Vec<String>,
+}
+
+impl StandinTasks {
+    /// Loads a task; a repeated load of a live one changes nothing.
+    pub fn load(&mut self, member: MemberKey, order: WireTaskOrder, now: Instant) -> Result<()> {
+        self.advance(now);
+        if let Some(known) = self.tasks.get(&member) {
+            let lease_ms = known.order.lease_ms;
+            let same = known.order == WireTaskOrder { lease_ms, ..order };
+            let refusal = "the task has ended or is there with another order";
+            return (same && known.is_live())
+                .then_some(())
+                .ok_or((StatusCode::CONFLICT, refusal));
+        }
+        let asked = AcceleratorSet::from_bits(order.accelerators);
+        if asked.is_empty() {
+            return Err((StatusCode::BAD_REQUEST, "no accelerators"));
+        }
+        let mut live = self.tasks.values().filter(|task| task.is_live());
+        let taken = |task: &Task| AcceleratorSet::from_bits(task.order.accelerators);
+        if live.any(|task| taken(task).overlaps(asked)) {
+            return Err((StatusCode::CONFLICT, "another task has these accelerators"));
+        }
+        let task = Task {
+            lease_until: now + Duration::from_millis(order.lease_ms),
+            state: TaskState::Loaded,
+            done_at: now,
+            fails: false,
+            throttled: false,
+            order,
+        };
+        self.tasks.insert(member, task);
+        Ok(())
+    }
+
+    /// Runs a loaded task; `fails` makes it fail at its end.
+    pub fn run(&mut self, member: &MemberKey, fails: bool, now: Instant) -> Result<()> {
+        let task = self.find(member, now)?;
+        match task.state {
+            TaskState::Running => return Ok(()),
+            TaskState::Loaded => {}
+            _ => return Err((StatusCode::CONFLICT, "the task has ended")),
+        }
+        let work = WorkOrder::parse(&task.order.payload);
+        task.state = TaskState::Running;
+        task.done_at = now + work.work;
+        task.fails = fails || work.fail;
+        self.starts.push(member.to_string());
+        Ok(())
+    }
+
+    /// Throttles, checkpoints or stops a task. A checkpoint takes no time here.
+    pub fn stop(&mut self, member: &MemberKey, mode: StopMode, now: Instant) -> Result<()> {
+        let task = self.find(member, now)?;
+        if !task.is_live() {
+            return Ok(());
+        }
+        if mode == StopMode::Throttle {
+            if task.state == TaskState::Running && !task.throttled {
+                task.throttled = true;
+                task.done_at = now + (task.done_at - now) * THROTTLE_FACTOR;
+            }
+        } else {
+            task.state = TaskState::Stopped;
+        }
+        Ok(())
+    }
+
+    /// Extends the leases of the given tasks that are live.
+    pub fn renew(&mut self, members: &[MemberKey], lease: Duration, now: Instant) {
+        self.advance(now);
+        for member in members {
+            if let Some(task) = self.tasks.get_mut(member).filter(|task| task.is_live()) {
+                task.lease_until = now + lease;
+            }
+        }
+    }
+
+    /// Every task that is known.
+    pub fn list(&mut self, now: Instant) -> Vec<TaskReport> {
+        self.advance(now);
+        let report = |(member, task): (&MemberKey, &Task)| TaskReport {
+            member: member.clone(),
+            epoch: Epoch(task.order.epoch),
+            accelerators: AcceleratorSet::from_bits(task.order.accelerators),
+            gang_tasks: task.order.gang_tasks,
+            state: task.state.clone(),
+        };
+        self.tasks.iter().map(report).collect()
+    }
+
+    /// The output of a task that succeeded.
+    pub fn output(&mut self, member: &MemberKey, now: Instant) -> Result<WireResponse> {
+        let task = self.find(member, now)?;
+        if task.state != TaskState::Succeeded {
+            return Err((StatusCode::CONFLICT, "the task has no output"));
+        }
+        let bytes = WorkOrder::parse(&task.order.payload).answer_bytes;
+        let mut text = format!("done {member}: {}", task.order.payload);
+        let missing = bytes.saturating_sub(text.len());
+        text.extend(std::iter::repeat_n('.', missing));
+        Ok(Answer::whole(text).into())
+    }
+
+    /// Forgets a task that has ended.
+    pub fn delete(&mut self, member: &MemberKey, now: Instant) -> Result<()> {
+        if self.find(member, now)?.is_live() {
+            return Err((StatusCode::CONFLICT, "the task hasn't ended"));
+        }
+        self.tasks.remove(member);
+        Ok(())
+    }
+
+    /// Every start in order, as `organisation/id#attempt.index`.
+    pub fn starts(&self) -> &[String] {
+        &self.starts
+    }
+
+    fn advance(&mut self, now: Instant) {
+        for task in self.tasks.values_mut() {
+            task.advance(now);
+        }
+    }
+
+    fn find(&mut self, member: &MemberKey, now: Instant) -> Result<&mut Task> {
+        let task = self.tasks.get_mut(member).ok_or(UNKNOWN)?;
+        task.advance(now);
+        Ok(task)
+    }
+}
