--- a/crates/rattanwinch_decisions/src/lib.rs
+++ b/crates/rattanwinch_decisions/src/lib.rs
@@ -5,12 +5,14 @@
 //! is decided, so that another front end can use the same code.
 //!
 //! Start reading at [`Gate`], which says what an agent may start now, and [`pick_target`], which
-//! routes a plain request. [`Claim`] is how a non-idempotent request runs at most once, and
-//! [`apply`] changes the configuration.
+//! routes a plain request. [`Claim`] is how a non-idempotent request runs at most once,
+//! [`MemberTable`] holds and runs the members of gangs, [`ZonePolicy`] places jobs, and [`apply`]
+//! changes the configuration.
 
 mod claims;
 mod config_changes;
 mod gate;
+mod members;
 mod routing;
 
 pub use claims::AskResponse;
@@ -29,5 +31,27 @@
 pub use config_changes::apply;
 pub use config_changes::effect;
 pub use gate::Gate;
+pub use members::Action;
+pub use members::Actions;
+pub use members::Ended;
+pub use members::HOLD_LIMIT;
+pub use members::Held;
+pub use members::Hold;
+pub use members::Invariant;
+pub use members::ListRequest;
+pub use members::MAX_ENDED_MEMBERS;
+pub use members::MAX_TOMBSTONES;
+pub use members::Member;
+pub use members::MemberState;
+pub use members::MemberTable;
+pub use members::ObservedState;
+pub use members::ObservedTask;
+pub use members::Refused;
+pub use members::Release;
+pub use members::Running;
+pub use members::Start;
+pub use members::TASK_LEASE;
+pub use members::TOMBSTONE_RETENTION;
+pub use members::Violation;
 pub use routing::TargetLoad;
 pub use routing::pick_target;
--- a/crates/rattanwinch_standins/src/lib.rs
+++ b/crates/rattanwinch_standins/src/lib.rs
@@ -1,9 +1,10 @@
 //! Stand-ins for what lies outside rattanwinch, for tests, measurements and the demonstration.
 //!
-//! [`StandinExecutor`] behaves as an executor on a target VM: it has slots, answers plain
-//! requests and can be told to fail. [`StandinStore`] behaves as the platform's store behind the etcd
-//! v3 JSON gateway, keeps to its limits, and can be told to fail in the ways that the store does.
-//! Nothing here ships; no package that ships depends on it.
+//! [`StandinExecutor`] behaves as an executor on a target VM: it has slots for plain requests and
+//! accelerators for gang tasks, records what it starts, and can be told to fail or to be slow.
+//! [`StandinStore`] behaves as the platform's store behind the etcd v3 JSON gateway, keeps to its
+//! limits, and can be told to fail in the ways that the store does. Nothing here ships; no package
+//! that ships depends on it.
 
 mod executor;
 mod store;
