Decide placements, reclaims and evictions of an availability zone

Cause: the decider of a zone needs a policy that can be read and checked without processes. Change: ZonePolicy in rattanwinch_decisions. Each guaranteed block has a home, which is the proof that all guarantees can be reclaimed together; homes of unused blocks move to spare evictions.

--- /dev/null
+++ b/crates/rattanwinch_decisions/src/policy/guarantee_plan.rs
@@ -0,0 +1,324 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rattanwinch_types::Organisation;
+use smallvec::SmallVec;
+
+use crate::policy::blocks;
+use crate::policy::job::JobId;
+use crate::policy::solver;
+use crate::policy::solver::Pricing;
+use crate::policy::solver::Slots;
+use crate::policy::solver::Wanted;
+use crate::policy::worker::Worker;
+use crate::policy::worker::WorkerId;
+use crate::policy::worker_pool::WorkerPool;
+
+rattanwinch_types::value! { copy
+    /// Number of a guaranteed block.
+    pub(super) struct BlockId(pub u32);
+}
+
+/// One block of a guarantee.
+#[derive(Clone, Debug)]
+pub(super) struct Block {
+    /// The owner.
+    pub organisation: Organisation,
+    /// Its accelerators.
+    pub accelerators: u32,
+    /// Where it lies; empty if it can't be placed now.
+    pub home: Slots,
+    /// The owner's jobs that have accelerators in it.
+    pub users: SmallVec<[JobId; 2]>,
+}
+
+/// The place of each guaranteed block.
+///
+/// Every block has a home: usable accelerators that no other block has, with the block's
+/// adjacency. The homes are the proof that all guarantees can be reclaimed together, because
+/// work within a guarantee runs only in its owner's homes and everything else can be evicted. A
+/// home may move while its owner doesn't use it, so that borrowers need not be evicted.
+#[derive(Clone, Debug, Default)]
+pub(super) struct GuaranteePlan {
+    blocks: BTreeMap<BlockId, Block>,
+    by_organisation: BTreeMap<Organisation, Vec<BlockId>>,
+    next: u32,
+    /// Blocks without a home.
+    unplaced: Vec<BlockId>,
+}
+
+/// Homes are placed where they split the fewest larger blocks of the space without homes.
+struct HomePricing;
+
+impl HomePricing {
+    fn space(worker: &Worker) -> u8 {
+        worker.usable() & !worker.homes & !worker.guaranteed
+    }
+}
+
+impl Pricing for HomePricing {
+    fn allowed(&self, _id: WorkerId, worker: &Worker) -> u8 {
+        Self::space(worker)
+    }
+
+    fn cost(&self, worker: &Worker, bits: u8) -> u64 {
+        blocks::split_levels(Self::space(worker), bits)
+    }
+}
+
+impl GuaranteePlan {
+    pub(super) fn block(&self, id: BlockId) -> &Block {
+        &self.blocks[&id]
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (BlockId, &Block)> {
+        self.blocks.iter().map(|(id, block)| (*id, block))
+    }
+
+    pub(super) fn of(&self, organisation: &Organisation) -> &[BlockId] {
+        self.by_organisation
+            .get(organisation)
+            .map_or(&[], Vec::as_slice)
+    }
+
+    pub(super) fn organisations(&self) -> impl Iterator<Item = &Organisation> {
+        self.by_organisation.keys()
+    }
+
+    /// Changes the blocks to `counts`: the number of blocks by owner and accelerators. Returns
+    /// the jobs that lost their block and are borrowers from now on.
+    pub(super) fn set_counts(
+        &mut self,
+        counts: &BTreeMap<(Organisation, u32), u32>,
+        pool: &mut WorkerPool,
+    ) -> Vec<JobId> {
+        let mut missing = counts.clone();
+        let mut surplus = Vec::new();
+        let mut by_use: Vec<(bool, BlockId)> = self
+            .iter()
+            .map(|(id, block)| (block.users.is_empty(), id))
+            .collect();
+        by_use.sort_unstable();
+        for (_, id) in by_use {
+            let block = &self.blocks[&id];
+            let key = (block.organisation.clone(), block.accelerators);
+            match missing.get_mut(&key) {
+                Some(left) if *left > 0 => *left -= 1,
+                _ => surplus.push(id),
+            }
+        }
+        let mut dismissed = Vec::new();
+        for id in surplus {
+            self.clear_home(id, pool);
+            if let Some(block) = self.blocks.remove(&id) {
+                dismissed.extend(block.users);
+            }
+        }
+        for ((organisation, accelerators), count) in missing {
+            for _ in 0..count {
+                self.add(&organisation, accelerators);
+            }
+        }
+        self.index();
+        dismissed
+    }
+
+    fn add(&mut self, organisation: &Organisation, accelerators: u32) {
+        let block = Block {
+            organisation: organisation.clone(),
+            accelerators,
+            home: Slots::new(),
+            users: SmallVec::new(),
+        };
+        self.blocks.insert(BlockId(self.next), block);
+        self.next += 1;
+    }
+
+    fn index(&mut self) {
+        self.by_organisation.clear();
+        self.unplaced.clear();
+        for (id, block) in &self.blocks {
+            let ids = self
+                .by_organisation
+                .entry(block.organisation.clone())
+                .or_default();
+            ids.push(*id);
+            if block.home.is_empty() {
+                self.unplaced.push(*id);
+            }
+        }
+    }
+
+    /// Gives homes to blocks that have none. If that fails, all unused homes are placed anew,
+    /// largest first, and the outcome with more guaranteed accelerators in place is kept.
+    pub(super) fn place_missing(&mut self, pool: &mut WorkerPool) {
+        if self.place_unplaced(pool) {
+            return;
+        }
+        let movable = |block: &Block| block.users.is_empty() && !block.home.is_empty();
+        let before: Vec<(BlockId, Slots)> = self
+            .iter()
+            .filter(|(_, block)| movable(block))
+            .map(|(id, block)| (id, block.home.clone()))
+            .collect();
+        let placed_before = self.placed_accelerators();
+        for (id, _) in &before {
+            self.clear_home(*id, pool);
+        }
+        self.place_unplaced(pool);
+        if self.placed_accelerators() > placed_before {
+            return;
+        }
+        let unused: Vec<BlockId> = self
+            .iter()
+            .filter(|(_, block)| movable(block))
+            .map(|(id, _)| id)
+            .collect();
+        for id in unused {
+            self.clear_home(id, pool);
+        }
+        for (id, home) in before {
+            self.set_home(id, home, pool);
+        }
+    }
+
+    fn placed_accelerators(&self) -> u32 {
+        let placed = self.blocks.values().filter(|block| !block.home.is_empty());
+        placed.map(|block| block.accelerators).sum()
+    }
+
+    /// Places blocks without a home, largest first. True if none is left without.
+    fn place_unplaced(&mut self, pool: &mut WorkerPool) -> bool {
+        let mut waiting = std::mem::take(&mut self.unplaced);
+        waiting.sort_by_key(|id| (std::cmp::Reverse(self.blocks[id].accelerators), *id));
+        let mut too_large = None;
+        for id in waiting {
+            let accelerators = self.blocks[&id].accelerators;
+            let found = match Wanted::of_guarantee(accelerators) {
+                Some(wanted) if too_large != Some(accelerators) => {
+                    solver::solve(pool, wanted, &HomePricing)
+                }
+                _ => None,
+            };
+            match found {
+                Some(home) => self.set_home(id, home, pool),
+                None => {
+                    too_large = Some(accelerators);
+                    self.unplaced.push(id);
+                }
+            }
+        }
+        self.unplaced.is_empty()
+    }
+
+    /// Moves an unused block to another home.
+    pub(super) fn move_home(&mut self, id: BlockId, home: Slots, pool: &mut WorkerPool) {
+        self.clear_home(id, pool);
+        self.set_home(id, home, pool);
+    }
+
+    pub(super) fn set_home(&mut self, id: BlockId, home: Slots, pool: &mut WorkerPool) {
+        for slot in &home {
+            let worker = pool.get_mut(slot.worker);
+            worker.homes |= slot.bits;
+            worker.blocks.push((id, slot.bits));
+        }
+        self.unplaced.retain(|other| *other != id);
+        if let Some(block) = self.blocks.get_mut(&id) {
+            block.home = home;
+        }
+    }
+
+    pub(super) fn clear_home(&mut self, id: BlockId, pool: &mut WorkerPool) {
+        let Some(block) = self.blocks.get_mut(&id) else {
+            return;
+        };
+        for slot in std::mem::take(&mut block.home) {
+            let worker = pool.get_mut(slot.worker);
+            worker.homes &= !slot.bits;
+            worker.blocks.retain(|(other, _)| *other != id);
+        }
+        if !self.unplaced.contains(&id) {
+            self.unplaced.push(id);
+        }
+    }
+
+    /// Takes the homes of unused blocks off workers that can't be used, and away from where
+    /// their parts are no longer adjacent because a rack is new in the row.
+    pub(super) fn leave_unusable(&mut self, pool: &mut WorkerPool) {
+        for id in pool.ids() {
+            if !pool.get(id).is_usable() {
+                self.leave(pool, id);
+            }
+        }
+        let is_apart = |block: &Block| {
+            let wanted = Wanted::of_guarantee(block.accelerators);
+            let is_movable = block.users.is_empty() && block.home.len() > 1;
+            is_movable && wanted.is_some_and(|w| !solver::is_adjacent(pool, &block.home, w))
+        };
+        let apart: Vec<BlockId> = self
+            .iter()
+            .filter(|(_, block)| is_apart(block))
+            .map(|(id, _)| id)
+            .collect();
+        for id in apart {
+            self.clear_home(id, pool);
+        }
+    }
+
+    /// Takes the homes of unused blocks off the worker.
+    pub(super) fn leave(&mut self, pool: &mut WorkerPool, worker: WorkerId) {
+        let blocks = pool.get(worker).blocks.iter();
+        let unused: Vec<BlockId> = blocks
+            .map(|(block, _)| *block)
+            .filter(|block| self.blocks[block].users.is_empty())
+            .collect();
+        for block in unused {
+            self.clear_home(block, pool);
+        }
+    }
+
+    /// Marks the blocks as used by the job.
+    pub(super) fn bind(&mut self, job: JobId, ids: &[BlockId]) {
+        for id in ids {
+            if let Some(block) = self.blocks.get_mut(id) {
+                block.users.push(job);
+            }
+        }
+    }
+
+    /// Ends the job's use of the blocks. A block that becomes unused gives up a home that has a
+    /// worker that can't be used; true if one did.
+    pub(super) fn unbind(&mut self, job: JobId, ids: &[BlockId], pool: &mut WorkerPool) -> bool {
+        let mut cleared = false;
+        for id in ids {
+            let Some(block) = self.blocks.get_mut(id) else {
+                continue;
+            };
+            block.users.retain(|user| *user != job);
+            let broken = |slot: &solver::Slot| !pool.get(slot.worker).is_usable();
+            if block.users.is_empty() && block.home.iter().any(broken) {
+                self.clear_home(*id, pool);
+                cleared = true;
+            }
+        }
+        cleared
+    }
+
+    /// The sentence for a block that can't be reclaimed now, or `None` if it can.
+    pub(super) fn unmet_cause(&self, block: &Block, pool: &WorkerPool) -> Option<Arc<str>> {
+        if block.home.is_empty() {
+            let size = block.accelerators;
+            return Some(Arc::from(format!(
+                "no usable adjacent accelerators are left for a block of {size}; workers are \
+                 lost, excluded or quarantined, or the guarantees exceed the availability zone"
+            )));
+        }
+        let broken = |slot: &&solver::Slot| !pool.get(slot.worker).is_usable();
+        let slot = block.home.iter().find(broken)?;
+        let target = &pool.get(slot.worker).info.target;
+        Some(Arc::from(format!(
+            "worker {target} can't be used, and other work of the owner still runs in the block"
+        )))
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_decisions/src/policy/job.rs
@@ -0,0 +1,241 @@
+//! The life of a job at the decider, as types: `Queued`, `Reclaiming` (its accelerators are
+//! chosen and others are being evicted from them), `Holding`, `Running`, `Evicting`.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rattanwinch_types::JobSpec;
+use rattanwinch_types::Timestamp;
+use smallvec::SmallVec;
+
+use crate::policy::guarantee_plan::BlockId;
+use crate::policy::solver::Slots;
+use crate::policy::wait_cause::WaitCause;
+
+rattanwinch_types::value! { copy
+    /// Number of a job at this decider, in the order of submission.
+    pub(super) struct JobId(pub u64);
+}
+
+rattanwinch_types::value! {
+    /// The accelerators of a job.
+    pub(super) struct Allocation {
+        /// One slot for each task.
+        pub slots: Slots,
+        /// The guaranteed blocks that the slots lie in; empty if the work is borrowed.
+        pub blocks: SmallVec<[BlockId; 2]>,
+    }
+}
+
+impl Allocation {
+    pub(super) fn is_guaranteed(&self) -> bool {
+        !self.blocks.is_empty()
+    }
+}
+
+/// A job in the state `S`.
+#[derive(Clone, Debug)]
+pub(super) struct Job<S> {
+    /// Its number.
+    pub id: JobId,
+    /// What the caller asked for.
+    pub spec: Arc<JobSpec>,
+    /// When its wait began; an evicted job keeps its first time.
+    pub queued_at: Timestamp,
+    /// How often its start failed since it was submitted.
+    pub start_failures: u32,
+    /// What is particular to the state.
+    pub state: S,
+}
+
+/// It waits.
+#[derive(Clone, Debug)]
+pub(super) struct Queued {
+    /// It isn't tried before then.
+    pub not_before: Timestamp,
+    /// What it waits for.
+    pub cause: WaitCause,
+}
+
+/// Its accelerators are chosen, and borrowers are being evicted from them.
+#[derive(Clone, Debug)]
+pub(super) struct Reclaiming {
+    /// The chosen accelerators.
+    pub allocation: Allocation,
+}
+
+/// Its start was decided; its accelerators are taken.
+#[derive(Clone, Debug)]
+pub(super) struct Holding {
+    /// Its accelerators.
+    pub allocation: Allocation,
+}
+
+/// Its tasks run.
+#[derive(Clone, Debug)]
+pub(super) struct Running {
+    /// Its accelerators.
+    pub allocation: Allocation,
+    /// When the tasks were released.
+    pub since: Timestamp,
+}
+
+/// Its tasks are being checkpointed or stopped.
+#[derive(Clone, Debug)]
+pub(super) struct Evicting {
+    /// Its accelerators.
+    pub allocation: Allocation,
+    /// When the tasks were released.
+    pub since: Timestamp,
+    /// When the next order to stop is due.
+    pub stop_at: Timestamp,
+    /// For whom or for what.
+    pub reason: Arc<str>,
+}
+
+impl<S> Job<S> {
+    fn with_state<T>(self, state: T) -> Job<T> {
+        Job {
+            id: self.id,
+            spec: self.spec,
+            queued_at: self.queued_at,
+            start_failures: self.start_failures,
+            state,
+        }
+    }
+}
+
+impl Job<Queued> {
+    pub(super) fn new(id: JobId, spec: Arc<JobSpec>, queued_at: Timestamp) -> Self {
+        Self {
+            id,
+            spec,
+            queued_at,
+            start_failures: 0,
+            state: Queued {
+                not_before: Timestamp::ZERO,
+                cause: WaitCause::New,
+            },
+        }
+    }
+
+    pub(super) fn reclaim(self, allocation: Allocation) -> Job<Reclaiming> {
+        self.with_state(Reclaiming { allocation })
+    }
+
+    pub(super) fn hold(self, allocation: Allocation) -> Job<Holding> {
+        self.with_state(Holding { allocation })
+    }
+
+    /// A job that was running when this decider took over.
+    pub(super) fn restore(self, allocation: Allocation, since: Timestamp) -> Job<Running> {
+        self.with_state(Running { allocation, since })
+    }
+}
+
+impl Job<Reclaiming> {
+    pub(super) fn hold(self) -> Job<Holding> {
+        let allocation = self.state.allocation.clone();
+        self.with_state(Holding { allocation })
+    }
+
+    pub(super) fn give_up(self, now: Timestamp) -> Job<Queued> {
+        self.with_state(Queued {
+            not_before: now,
+            cause: WaitCause::New,
+        })
+    }
+}
+
+impl Job<Holding> {
+    pub(super) fn run(self, now: Timestamp) -> Job<Running> {
+        let allocation = self.state.allocation.clone();
+        self.with_state(Running {
+            allocation,
+            since: now,
+        })
+    }
+
+    /// Back into the queue after a start that failed.
+    pub(super) fn back_off(mut self, now: Timestamp) -> Job<Queued> {
+        self.start_failures += 1;
+        let not_before = now + back_off_span(self.start_failures);
+        self.with_state(Queued {
+            not_before,
+            cause: WaitCause::BackOff { until: not_before },
+        })
+    }
+}
+
+impl Job<Running> {
+    pub(super) fn evict(self, stop_at: Timestamp, reason: Arc<str>) -> Job<Evicting> {
+        let Running { allocation, since } = self.state.clone();
+        self.with_state(Evicting {
+            allocation,
+            since,
+            stop_at,
+            reason,
+        })
+    }
+}
+
+/// 500 ms is the time-out of a hold; the wait doubles up to 30 s, so that a job whose starts
+/// keep failing doesn't hold accelerators back from others for most of the time.
+fn back_off_span(failures: u32) -> Duration {
+    let doubled = 500_u64 << failures.saturating_sub(1).min(6);
+    Duration::from_millis(doubled.min(30_000))
+}
+
+/// A started job in whichever state it is.
+#[derive(Clone, Debug)]
+pub(super) enum ActiveJob {
+    /// Its start was decided.
+    Holding(Job<Holding>),
+    /// It runs.
+    Running(Job<Running>),
+    /// It is being evicted.
+    Evicting(Job<Evicting>),
+}
+
+impl ActiveJob {
+    pub(super) fn spec(&self) -> &Arc<JobSpec> {
+        match self {
+            Self::Holding(job) => &job.spec,
+            Self::Running(job) => &job.spec,
+            Self::Evicting(job) => &job.spec,
+        }
+    }
+
+    pub(super) fn allocation(&self) -> &Allocation {
+        match self {
+            Self::Holding(job) => &job.state.allocation,
+            Self::Running(job) => &job.state.allocation,
+            Self::Evicting(job) => &job.state.allocation,
+        }
+    }
+
+    pub(super) fn allocation_mut(&mut self) -> &mut Allocation {
+        match self {
+            Self::Holding(job) => &mut job.state.allocation,
+            Self::Running(job) => &mut job.state.allocation,
+            Self::Evicting(job) => &mut job.state.allocation,
+        }
+    }
+
+    pub(super) fn queued_at(&self) -> Timestamp {
+        match self {
+            Self::Holding(job) => job.queued_at,
+            Self::Running(job) => job.queued_at,
+            Self::Evicting(job) => job.queued_at,
+        }
+    }
+
+    /// When its tasks were released.
+    pub(super) fn since(&self) -> Option<Timestamp> {
+        match self {
+            Self::Holding(_) => None,
+            Self::Running(job) => Some(job.state.since),
+            Self::Evicting(job) => Some(job.state.since),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_decisions/src/policy/job_queue.rs
@@ -0,0 +1,98 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rattanwinch_types::Timestamp;
+use rattanwinch_types::Urgency;
+
+use crate::policy::job::Job;
+use crate::policy::job::JobId;
+use crate::policy::job::Queued;
+
+/// The most that a long expected run time sets a job back in the queue, so that every job
+/// comes before all jobs that are submitted this much later.
+const LONGEST_SETBACK: Duration = Duration::from_secs(3600);
+
+/// Urgent jobs come before normal ones that were submitted up to this much earlier; the limit
+/// keeps a steady flow of urgent jobs from starving the others.
+const URGENT_LEAD: Duration = Duration::from_secs(86_400);
+
+rattanwinch_types::value! { copy
+    /// The place of a job in the queue: the time in whose order jobs are tried, then its number.
+    pub(super) struct OrderKey {
+        millis: u64,
+        /// The job.
+        pub id: JobId,
+    }
+}
+
+/// The queued jobs in the order in which they are tried.
+#[derive(Clone, Debug, Default)]
+pub(super) struct JobQueue {
+    jobs: BTreeMap<OrderKey, Job<Queued>>,
+    keys: BTreeMap<JobId, OrderKey>,
+    deadlines: BTreeSet<(Timestamp, JobId)>,
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl JobQueue {
+    /// Adds the job. Short jobs come before long ones that were submitted at the same time; the
+    /// setback grows with the weight of completion time and never with anything that is still
+    /// unknown, so the order doesn't change while jobs wait.
+    pub(super) fn push(&mut self, job: Job<Queued>, expected: Duration, weight_percent: u8) {
+        let weighted = expected * u32::from(weight_percent.min(100)) / 100;
+        let setback = millis(weighted.min(LONGEST_SETBACK));
+        let lead = match job.spec.urgency {
+            Urgency::Urgent => 0,
+            Urgency::Normal => millis(URGENT_LEAD) + setback,
+        };
+        let key = OrderKey {
+            millis: job.queued_at.as_millis().saturating_add(lead),
+            id: job.id,
+        };
+        self.keys.insert(job.id, key);
+        self.deadlines.insert((job.spec.deadline, job.id));
+        self.jobs.insert(key, job);
+    }
+
+    pub(super) fn remove(&mut self, id: JobId) -> Option<Job<Queued>> {
+        let key = self.keys.remove(&id)?;
+        let job = self.jobs.remove(&key)?;
+        self.deadlines.remove(&(job.spec.deadline, id));
+        Some(job)
+    }
+
+    pub(super) fn get(&self, id: JobId) -> Option<&Job<Queued>> {
+        self.jobs.get(self.keys.get(&id)?)
+    }
+
+    pub(super) fn get_mut(&mut self, id: JobId) -> Option<&mut Job<Queued>> {
+        self.jobs.get_mut(self.keys.get(&id)?)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// The jobs in the order in which they are tried.
+    pub(super) fn ids(&self) -> Vec<JobId> {
+        self.jobs.keys().map(|key| key.id).collect()
+    }
+
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Job<Queued>> {
+        self.jobs.values_mut()
+    }
+
+    /// The jobs whose deadline has passed.
+    pub(super) fn expired(&self, now: Timestamp) -> Vec<JobId> {
+        let passed = self.deadlines.iter().take_while(|(at, _)| *at <= now);
+        passed.map(|(_, id)| *id).collect()
+    }
+
+    pub(super) fn next_deadline(&self) -> Option<Timestamp> {
+        self.deadlines.first().map(|(at, _)| *at)
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_decisions/src/policy/reasons.rs
@@ -0,0 +1,102 @@
+//! The sentences that explain decisions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rattanwinch_types::GangShape;
+use rattanwinch_types::JobSpec;
+use rattanwinch_types::Organisation;
+use rattanwinch_types::RequestKey;
+
+fn shape_text(shape: GangShape) -> String {
+    let tasks = shape.tasks();
+    let each = shape.accelerators_per_task();
+    let adjacency = shape.adjacency().as_str();
+    format!("{tasks} x {each} accelerators within one {adjacency}")
+}
+
+pub(super) fn guaranteed_start(job: &JobSpec, waited: Duration) -> Arc<str> {
+    let shape = shape_text(job.shape);
+    let owner = &job.key.organisation;
+    let waited = waited.as_secs();
+    Arc::from(format!(
+        "Started after {waited} s within the guarantee of {owner} ({shape}), on accelerators \
+         that are free; it can't be evicted for others."
+    ))
+}
+
+pub(super) fn reclaimed_start(job: &JobSpec, waited: Duration) -> Arc<str> {
+    let shape = shape_text(job.shape);
+    let owner = &job.key.organisation;
+    let waited = waited.as_secs();
+    Arc::from(format!(
+        "Started after {waited} s within the guarantee of {owner} ({shape}), on accelerators \
+         that were reclaimed from borrowers; it can't be evicted for others."
+    ))
+}
+
+pub(super) fn borrowed_start(
+    job: &JobSpec,
+    waited: Duration,
+    is_urgent: bool,
+    limit: Duration,
+) -> Arc<str> {
+    let shape = shape_text(job.shape);
+    let turn = if is_urgent {
+        "first in turn as urgent work"
+    } else {
+        "next in turn of the jobs that fit"
+    };
+    let (waited, limit) = (waited.as_secs(), limit.as_secs());
+    Arc::from(format!(
+        "Started after {waited} s as {turn} ({shape}), on borrowed accelerators; all unused \
+         guarantees can still be reclaimed, by evicting it within {limit} s."
+    ))
+}
+
+pub(super) fn reclaim_eviction(
+    owner: &Organisation,
+    claimant: &RequestKey,
+    lost_work: u64,
+    limit: Duration,
+) -> Arc<str> {
+    let (minutes, limit) = (lost_work / 60_000, limit.as_secs());
+    Arc::from(format!(
+        "Evicted from borrowed accelerators, because {owner} reclaims its guarantee for \
+         {claimant}; of the choices found it puts the least work at risk ({minutes} \
+         accelerator-minutes in all). It is checkpointed first and stopped after {limit} s."
+    ))
+}
+
+pub(super) fn overrun_eviction(head: &RequestKey, waited: Duration) -> Arc<str> {
+    let minutes = waited.as_secs() / 60;
+    Arc::from(format!(
+        "Evicted, because it was let in ahead of {head} for a short run and has run more than \
+         twice as long as expected, while {head} has waited for {minutes} minutes."
+    ))
+}
+
+pub(super) fn closing_eviction(closure: &str, is_guaranteed: bool) -> Arc<str> {
+    let order = if is_guaranteed {
+        "it is work within a guarantee, which leaves after borrowed work"
+    } else {
+        "it is borrowed work, which leaves before work within guarantees"
+    };
+    Arc::from(format!(
+        "Evicted, because operators have closed the availability zone: {closure}. Of its kind \
+         the work with the least to lose leaves first; {order}."
+    ))
+}
+
+pub(super) fn exclusion_eviction(target: &str, exclusion: &str) -> Arc<str> {
+    Arc::from(format!(
+        "Evicted, because operators have excluded worker {target}: {exclusion}."
+    ))
+}
+
+pub(super) fn stop(reason: &str, limit: Duration) -> Arc<str> {
+    let limit = limit.as_secs();
+    Arc::from(format!(
+        "Stopped, because the checkpoint took longer than its limit of {limit} s. {reason}"
+    ))
+}
--- /dev/null
+++ b/crates/rattanwinch_decisions/src/policy/rules.rs
@@ -0,0 +1,71 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rattanwinch_types::Exception;
+use rattanwinch_types::ExceptionEffect;
+use rattanwinch_types::FleetConfig;
+use rattanwinch_types::FleetDefaults;
+use rattanwinch_types::Organisation;
+use rattanwinch_types::TargetName;
+use rattanwinch_types::ZoneName;
+
+/// What the configuration says about one availability zone.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Rules {
+    /// The fleet-wide defaults.
+    pub defaults: FleetDefaults,
+    /// The most accelerators an organisation may use at once.
+    pub limits: BTreeMap<Organisation, u32>,
+    /// Why and by whom the availability zone was closed, if it is.
+    pub closure: Option<Arc<str>>,
+    /// Why and by whom a target was excluded.
+    pub exclusions: BTreeMap<TargetName, Arc<str>>,
+    /// The number of guaranteed blocks by owner and accelerators.
+    pub guarantees: BTreeMap<(Organisation, u32), u32>,
+}
+
+fn sentence(exception: &Exception) -> Arc<str> {
+    let Exception {
+        id, reason, author, ..
+    } = exception;
+    Arc::from(format!("{reason} ({author}, exception {id})"))
+}
+
+impl Rules {
+    pub(super) fn of(zone: &ZoneName, cfg: &FleetConfig) -> Self {
+        let mut guarantees = BTreeMap::new();
+        for guarantee in cfg.guarantees.iter().filter(|known| known.zone == *zone) {
+            let key = (guarantee.organisation.clone(), guarantee.accelerators);
+            let blocks: &mut u32 = guarantees.entry(key).or_default();
+            *blocks = blocks.saturating_add(guarantee.blocks);
+        }
+        let exclusions = cfg.exceptions.iter().filter_map(|exception| {
+            let ExceptionEffect::ExcludeTarget(target) = &exception.effect else {
+                return None;
+            };
+            Some((target.clone(), sentence(exception)))
+        });
+        Self {
+            defaults: cfg.defaults.clone(),
+            limits: limits(cfg),
+            closure: cfg.zone_closure(zone).map(sentence),
+            exclusions: exclusions.collect(),
+            guarantees,
+        }
+    }
+}
+
+/// The limit of each organisation that has one: by quota, by exception or by both.
+fn limits(cfg: &FleetConfig) -> BTreeMap<Organisation, u32> {
+    let limited = cfg.exceptions.iter().filter_map(|exception| {
+        let ExceptionEffect::LimitOrganisation { organisation, .. } = &exception.effect else {
+            return None;
+        };
+        Some(organisation)
+    });
+    let known = cfg.organisations.iter().map(|known| &known.name);
+    let named = known.chain(limited);
+    named
+        .filter_map(|name| Some((name.clone(), cfg.accelerator_limit(name)?)))
+        .collect()
+}
--- /dev/null
+++ b/crates/rattanwinch_decisions/src/policy/worker_pool.rs
@@ -0,0 +1,206 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rattanwinch_types::RackName;
+use rattanwinch_types::TargetName;
+use rattanwinch_types::Timestamp;
+
+use crate::policy::job::JobId;
+use crate::policy::solver::Slot;
+use crate::policy::worker::Occupant;
+use crate::policy::worker::Worker;
+use crate::policy::worker::WorkerId;
+use crate::policy::worker::WorkerState;
+use crate::policy::worker_info::WorkerInfo;
+
+/// How long a gone worker still counts as part of the empty zone. VMs are replaced within
+/// minutes, and a job that needs the whole zone must not be refused for a restart.
+pub(super) const CAPACITY_MEMORY: Duration = Duration::from_secs(600);
+
+/// Position of a rack in the row: racks are neighbours in the order of the text and then of the
+/// number at the end of their names, so that `r10` follows `r9`.
+type RackKey = (String, u64, RackName);
+
+/// One rack.
+#[derive(Clone, Debug)]
+pub(super) struct Rack {
+    key: RackKey,
+    /// Its workers.
+    pub workers: Vec<WorkerId>,
+}
+
+/// The workers of the zone, by rack.
+#[derive(Clone, Debug, Default)]
+pub(super) struct WorkerPool {
+    workers: Vec<Option<Worker>>,
+    by_name: BTreeMap<TargetName, WorkerId>,
+    /// The racks in the order of the row.
+    racks: Vec<Rack>,
+    generation: u64,
+}
+
+fn rack_key(rack: &RackName) -> RackKey {
+    let text = rack.as_str();
+    let prefix = text.trim_end_matches(|c: char| c.is_ascii_digit());
+    let number = text[prefix.len()..].parse().unwrap_or(0);
+    (prefix.to_owned(), number, rack.clone())
+}
+
+impl WorkerPool {
+    /// Changes when workers or racks come or go.
+    pub(super) fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    pub(super) fn find(&self, target: &TargetName) -> Option<WorkerId> {
+        self.by_name.get(target).copied()
+    }
+
+    pub(super) fn get(&self, id: WorkerId) -> &Worker {
+        self.workers[id.0 as usize]
+            .as_ref()
+            .expect("ids name workers of the pool")
+    }
+
+    pub(super) fn get_mut(&mut self, id: WorkerId) -> &mut Worker {
+        self.workers[id.0 as usize]
+            .as_mut()
+            .expect("ids name workers of the pool")
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (WorkerId, &Worker)> {
+        let ids = self.racks.iter().flat_map(|rack| &rack.workers).copied();
+        ids.map(|id| (id, self.get(id)))
+    }
+
+    pub(super) fn ids(&self) -> Vec<WorkerId> {
+        self.iter().map(|(id, _)| id).collect()
+    }
+
+    /// The racks in the order of the row.
+    pub(super) fn racks(&self) -> &[Rack] {
+        &self.racks
+    }
+
+    /// Changes the job's occupancy of each slot.
+    pub(super) fn change_occupant(
+        &mut self,
+        job: JobId,
+        slots: &[Slot],
+        change: impl Fn(&mut Occupant),
+    ) {
+        for slot in slots {
+            let worker = self.get_mut(slot.worker);
+            for occupant in &mut worker.occupants {
+                if occupant.job == job {
+                    change(occupant);
+                }
+            }
+            worker.recount();
+        }
+    }
+
+    /// Puts the occupant on each slot.
+    pub(super) fn occupy(&mut self, slots: &[Slot], occupant: &Occupant) {
+        for slot in slots {
+            let worker = self.get_mut(slot.worker);
+            worker.occupants.push(Occupant {
+                bits: slot.bits,
+                ..occupant.clone()
+            });
+            worker.recount();
+        }
+    }
+
+    /// Takes the job off each slot.
+    pub(super) fn vacate(&mut self, job: JobId, slots: &[Slot]) {
+        for slot in slots {
+            let worker = self.get_mut(slot.worker);
+            worker.occupants.retain(|occupant| occupant.job != job);
+            worker.recount();
+        }
+    }
+
+    /// Adds the worker or changes its rack and size. Returns its id.
+    pub(super) fn upsert(&mut self, info: WorkerInfo, state: WorkerState) -> WorkerId {
+        if let Some(id) = self.find(&info.target) {
+            if self.get(id).info != info {
+                self.leave_rack(id);
+                self.join_rack(id, &info.rack);
+                self.get_mut(id).info = info;
+            }
+            self.get_mut(id).state = state;
+            return id;
+        }
+        let vacant = self.workers.iter().position(Option::is_none);
+        let index = vacant.unwrap_or(self.workers.len());
+        let id = WorkerId(u32::try_from(index).expect("fewer than 2^32 workers"));
+        if vacant.is_none() {
+            self.workers.push(None);
+        }
+        self.by_name.insert(info.target.clone(), id);
+        let rack = info.rack.clone();
+        self.workers[index] = Some(Worker::new(info, state));
+        self.join_rack(id, &rack);
+        id
+    }
+
+    /// Forgets workers that have been gone for long and have nothing on them.
+    pub(super) fn forget_gone(&mut self, now: Timestamp) {
+        let expired = |worker: &Worker| {
+            let WorkerState::Gone(since) = worker.state else {
+                return false;
+            };
+            now.since(since) >= CAPACITY_MEMORY
+                && worker.occupants.is_empty()
+                && worker.blocks.is_empty()
+        };
+        let old: Vec<WorkerId> = self
+            .iter()
+            .filter(|(_, worker)| expired(worker))
+            .map(|(id, _)| id)
+            .collect();
+        for id in old {
+            self.leave_rack(id);
+            let target = self.get(id).info.target.clone();
+            self.by_name.remove(&target);
+            self.workers[id.0 as usize] = None;
+        }
+    }
+
+    fn join_rack(&mut self, id: WorkerId, rack: &RackName) {
+        self.generation += 1;
+        let key = rack_key(rack);
+        match self.racks.binary_search_by(|known| known.key.cmp(&key)) {
+            Ok(index) => {
+                self.racks[index].workers.push(id);
+                self.get_mut(id).rack = index;
+            }
+            Err(index) => {
+                let workers = vec![id];
+                self.racks.insert(index, Rack { key, workers });
+                self.number_racks(index);
+            }
+        }
+    }
+
+    fn leave_rack(&mut self, id: WorkerId) {
+        self.generation += 1;
+        let index = self.get(id).rack;
+        let workers = &mut self.racks[index].workers;
+        workers.retain(|other| *other != id);
+        if workers.is_empty() {
+            self.racks.remove(index);
+            self.number_racks(index);
+        }
+    }
+
+    /// Tells the workers the positions of their racks, from `first` on.
+    fn number_racks(&mut self, first: usize) {
+        for index in first..self.racks.len() {
+            for id in self.racks[index].workers.clone() {
+                self.get_mut(id).rack = index;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_decisions/tests/policy/guarantees.rs
@@ -0,0 +1,191 @@
+//! Guarantees: borrowing, reclaiming, and what a takeover keeps.
+
+use std::time::Duration;
+
+use rattanwinch_decisions::Decision;
+use rattanwinch_decisions::JobEnd;
+use rattanwinch_decisions::ZonePolicy;
+use rattanwinch_types::Adjacency;
+use rattanwinch_types::RequestKey;
+use rattanwinch_types::StopMode;
+
+use crate::fixtures::at;
+use crate::fixtures::config;
+use crate::fixtures::evictions;
+use crate::fixtures::guarantee;
+use crate::fixtures::job;
+use crate::fixtures::key;
+use crate::fixtures::policy;
+use crate::fixtures::shape;
+use crate::fixtures::starts;
+use crate::fixtures::worker;
+use crate::fixtures::zone;
+
+/// Submits a job of whole workers, lets it start, and answers its key.
+fn run_whole(
+    policy: &mut ZonePolicy,
+    owner: &str,
+    id: &str,
+    tasks: u16,
+    second: u64,
+) -> RequestKey {
+    let key = key(owner, id);
+    let spec = job(key.clone(), shape(tasks, 8, Adjacency::Zone));
+    policy.submit(spec, at(second)).expect("it fits the zone");
+    let started = starts(&policy.decide(at(second)));
+    assert_eq!(started, std::slice::from_ref(&key));
+    policy.started(&key, at(second));
+    key
+}
+
+/// Guards against a reclaim that stops without a checkpoint, never stops a borrower whose
+/// checkpoint hangs, or exceeds its stated time.
+#[test]
+fn a_reclaim_checkpoints_first_and_stops_after_the_limit() {
+    let mut policy = policy(3, vec![guarantee("owner", 1, 8)]);
+    let borrower = run_whole(&mut policy, "other", "b", 3, 100);
+    let claimant = key("owner", "o");
+    let spec = job(claimant.clone(), shape(1, 8, Adjacency::Worker));
+    policy.submit(spec, at(200)).expect("it fits the zone");
+    let decisions = policy.decide(at(200));
+    let is_checkpoint = |decision: &Decision| {
+        matches!(decision, Decision::Evict { key, mode: StopMode::Checkpoint, reason }
+            if *key == borrower && reason.contains("owner reclaims its guarantee"))
+    };
+    assert!(
+        decisions.len() == 1 && is_checkpoint(&decisions[0]),
+        "{decisions:?}"
+    );
+    assert_eq!(policy.decide(at(229)), []);
+    assert_eq!(policy.next_wakeup(at(229)), Some(at(230)));
+    let decisions = policy.decide(at(230));
+    assert!(matches!(
+        &decisions[..],
+        [Decision::Evict {
+            mode: StopMode::Stop,
+            ..
+        }]
+    ));
+    policy.ended(&borrower, JobEnd::Evicted, at(232));
+    assert_eq!(starts(&policy.decide(at(232))), [claimant]);
+}
+
+/// Guards against evicting work within a guarantee for another organisation's work.
+#[test]
+fn work_within_a_guarantee_stays() {
+    let guarantees = vec![guarantee("a", 1, 8), guarantee("b", 2, 8)];
+    let mut policy = policy(3, guarantees);
+    run_whole(&mut policy, "a", "own", 1, 100);
+    let borrowed = run_whole(&mut policy, "a", "borrowed", 1, 101);
+    let spec = job(key("b", "both"), shape(2, 8, Adjacency::Zone));
+    policy.submit(spec, at(300)).expect("it fits the zone");
+    assert_eq!(evictions(&policy.decide(at(300))), [borrowed]);
+}
+
+/// Guards against choosing a victim with more to lose when a cheaper one would do.
+#[test]
+fn the_borrower_with_the_least_to_lose_is_evicted() {
+    let mut policy = policy(3, vec![guarantee("owner", 1, 8)]);
+    run_whole(&mut policy, "other", "old", 1, 100);
+    run_whole(&mut policy, "other", "older", 1, 90);
+    let young = run_whole(&mut policy, "other", "young", 1, 900);
+    let spec = job(key("owner", "o"), shape(2, 4, Adjacency::Worker));
+    policy.submit(spec, at(1000)).expect("it fits the zone");
+    assert_eq!(evictions(&policy.decide(at(1000))), [young]);
+}
+
+/// Guards against an eviction where an unused guarantee could be met on free accelerators.
+#[test]
+fn a_home_moves_to_free_accelerators_instead_of_evicting() {
+    let mut policy = policy(2, vec![guarantee("owner", 1, 8)]);
+    run_whole(&mut policy, "other", "first", 1, 100);
+    let second = run_whole(&mut policy, "other", "second", 1, 101);
+    policy.ended(&key("other", "first"), JobEnd::Succeeded, at(150));
+    let spec = job(key("owner", "o"), shape(1, 8, Adjacency::Worker));
+    policy.submit(spec, at(200)).expect("it fits the zone");
+    let decisions = policy.decide(at(200));
+    assert_eq!(evictions(&decisions), []);
+    assert_eq!(starts(&decisions), [key("owner", "o")]);
+    assert_eq!(policy.wait_reason(&second), None);
+}
+
+/// Guards against counting free accelerators only: a guaranteed rack has to stay reclaimable
+/// although guaranteed work of others is spread over the zone.
+#[test]
+fn a_guaranteed_rack_can_always_be_reclaimed() {
+    let mut policy = policy(
+        6,
+        vec![guarantee("racks", 1, 24), guarantee("small", 12, 2)],
+    );
+    for id in 0..12 {
+        let spec = job(key("small", &id.to_string()), shape(1, 2, Adjacency::Zone));
+        policy.submit(spec, at(100)).expect("it fits the zone");
+    }
+    let decisions = policy.decide(at(100));
+    assert_eq!(starts(&decisions).len(), 12);
+    let spec = job(key("racks", "r"), shape(3, 8, Adjacency::Rack));
+    policy.submit(spec, at(101)).expect("it fits the zone");
+    assert_eq!(starts(&policy.decide(at(101))), [key("racks", "r")]);
+}
+
+/// Guards against a takeover after which guaranteed work counts as borrowed and is evicted.
+#[test]
+fn restored_work_keeps_its_guarantee() {
+    let guarantees = vec![guarantee("a", 1, 16), guarantee("b", 1, 8)];
+    let mut before = policy(3, guarantees.clone());
+    let spec = job(key("a", "gang"), shape(2, 8, Adjacency::Rack));
+    before
+        .submit(spec.clone(), at(100))
+        .expect("it fits the zone");
+    let decisions = before.decide(at(100));
+    let [Decision::Start { placement, .. }] = &decisions[..] else {
+        panic!("expected one start, got {decisions:?}");
+    };
+    let mut after = ZonePolicy::new(zone());
+    after.restore_running(spec, placement.clone(), at(100));
+    after.set_config(&config(guarantees), at(200));
+    for index in 0..3 {
+        after.worker_ready(worker(index), at(200));
+    }
+    assert_eq!(after.decide(at(200)), []);
+    let report = after.summary().guarantees;
+    assert_eq!(
+        (report[0].used, report[0].borrowed, report[0].unmet),
+        (16, 0, 0)
+    );
+    let spec = job(key("b", "one"), shape(1, 8, Adjacency::Worker));
+    after.submit(spec, at(201)).expect("it fits the zone");
+    assert_eq!(starts(&after.decide(at(201))), [key("b", "one")]);
+}
+
+/// Guards against silently dropping a guarantee that lost workers made impossible.
+#[test]
+fn a_guarantee_that_cannot_be_met_is_reported_with_its_cause() {
+    let mut policy = policy(3, vec![guarantee("owner", 1, 24)]);
+    policy.worker_gone(&worker(0).target, at(200));
+    policy.decide(at(200));
+    let report = policy.summary().guarantees.remove(0);
+    assert_eq!((report.guaranteed, report.unmet), (24, 24));
+    assert!(report.cause.expect("a cause").contains("block of 24"));
+    policy.worker_ready(worker(0), at(260));
+    policy.decide(at(260));
+    assert_eq!(policy.summary().guarantees[0].unmet, 0);
+}
+
+/// Guards against a job that is longer than declared and keeps an owner waiting for ever.
+#[test]
+fn a_reclaim_does_not_depend_on_declared_run_times() {
+    let mut policy = policy(1, vec![guarantee("owner", 1, 8)]);
+    let key = key("other", "endless");
+    let mut spec = job(key.clone(), shape(1, 1, Adjacency::Zone));
+    spec.declared_run_time = Duration::from_secs(1);
+    policy.submit(spec, at(100)).expect("it fits the zone");
+    policy.decide(at(100));
+    policy.started(&key, at(100));
+    let spec = job(
+        crate::fixtures::key("owner", "o"),
+        shape(1, 8, Adjacency::Worker),
+    );
+    policy.submit(spec, at(5000)).expect("it fits the zone");
+    assert_eq!(evictions(&policy.decide(at(5000))), [key]);
+}
