--- /dev/null
+++ b/crates/rattanwinch_operators/src/operators_api.rs
@@ -0,0 +1,54 @@
+use std::fmt;
+use std::sync::Arc;
+
+use rattanwinch_types::Revision;
+use rattanwinch_types::Timestamp;
+
+use crate::ConfigChanges;
+
+/// Gives the present time.
+pub type Now = Arc<dyn Fn() -> Timestamp + Send + Sync>;
+
+/// Is told the revision of each change that was accepted here.
+pub type OnAccepted = Arc<dyn Fn(Revision) + Send + Sync>;
+
+/// What the endpoints need.
+pub struct OperatorsApi<S, R> {
+    pub(crate) changes: ConfigChanges<S>,
+    pub(crate) report: Arc<R>,
+    pub(crate) now: Now,
+    on_accepted: Option<OnAccepted>,
+}
+
+impl<S, R> OperatorsApi<S, R> {
+    /// Combines the configuration, the reports and the clock.
+    #[must_use]
+    pub const fn new(changes: ConfigChanges<S>, report: Arc<R>, now: Now) -> Self {
+        Self {
+            changes,
+            report,
+            now,
+            on_accepted: None,
+        }
+    }
+
+    /// Calls `on_accepted` for each accepted change, so that the entry reads the configuration
+    /// at once instead of at its next control read.
+    #[must_use]
+    pub fn with_on_accepted(mut self, on_accepted: OnAccepted) -> Self {
+        self.on_accepted = Some(on_accepted);
+        self
+    }
+
+    pub(crate) fn accepted(&self, revision: Revision) {
+        if let Some(on_accepted) = &self.on_accepted {
+            on_accepted(revision);
+        }
+    }
+}
+
+impl<S, R> fmt::Debug for OperatorsApi<S, R> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("OperatorsApi")
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_operators/src/wire/change.rs
@@ -0,0 +1,90 @@
+use std::sync::Arc;
+
+use rattanwinch_decisions::ConfigChange;
+use rattanwinch_types::ChangeId;
+use rattanwinch_types::ErrorKind;
+use rattanwinch_types::RequestError;
+use rattanwinch_types::Revision;
+
+use super::WireConfigChange;
+use crate::AcceptedChange;
+use crate::ChangeRequest;
+
+rattanwinch_types::value! { wire
+    /// The body of `POST /v1/config/changes`.
+    #[serde(deny_unknown_fields)]
+    pub struct WireChangeRequest {
+        /// The id that the author's program gives the change; a repetition uses the same.
+        pub id: String,
+        /// Who makes it.
+        pub author: String,
+        /// Why.
+        pub reason: String,
+        /// The revision that the author looked at; 0 if there was no configuration.
+        pub based_on: i64,
+        /// True to see the effect without a change.
+        #[serde(default)]
+        pub dry_run: bool,
+        /// What is to change.
+        pub change: WireConfigChange,
+    }
+}
+
+impl TryFrom<WireChangeRequest> for ChangeRequest {
+    type Error = RequestError;
+
+    fn try_from(wire: WireChangeRequest) -> Result<Self, RequestError> {
+        let invalid = |error: &dyn std::fmt::Display| {
+            RequestError::not_run(ErrorKind::Invalid, error.to_string())
+        };
+        if wire.based_on < 0 {
+            let message = format!("based_on is {}: expected a revision, or 0", wire.based_on);
+            return Err(RequestError::not_run(ErrorKind::Invalid, message));
+        }
+        Ok(Self {
+            id: ChangeId::new(wire.id).map_err(|error| invalid(&error))?,
+            author: Arc::from(wire.author),
+            reason: Arc::from(wire.reason),
+            based_on: Revision(wire.based_on),
+            change: ConfigChange::try_from(wire.change).map_err(|error| invalid(&error))?,
+        })
+    }
+}
+
+rattanwinch_types::value! { wire
+    /// The answer to `POST /v1/config/changes`.
+    pub struct WireChangeAnswer {
+        /// False for a dry run.
+        pub accepted: bool,
+        /// The revision that the change made, or that the dry run looked at.
+        pub revision: i64,
+        /// True if an earlier request with the same id and content made the change.
+        pub repeated: bool,
+        /// What it changes, a sentence each.
+        pub effects: Vec<String>,
+    }
+}
+
+impl WireChangeAnswer {
+    /// The answer to a dry run.
+    #[must_use]
+    pub fn dry_run(based_on: Revision, effects: &[Arc<str>]) -> Self {
+        Self {
+            accepted: false,
+            revision: based_on.0,
+            repeated: false,
+            effects: effects.iter().map(ToString::to_string).collect(),
+        }
+    }
+}
+
+impl From<AcceptedChange> for WireChangeAnswer {
+    fn from(change: AcceptedChange) -> Self {
+        Self {
+            accepted: true,
+            revision: change.revision.0,
+            repeated: change.repeated,
+            effects: change.effects.iter().map(ToString::to_string).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_operators/src/wire/error.rs
@@ -0,0 +1,31 @@
+use rattanwinch_types::RequestError;
+
+rattanwinch_types::value! { wire
+    /// An error with its verdict.
+    pub struct WireError {
+        /// `not_run`, `may_have_run` or `ran`: whether the change was made.
+        pub verdict: String,
+        /// The class of the error.
+        pub kind: String,
+        /// What was wrong, where, and what was expected.
+        pub message: String,
+    }
+}
+
+impl From<RequestError> for WireError {
+    fn from(error: RequestError) -> Self {
+        Self {
+            verdict: error.verdict.as_str().to_owned(),
+            kind: error.kind.as_str().to_owned(),
+            message: error.message.to_string(),
+        }
+    }
+}
+
+rattanwinch_types::value! { wire
+    /// The body of every response that isn't a success.
+    pub struct WireErrorBody {
+        /// The error.
+        pub error: WireError,
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_operators/tests/support/mod.rs
@@ -0,0 +1,192 @@
+//! A small store in memory whose calls can fail in the ways that the platform's does.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use rattanwinch_platform::Condition;
+use rattanwinch_platform::ControlRead;
+use rattanwinch_platform::Page;
+use rattanwinch_platform::Result;
+use rattanwinch_platform::Store;
+use rattanwinch_platform::StoreError;
+use rattanwinch_platform::Transaction;
+use rattanwinch_platform::TransactionOutcome;
+use rattanwinch_platform::Versioned;
+use rattanwinch_platform::Write;
+use rattanwinch_platform::keys;
+use rattanwinch_platform::keys::Key;
+use rattanwinch_types::Revision;
+
+/// What happens to one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It is answered.
+    None,
+    /// It doesn't arrive, and the client knows.
+    Refused,
+    /// It doesn't arrive, and the client doesn't know.
+    LostRequest,
+    /// It takes effect and the answer is lost.
+    LostAnswer,
+    /// It takes effect some calls later, and the client doesn't know.
+    Delayed,
+}
+
+#[derive(Debug, Default)]
+struct Contents {
+    values: BTreeMap<Key, Versioned>,
+    revision: i64,
+    faults: VecDeque<Fault>,
+    delayed: Vec<Transaction>,
+    /// Every revision of the document, in the order of the writes.
+    document_revisions: Vec<Revision>,
+}
+
+/// The store.
+#[derive(Debug, Default)]
+pub struct MemoryStore(Mutex<Contents>);
+
+impl MemoryStore {
+    /// The next calls have these faults, the calls after them none.
+    pub fn with_faults(self, faults: impl IntoIterator<Item = Fault>) -> Self {
+        self.contents().faults.extend(faults);
+        self
+    }
+
+    /// Applies what is still delayed; later calls have no faults.
+    pub fn settle(&self) {
+        let mut contents = self.contents();
+        contents.faults.clear();
+        contents.apply_delayed();
+    }
+
+    /// Every revision that the document has had, in the order of the writes.
+    pub fn document_revisions(&self) -> Vec<Revision> {
+        self.contents().document_revisions.clone()
+    }
+
+    fn contents(&self) -> MutexGuard<'_, Contents> {
+        self.0.lock().expect("no holder of the lock panics")
+    }
+}
+
+impl Contents {
+    fn next_fault(&mut self) -> Fault {
+        let fault = self.faults.pop_front().unwrap_or(Fault::None);
+        if fault == Fault::None {
+            self.apply_delayed();
+        }
+        fault
+    }
+
+    fn apply_delayed(&mut self) {
+        for transaction in std::mem::take(&mut self.delayed) {
+            self.apply(transaction);
+        }
+    }
+
+    fn apply(&mut self, transaction: Transaction) -> TransactionOutcome {
+        let holds = transaction.conditions.iter().all(|condition| {
+            let found = self.values.get(condition.key());
+            match condition {
+                Condition::Absent(_) => found.is_none(),
+                Condition::At(_, revision) => {
+                    found.is_some_and(|found| found.revision == *revision)
+                }
+            }
+        });
+        if !holds {
+            let keys = transaction.conditions.iter().map(Condition::key);
+            let found = keys.filter_map(|key| self.values.get(key).cloned());
+            return TransactionOutcome::Conflict(found.collect());
+        }
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        for write in transaction.writes {
+            match write {
+                Write::Put { key, value, .. } => {
+                    if key == keys::config() {
+                        self.document_revisions.push(revision);
+                    }
+                    let entry = Versioned {
+                        key: Key::clone(&key),
+                        value,
+                        revision,
+                    };
+                    self.values.insert(key, entry);
+                }
+                Write::Delete(key) => {
+                    self.values.remove(&key);
+                }
+            }
+        }
+        TransactionOutcome::Applied(revision)
+    }
+}
+
+fn read_fault(fault: Fault) -> Result<()> {
+    if fault == Fault::None {
+        return Ok(());
+    }
+    Err(StoreError::not_applied("the read wasn't answered"))
+}
+
+impl Store for MemoryStore {
+    async fn transact(&self, transaction: Transaction) -> Result<TransactionOutcome> {
+        tokio::task::yield_now().await;
+        let mut contents = self.contents();
+        let lost = || StoreError::may_be_applied("the answer was lost");
+        match contents.next_fault() {
+            Fault::None => Ok(contents.apply(transaction)),
+            Fault::Refused => Err(StoreError::not_applied("the store can't be reached")),
+            Fault::LostRequest => Err(lost()),
+            Fault::LostAnswer => {
+                contents.apply(transaction);
+                Err(lost())
+            }
+            Fault::Delayed => {
+                contents.delayed.push(transaction);
+                Err(lost())
+            }
+        }
+    }
+
+    async fn read(&self, key: &Key) -> Result<Option<Versioned>> {
+        tokio::task::yield_now().await;
+        let mut contents = self.contents();
+        read_fault(contents.next_fault())?;
+        Ok(contents.values.get(key).cloned())
+    }
+
+    async fn read_page(&self, prefix: &Key, after: Option<&Key>, limit: u32) -> Result<Page> {
+        tokio::task::yield_now().await;
+        let mut contents = self.contents();
+        read_fault(contents.next_fault())?;
+        let matching = contents.values.values().filter(|item| {
+            item.key.starts_with(&**prefix) && after.is_none_or(|after| item.key > *after)
+        });
+        let limit = usize::try_from(limit).expect("a page limit fits");
+        let mut items: Vec<_> = matching.take(limit + 1).cloned().collect();
+        let more = items.len() > limit;
+        items.truncate(limit);
+        Ok(Page {
+            items,
+            more,
+            revision: Revision(contents.revision),
+        })
+    }
+
+    async fn read_control(&self, known: Revision) -> Result<ControlRead> {
+        let config = self.read(&keys::config()).await?;
+        Ok(ControlRead {
+            revision: Revision(self.contents().revision),
+            cluster: 1,
+            has_config: config.is_some(),
+            config: config.filter(|found| found.revision > known),
+            deciders: Vec::new(),
+            entries: Vec::new(),
+        })
+    }
+}
