Add the command rattanwinch for operators and callers

Operators need one tool that shows, changes and explains, and whose exit codes scripts can rely on. A call goes to the next entry only when what is known allows it, so that a non-idempotent request never runs twice.

--- /dev/null
+++ b/crates/rattanwinch_cli/src/commands/jobs.rs
@@ -0,0 +1,190 @@
+use std::io::Write;
+use std::time::Duration;
+
+use rattanwinch_callers::WireExplanation;
+use rattanwinch_callers::WireJobRequest;
+use rattanwinch_callers::WireJobStatus;
+use rattanwinch_callers::WirePlainAnswer;
+use rattanwinch_callers::WirePlainRequest;
+use rattanwinch_operators::WireError;
+use rattanwinch_types::Verdict;
+use reqwest::Method;
+use tokio::time::Instant;
+
+use super::context::Context;
+use super::context::new_id;
+use super::context::now_unix_ms;
+use super::context::to_body;
+use super::context::with_hint;
+use crate::Call;
+use crate::CommandError;
+use crate::Result;
+use crate::arguments::JobCommand;
+use crate::arguments::JobKey;
+use crate::arguments::RunArguments;
+use crate::arguments::SubmitArguments;
+use crate::table::ago;
+
+/// An entry's answer may come this long after the deadline, when it tells that it has passed.
+const ANSWER_MARGIN: Duration = Duration::from_secs(2);
+
+/// The longest wait in one call; entries allow 60 s.
+const WAIT_STEP: Duration = Duration::from_secs(50);
+
+/// The pause after a failed call while waiting for a job.
+const WAIT_RETRY: Duration = Duration::from_secs(1);
+
+pub(super) async fn run(cx: &Context, arguments: RunArguments, out: &mut dyn Write) -> Result<()> {
+    let call = if arguments.non_idempotent {
+        Call::Once
+    } else {
+        Call::Repeatable
+    };
+    let now = now_unix_ms();
+    let in_span = now.saturating_add(arguments.deadline_ms);
+    let deadline = arguments.deadline_unix_ms.unwrap_or(in_span);
+    let id = arguments.id.unwrap_or_else(new_id);
+    let again = format!("--id {id} --deadline-unix-ms {deadline}");
+    let body = to_body(&WirePlainRequest {
+        organisation: arguments.organisation,
+        id,
+        idempotent: !arguments.non_idempotent,
+        deadline_unix_ms: deadline,
+        payload: arguments.payload,
+    })?;
+    let limit = Duration::from_millis(deadline.saturating_sub(now)) + ANSWER_MARGIN;
+    let path = "/v1/requests";
+    let run = cx.client.call(Method::POST, path, Some(&body), call, limit);
+    let answer: WirePlainAnswer = run.await.map_err(|error| with_hint(error, &again))?;
+    cx.show(out, &answer, |answer| format!("{}\n", answer.answer))
+}
+
+pub(super) async fn job(cx: &Context, command: JobCommand, out: &mut dyn Write) -> Result<()> {
+    match command {
+        JobCommand::Submit(arguments) => {
+            let status = submit(cx, arguments).await?;
+            cx.show(out, &status, status_text)
+        }
+        JobCommand::Status(job) => {
+            let status = cx.client.get(&path(&job), cx.limit).await?;
+            cx.show(out, &status, status_text)
+        }
+        JobCommand::Wait { job, limit_s } => {
+            let status = wait(cx, &job, Duration::from_secs(limit_s)).await?;
+            cx.show(out, &status, status_text)?;
+            finished(status)
+        }
+        JobCommand::Cancel(job) => {
+            let call = Call::Repeatable;
+            let path = path(&job);
+            let cancel = cx.client.call(Method::DELETE, &path, None, call, cx.limit);
+            cx.show(out, &cancel.await?, status_text)
+        }
+        JobCommand::Explain(job) => {
+            let path = format!("{}/explain", path(&job));
+            let explanations: Vec<WireExplanation> = cx.client.get(&path, cx.limit).await?;
+            cx.show(out, &explanations, |all| explanations_text(all))
+        }
+    }
+}
+
+/// A repeated submission of the same job, its deadline included, answers the status of the first.
+async fn submit(cx: &Context, arguments: SubmitArguments) -> Result<WireJobStatus> {
+    let seconds = |seconds: u64| seconds.saturating_mul(1000);
+    let in_span = now_unix_ms().saturating_add(seconds(arguments.deadline_s));
+    let deadline = arguments.deadline_unix_ms.unwrap_or(in_span);
+    let urgency = if arguments.urgent { "urgent" } else { "normal" };
+    let body = to_body(&WireJobRequest {
+        organisation: arguments.job.organisation.into(),
+        id: arguments.job.id.into(),
+        tasks: arguments.tasks,
+        accelerators_per_task: arguments.accelerators,
+        adjacency: arguments.adjacency,
+        idempotent: !arguments.non_idempotent,
+        urgency: urgency.to_owned(),
+        deadline_unix_ms: deadline,
+        declared_run_time_ms: seconds(arguments.run_time_s),
+        payload: arguments.payload,
+    })?;
+    let (path, call) = ("/v1/jobs", Call::Repeatable);
+    let submit = cx
+        .client
+        .call(Method::POST, path, Some(&body), call, cx.limit);
+    let again = format!("--deadline-unix-ms {deadline}");
+    submit.await.map_err(|error| with_hint(error, &again))
+}
+
+/// Waits until the job has finished. Entries may restart meanwhile, so a call that no entry
+/// answers is repeated until the limit.
+async fn wait(cx: &Context, job: &JobKey, limit: Duration) -> Result<WireJobStatus> {
+    let until = Instant::now() + limit;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        let step = left.min(WAIT_STEP);
+        let path = format!("{}?wait_ms={}", path(job), step.as_millis());
+        let asked: Result<WireJobStatus> = cx.client.get(&path, step + cx.limit).await;
+        match asked {
+            Ok(status) if status.state == "finished" => return Ok(status),
+            Ok(_) if !left.is_zero() => {}
+            Ok(status) => {
+                let message = format!("the job is {} and goes on; the limit passed", status.state);
+                return Err(CommandError::failed(
+                    Verdict::MayHaveRun,
+                    "deadline",
+                    message,
+                ));
+            }
+            Err(CommandError::Failed(error)) if error.kind == "unavailable" && !left.is_zero() => {
+                tokio::time::sleep(WAIT_RETRY.min(left)).await;
+            }
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+/// A job that finished without answers is a failure.
+fn finished(status: WireJobStatus) -> Result<()> {
+    status.error.map_or(Ok(()), |error| {
+        Err(CommandError::Failed(WireError {
+            verdict: error.verdict,
+            kind: error.kind,
+            message: error.message,
+        }))
+    })
+}
+
+fn path(job: &JobKey) -> String {
+    format!("/v1/jobs/{}/{}", job.organisation, job.id)
+}
+
+fn status_text(status: &WireJobStatus) -> String {
+    let mut text = format!(
+        "job {}/{}: {} in zone {}, attempt {}",
+        status.organisation, status.id, status.state, status.zone, status.attempt
+    );
+    if let Some(reason) = &status.reason {
+        text.push_str(&format!("; waits: {reason}"));
+    }
+    if let Some(since) = status.since_unix_ms {
+        text.push_str(&format!("; started {}", ago(since, now_unix_ms())));
+    }
+    text.push('\n');
+    for (task, answer) in status.answers.iter().flatten().enumerate() {
+        text.push_str(&format!("task {task}: {answer}\n"));
+    }
+    if let Some(error) = &status.error {
+        text.push_str(&format!(
+            "no answers: {} ({})\n",
+            error.message, error.verdict
+        ));
+    }
+    text
+}
+
+fn explanations_text(explanations: &[WireExplanation]) -> String {
+    let now = now_unix_ms();
+    let lines = explanations
+        .iter()
+        .map(|one| format!("{:>12}  {}\n", ago(one.at_unix_ms, now), one.text));
+    lines.collect()
+}
--- /dev/null
+++ b/crates/rattanwinch_cli/src/commands/mod.rs
@@ -0,0 +1,34 @@
+//! What each command does.
+
+mod config;
+mod context;
+mod fleet;
+mod jobs;
+mod zones;
+
+use std::io::Write;
+
+use crate::Arguments;
+use crate::Result;
+use crate::arguments::Command;
+use context::Context;
+
+/// Carries a command out and writes its result.
+///
+/// # Errors
+///
+/// [`crate::CommandError`], whose exit code tells usage, conflicts and failures apart.
+pub async fn execute(arguments: Arguments, out: &mut dyn Write) -> Result<()> {
+    let cx = Context::new(&arguments)?;
+    match arguments.command {
+        Command::Config(command) => config::config(&cx, command, out).await,
+        Command::Exception(command) => config::exception(&cx, command, out).await,
+        Command::Organisation(command) => config::organisation(&cx, command, out).await,
+        Command::Guarantee(command) => config::guarantee(&cx, command, out).await,
+        Command::Zone(command) => zones::zone(&cx, command, out).await,
+        Command::Fleet => fleet::fleet(&cx, out).await,
+        Command::Burn => fleet::burn(&cx, out).await,
+        Command::Run(request) => jobs::run(&cx, request, out).await,
+        Command::Job(command) => jobs::job(&cx, command, out).await,
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_cli/tests/cli/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the command `rattanwinch` as a process.
+
+mod commands;
+mod entries;
+mod site;
--- a/crates/rattanwinch_operators/src/config_changes.rs
+++ b/crates/rattanwinch_operators/src/config_changes.rs
@@ -3,6 +3,7 @@
 use rattanwinch_decisions::apply;
 use rattanwinch_decisions::effect;
 use rattanwinch_platform::Condition;
+use rattanwinch_platform::MAX_VALUE_BYTES;
 use rattanwinch_platform::Retention;
 use rattanwinch_platform::Store;
 use rattanwinch_platform::StoreError;
@@ -28,9 +29,8 @@
 use crate::StaleChange;
 use crate::WireConfigChange;
 
-/// The largest configuration document: the store takes values up to 1 MB, and a tenth is left
-/// for how the store counts them.
-pub const MAX_DOCUMENT_BYTES: usize = 900_000;
+/// The largest configuration document; a tenth of what the store takes is left for how it counts.
+pub const MAX_DOCUMENT_BYTES: usize = MAX_VALUE_BYTES / 10 * 9;
 
 /// The most changes in one page of the history. A record takes a few kilobytes at most, so a
 /// page stays well under 1 MB.
