--- a/crates/rattanwinch_operators/src/config_changes.rs
+++ b/crates/rattanwinch_operators/src/config_changes.rs
@@ -1,3 +1,4 @@
+use std::fmt;
 use std::sync::Arc;
 
 use rattanwinch_decisions::apply;
@@ -42,9 +43,19 @@
 ///
 /// A change is one transaction: the document's revision is compared, the record of the change
 /// must not exist, and both are written.
-#[derive(Debug)]
 pub struct ConfigChanges<S> {
     store: Arc<S>,
+    known: Option<KnownRevision>,
+}
+
+/// Gives the highest revision of the document that this process knows of, from its own reads or
+/// from its peers.
+pub type KnownRevision = Arc<dyn Fn() -> Revision + Send + Sync>;
+
+impl<S> fmt::Debug for ConfigChanges<S> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("ConfigChanges")
+    }
 }
 
 /// A change that passed every check, and what it makes of the document.
@@ -64,8 +75,16 @@
 impl<S: Store> ConfigChanges<S> {
     /// Uses the store.
     #[must_use]
-    pub const fn new(store: Arc<S>) -> Self {
-        Self { store }
+    pub fn new(store: Arc<S>) -> Self {
+        Self { store, known: None }
+    }
+
+    /// Refuses changes while the store's document is older than the one that is known, as after a
+    /// store was restored from a copy: they would be based on a configuration that has reverted.
+    #[must_use]
+    pub fn with_known_revision(mut self, known: KnownRevision) -> Self {
+        self.known = Some(known);
+        self
     }
 
     /// The configuration in the store.
@@ -87,7 +106,7 @@
     ///
     /// As [`Self::apply`], always with the verdict "not run".
     pub async fn dry_run(&self, req: &ChangeRequest, now: Timestamp) -> Result<Vec<Arc<str>>> {
-        let current = self.current().await?;
+        let current = self.unregressed().await?;
         Ok(prepare(&current, req, now)?.record.effects)
     }
 
@@ -160,8 +179,25 @@
         })
     }
 
-    async fn present(&self, id: &ChangeId) -> std::result::Result<Present, RequestError> {
+    /// The configuration in the store, unless the store has gone back.
+    async fn unregressed(&self) -> std::result::Result<CurrentConfig, RequestError> {
+        let known = self.known.as_ref().map(|known| known());
         let current = self.current().await?;
+        match known {
+            Some(known) if current.revision < known => {
+                let message = format!(
+                    "store_regressed: the store's configuration is at revision {}, but revision \
+                     {} was in force: expected an operator to restore the store",
+                    current.revision.0, known.0
+                );
+                Err(unavailable(Verdict::NotRun, &message))
+            }
+            _ => Ok(current),
+        }
+    }
+
+    async fn present(&self, id: &ChangeId) -> std::result::Result<Present, RequestError> {
+        let current = self.unregressed().await?;
         let recorded = self.store.read(&keys::change(id)).await?;
         Ok(Present { current, recorded })
     }
--- a/crates/rattanwinch_operators/src/lib.rs
+++ b/crates/rattanwinch_operators/src/lib.rs
@@ -28,6 +28,7 @@
 pub use change_request::CurrentConfig;
 pub use change_request::HistoryPage;
 pub use config_changes::ConfigChanges;
+pub use config_changes::KnownRevision;
 pub use config_changes::MAX_DOCUMENT_BYTES;
 pub use config_changes::MAX_HISTORY_PAGE;
 pub use error_response::error_response;
--- a/crates/rattanwinch_operators/tests/operators/racing_operators.rs
+++ b/crates/rattanwinch_operators/tests/operators/racing_operators.rs
@@ -288,3 +288,29 @@
     let effects = &stale.changed_since[0].effects;
     assert_eq!(&*effects[0], "Default max_attempts changes from 5 to 6.");
 }
+
+/// Guards against changes that are based on a configuration that has reverted with its store.
+#[test]
+fn a_store_that_has_gone_back_takes_no_changes() {
+    let known = Arc::new(|| Revision(7));
+    let changes = ConfigChanges::new(Arc::new(MemoryStore::default())).with_known_revision(known);
+    let req = ChangeRequest::builder()
+        .id(ChangeId::new("c1").expect("a valid id"))
+        .author("ada")
+        .reason("test")
+        .based_on(Revision(0))
+        .change(ConfigChange::SetDefault {
+            key: DefaultKey::MaxAttempts,
+            value: 5,
+        })
+        .build();
+    for refused in [
+        block_on(changes.apply(&req, NOW)).map(drop),
+        block_on(changes.dry_run(&req, NOW)).map(drop),
+    ] {
+        let error = refused.expect_err("the store has gone back").to_error();
+        assert_eq!(error.verdict, Verdict::NotRun);
+        assert!(error.message.contains("store_regressed"), "{error}");
+    }
+    assert!(history(&changes).is_empty());
+}
