Test the client of the store and its stand-in under faults

Cause: lost answers, lost leases and a shared call that hides a conflict are the faults that a client of the store gets wrong, and they don't show in normal use.

Change: tests over HTTP cover lost and late answers, outages, a restored store, leases, the budget as the stand-in counts it, and the published form of the messages.

--- /dev/null
+++ b/crates/rattanwinch_platform/tests/store/lost_answers.rs
@@ -0,0 +1,252 @@
+//! What the client reports when the store or the connection fails.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::support::applied;
+use crate::support::client;
+use crate::support::key;
+use crate::support::settings;
+use crate::support::start_store;
+use crate::support::until;
+use futures::future::join_all;
+use rattanwinch_platform::Condition;
+use rattanwinch_platform::EtcdStore;
+use rattanwinch_platform::Retention;
+use rattanwinch_platform::Store as _;
+use rattanwinch_platform::StoreSettings;
+use rattanwinch_platform::Transaction;
+use rattanwinch_platform::TransactionOutcome;
+use rattanwinch_standins::StandinStore;
+use rattanwinch_standins::StoreFaults;
+use rattanwinch_standins::StoreLimits;
+use rattanwinch_standins::StoreMode;
+use rattanwinch_types::Revision;
+use rattanwinch_types::Verdict;
+
+fn put(name: &str, value: &str) -> Transaction {
+    crate::support::put(name, value, Retention::Permanent)
+}
+
+/// Short time-outs, so that the tests of silent stores are quick.
+fn quick(store: &StandinStore) -> StoreSettings {
+    StoreSettings {
+        call_timeout: Duration::from_millis(200),
+        ..settings(store)
+    }
+}
+
+fn lose_answers(count: u32) -> StoreFaults {
+    StoreFaults {
+        lose_answers: count,
+        ..StoreFaults::default()
+    }
+}
+
+fn mode(mode: StoreMode) -> StoreFaults {
+    StoreFaults {
+        mode,
+        ..StoreFaults::default()
+    }
+}
+
+/// Guards against a write that is reported as unknown, or sent again, although it is there.
+#[tokio::test(flavor = "multi_thread")]
+async fn writes_whose_answer_is_lost_are_read_back() {
+    let store = start_store().await;
+    let client = client(settings(&store));
+    applied(client.transact(put("warm", "1")).await.unwrap());
+    store.reset_counts();
+    store.set_faults(lose_answers(2));
+    let names: Vec<_> = (0..5).map(|index| format!("lost-{index}")).collect();
+    let sent = names
+        .iter()
+        .map(|name| client.transact(put(name, name).with_condition(Condition::Absent(key(name)))));
+    let outcomes = join_all(sent).await;
+    for (name, outcome) in names.iter().zip(outcomes) {
+        let revision = applied(outcome.unwrap());
+        let found = client.read(&key(name)).await.unwrap().unwrap();
+        assert_eq!(found.revision, revision);
+    }
+    let state = store.state();
+    let version = |name: &String| {
+        let range = rattanwinch_platform::wire::WireRange {
+            key: (&key(name)).into(),
+            ..Default::default()
+        };
+        state.range(&range).kvs[0].version.0
+    };
+    assert!(names.iter().all(|name| version(name) == 1));
+    assert!(store.counts().of("txn_write") <= 2);
+}
+
+/// Guards against an older value with the same bytes that is taken for the lost write.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_older_value_with_the_same_bytes_is_not_taken_for_the_lost_write() {
+    let store = start_store().await;
+    let client = client(settings(&store));
+    applied(client.transact(put("a", "same")).await.unwrap());
+    store.set_faults(lose_answers(1));
+    let create = put("a", "same").with_condition(Condition::Absent(key("a")));
+    let error = client.transact(create).await.unwrap_err();
+    assert_eq!(error.verdict, Verdict::MayHaveRun);
+}
+
+/// Guards against a guess about a write that leaves nothing to read back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_deletion_may_be_applied() {
+    let store = start_store().await;
+    let client = client(settings(&store));
+    applied(client.transact(put("a", "1")).await.unwrap());
+    store.set_faults(lose_answers(1));
+    let delete = Transaction::new().with_delete(key("a"));
+    let error = client.transact(delete).await.unwrap_err();
+    assert_eq!(error.verdict, Verdict::MayHaveRun);
+    assert_eq!(client.read(&key("a")).await.unwrap(), None);
+}
+
+/// Guards against a write that takes effect after the time-out and is then reported as unknown.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_that_takes_effect_after_the_time_out_is_found() {
+    let store = start_store().await;
+    let client = client(quick(&store));
+    applied(client.transact(put("warm", "1")).await.unwrap());
+    store.reset_counts();
+    store.set_faults(StoreFaults {
+        delay_ms: 300,
+        ..StoreFaults::default()
+    });
+    let arrived = async {
+        until("the write arrives", || store.counts().of("txn_write") == 1).await;
+        store.set_faults(StoreFaults::default());
+    };
+    let (outcome, ()) = tokio::join!(client.transact(put("a", "1")), arrived);
+    applied(outcome.unwrap());
+    assert_eq!(store.counts().of("txn_write"), 1);
+}
+
+/// Guards against "not run" for a call that was sent, whatever the store did with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_hangs_or_fails_leaves_the_write_unknown() {
+    let store = start_store().await;
+    let client = client(quick(&store));
+    applied(client.transact(put("warm", "1")).await.unwrap());
+    for fault in [StoreMode::Hang, StoreMode::Refuse] {
+        store.set_faults(mode(fault));
+        let error = client.transact(put("a", "1")).await.unwrap_err();
+        assert_eq!(error.verdict, Verdict::MayHaveRun, "{fault:?}: {error}");
+        let error = client.read(&key("a")).await.unwrap_err();
+        assert_eq!(error.verdict, Verdict::NotRun, "{fault:?}: {error}");
+        store.set_faults(StoreFaults::default());
+        assert_eq!(client.read(&key("a")).await.unwrap(), None);
+    }
+}
+
+/// Guards against an outage after which the client doesn't come back, and against an unknown
+/// outcome where nothing was sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_connection_means_not_run() {
+    let store = start_store().await;
+    let address = store.address();
+    let client = client(settings(&store));
+    applied(client.transact(put("a", "1")).await.unwrap());
+    let state = store.stop().await;
+    // The first call may still meet the closing of a pooled connection.
+    let _ = client.read(&key("a")).await;
+    let error = client.transact(put("a", "2")).await.unwrap_err();
+    assert_eq!(error.verdict, Verdict::NotRun, "{error}");
+    let again = StandinStore::start_with(address, StoreLimits::default(), state).await;
+    let _again = again.expect("the address is free again");
+    let found = client.read(&key("a")).await.unwrap().unwrap();
+    assert_eq!(&*found.value, b"1");
+    applied(client.transact(put("a", "3")).await.unwrap());
+}
+
+/// Guards against a client that stays with an endpoint that is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_next_endpoint_is_taken_when_one_fails() {
+    let stopped = start_store().await;
+    stopped.stop().await;
+    let store = start_store().await;
+    let client = client(StoreSettings {
+        endpoints: vec![stopped.address(), store.address()],
+        ..settings(&store)
+    });
+    let error = client.transact(put("a", "1")).await.unwrap_err();
+    assert_eq!(error.verdict, Verdict::NotRun, "{error}");
+    applied(client.transact(put("a", "1")).await.unwrap());
+}
+
+/// Guards against a fault of one client that is taken for an outage.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_client_can_be_cut_off_from_the_store() {
+    let store = start_store().await;
+    let first = client(quick(&store));
+    let second = EtcdStore::builder()
+        .settings(quick(&store))
+        .client_name("entry-b")
+        .start();
+    store.set_faults(StoreFaults {
+        cut_off: ["entry-a".to_owned()].into(),
+        ..StoreFaults::default()
+    });
+    first.read_control(Revision(0)).await.unwrap_err();
+    second.read_control(Revision(0)).await.unwrap();
+    store.set_faults(StoreFaults::default());
+    first.read_control(Revision(0)).await.unwrap();
+}
+
+/// Guards against a restored store that goes unnoticed, and against comparing its revisions with
+/// the ones from before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restored_store_shows_another_cluster_id() {
+    let store = start_store().await;
+    let client = client(settings(&store));
+    let snapshot = store.snapshot();
+    applied(client.transact(put("a", "1")).await.unwrap());
+    let before = client.read_control(Revision(0)).await.unwrap();
+    assert!(store.restore(snapshot));
+    let after = client.read_control(Revision(0)).await.unwrap();
+    assert_ne!(after.cluster, before.cluster);
+    assert!(after.revision < before.revision);
+    assert_eq!(
+        client.view().map(|view| view.revision),
+        Some(after.revision)
+    );
+    assert_eq!(client.read(&key("a")).await.unwrap(), None);
+    let outcome = client.transact(put("a", "2")).await.unwrap();
+    assert!(matches!(outcome, TransactionOutcome::Applied(_)));
+}
+
+/// Guards against revisions of another store that are compared with those of the lost call.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_lost_while_the_store_is_restored_is_unknown() {
+    let store = start_store().await;
+    let client = client(quick(&store));
+    applied(client.transact(put("warm", "1")).await.unwrap());
+    let snapshot = store.snapshot();
+    store.reset_counts();
+    store.set_faults(StoreFaults {
+        delay_ms: 300,
+        ..StoreFaults::default()
+    });
+    let restored = async {
+        until("the write arrives", || store.counts().of("txn_write") == 1).await;
+        store.restore(snapshot);
+        store.set_faults(StoreFaults::default());
+    };
+    let (outcome, ()) = tokio::join!(client.transact(put("a", "1")), restored);
+    assert_eq!(outcome.unwrap_err().verdict, Verdict::MayHaveRun);
+}
+
+/// Guards against a constructor that reaches out: a client starts also while the store is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_client_starts_without_a_store() {
+    let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
+    let settings = StoreSettings::builder().endpoints(vec![nowhere]).build();
+    let client = client(settings);
+    let error = client.transact(put("a", "1")).await.unwrap_err();
+    assert_eq!(error.verdict, Verdict::NotRun, "{error}");
+    assert_eq!(client.view(), None);
+}
--- a/crates/rattanwinch_platform/tests/support/mod.rs
+++ b/crates/rattanwinch_platform/tests/store/support.rs
@@ -3,9 +3,12 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rattanwinch_platform::EtcdStore;
+use rattanwinch_platform::Retention;
 use rattanwinch_platform::StoreSettings;
+use rattanwinch_platform::Transaction;
 use rattanwinch_platform::TransactionOutcome;
 use rattanwinch_platform::keys::Key;
 use rattanwinch_standins::StandinStore;
@@ -34,6 +37,22 @@
     Arc::new(client.start())
 }
 
+/// A put that creates a key or overwrites it.
+pub fn put(name: &str, value: &str, retention: Retention) -> Transaction {
+    Transaction::new().with_put(key(name), value.as_bytes(), retention)
+}
+
+/// Waits until something holds, at most 10 s.
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
+    let polling = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let limited = tokio::time::timeout(Duration::from_secs(10), polling).await;
+    limited.unwrap_or_else(|_| panic!("not within 10 s: {what}"));
+}
+
 /// A key below the prefix.
 pub fn key(name: &str) -> Key {
     Key::from(format!("/rattanwinch/test/{name}"))
--- a/crates/rattanwinch_standins/src/store/kv_lease.rs
+++ b/crates/rattanwinch_standins/src/store/kv_lease.rs
@@ -105,6 +105,12 @@
         ended.count()
     }
 
+    /// The time to live that a lease was granted, in seconds.
+    #[must_use]
+    pub fn lease_ttl(&self, id: i64) -> Option<i64> {
+        self.leases.get(&id).map(|lease| lease.ttl)
+    }
+
     /// Ends all leases at once, as a store does that was cut off from its clients for long.
     pub fn revoke_all(&mut self) {
         let ids: Vec<i64> = self.leases.keys().copied().collect();
--- /dev/null
+++ b/crates/rattanwinch_standins/tests/store/http.rs
@@ -0,0 +1,187 @@
+//! The HTTP interface of the stand-in, used without the client of the platform package.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rattanwinch_standins::StandinStore;
+use rattanwinch_standins::StoreCounts;
+use rattanwinch_standins::StoreFaults;
+use rattanwinch_standins::StoreLimits;
+use reqwest::Client;
+use reqwest::Response;
+use serde_json::Value;
+use serde_json::json;
+
+/// The greatest time that any step may take.
+const LIMIT: Duration = Duration::from_secs(10);
+
+struct Fixture {
+    store: StandinStore,
+    client: Client,
+}
+
+impl Fixture {
+    async fn start(limits: StoreLimits) -> Self {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let client = Client::builder().no_proxy().timeout(LIMIT).build();
+        Self {
+            store: StandinStore::start(any, limits).await.unwrap(),
+            client: client.unwrap(),
+        }
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.store.address())
+    }
+
+    async fn post(&self, path: &str, body: &Value) -> Response {
+        let req = self.client.post(self.url(path)).json(body);
+        req.send().await.unwrap()
+    }
+
+    async fn put(&self, key: &str, value: &str) {
+        let response = self
+            .post("/v3/kv/put", &json!({"key": key, "value": value}))
+            .await;
+        assert!(response.status().is_success());
+    }
+
+    async fn counts(&self) -> StoreCounts {
+        let req = self.client.get(self.url("/admin/counts"));
+        req.send().await.unwrap().json().await.unwrap()
+    }
+}
+
+/// The lines of a watch; a chunk can have several of them or a part of one.
+struct Lines {
+    response: Response,
+    buffer: Vec<u8>,
+}
+
+impl Lines {
+    /// The next message; `None` at the end of the stream.
+    async fn next(&mut self) -> Option<Value> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+                let line: Vec<u8> = self.buffer.drain(..=end).collect();
+                return Some(serde_json::from_slice(&line).unwrap());
+            }
+            let chunk = tokio::time::timeout(LIMIT, self.response.chunk()).await;
+            self.buffer
+                .extend(chunk.expect("a message in time").unwrap()?);
+        }
+    }
+
+    /// The `result` of the next message.
+    async fn result(&mut self) -> Value {
+        self.next().await.expect("the watch goes on")["result"].take()
+    }
+}
+
+/// Guards against watches that miss changes, and against ones that aren't counted.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_watch_streams_changes_as_lines() {
+    let fixture = Fixture::start(StoreLimits::default()).await;
+    fixture.put("Zm9v", "MQ==").await;
+    let wanted = json!({"create_request":
+        {"key": "Zm9v", "range_end": "Zm9w", "start_revision": "2"}});
+    let mut watch = Lines {
+        response: fixture.post("/v3/watch", &wanted).await,
+        buffer: Vec::new(),
+    };
+    let created = watch.result().await;
+    assert_eq!(created["created"], true);
+    let past = watch.result().await;
+    assert_eq!(past["events"][0]["kv"]["value"], "MQ==");
+    assert_eq!(fixture.counts().await.waiting_watches, 1);
+    fixture.put("b3RoZXI=", "MQ==").await;
+    fixture.put("Zm9v", "Mg==").await;
+    let change = watch.result().await;
+    assert_eq!(change["events"][0]["kv"]["mod_revision"], "4");
+    let delete = json!({"success": [{"requestDeleteRange": {"key": "Zm9v"}}]});
+    fixture.post("/v3/kv/txn", &delete).await;
+    let deleted = watch.result().await;
+    assert_eq!(deleted["events"][0]["type"], "DELETE");
+    let snapshot = fixture.store.snapshot();
+    assert!(fixture.store.restore(snapshot));
+    // Another cluster's changes can't follow those of this one.
+    fixture.put("Zm9v", "Mw==").await;
+    assert_eq!(watch.result().await["canceled"], true);
+    assert_eq!(watch.next().await, None);
+}
+
+/// Guards against measurements that pass because the stand-in has no limits.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_beyond_the_rates_are_refused() {
+    let limits = StoreLimits::builder()
+        .writes_per_second(2)
+        .reads_per_second(3)
+        .max_value_bytes(10)
+        .build();
+    let fixture = Fixture::start(limits).await;
+    let watch = json!({"create_request": {"key": "Zm9v"}});
+    let _watch = fixture.post("/v3/watch", &watch).await;
+    let range = json!({"key": "Zm9v"});
+    let put = json!({"key": "Zm9v", "value": "MQ=="});
+    // The watch took one read when it came, and takes one more while it waits.
+    let calls = [("/v3/kv/range", &range, 1), ("/v3/kv/put", &put, 2)];
+    for (path, body, allowed) in calls {
+        for _ in 0..allowed {
+            assert_eq!(fixture.post(path, body).await.status(), 200, "{path}");
+        }
+        let refused = fixture.post(path, body).await;
+        assert_eq!(refused.status(), 429, "{path}");
+        assert_eq!(refused.json::<Value>().await.unwrap()["code"], 8);
+    }
+    let counts = fixture.counts().await;
+    assert_eq!(
+        (counts.refused_by_rate, counts.most_writes_per_second),
+        (2, 3)
+    );
+    assert_eq!(
+        (counts.of("range"), counts.of("put"), counts.of("watch")),
+        (2, 3, 1)
+    );
+}
+
+/// Guards against demonstrations that can't steer the stand-in's process from outside.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_admin_paths_steer_the_stand_in() {
+    let fixture = Fixture::start(StoreLimits::default()).await;
+    let faults = json!({"mode": "refuse", "cut_off": ["entry-a"], "lose_answers": 2});
+    let set = fixture
+        .client
+        .put(fixture.url("/admin/faults"))
+        .json(&faults);
+    assert!(set.send().await.unwrap().status().is_success());
+    assert_eq!(fixture.store.faults().lose_answers, 2);
+    let refused = fixture.post("/v3/kv/range", &json!({"key": "Zm9v"})).await;
+    assert_eq!(refused.status(), 503);
+    fixture.store.set_faults(StoreFaults::default());
+    let snapshot: Value = fixture
+        .post("/admin/snapshot", &json!({}))
+        .await
+        .json()
+        .await
+        .unwrap();
+    fixture.put("Zm9v", "MQ==").await;
+    assert!(
+        fixture
+            .post("/admin/restore", &snapshot)
+            .await
+            .status()
+            .is_success()
+    );
+    let missing = json!({"snapshot": 7});
+    assert_eq!(fixture.post("/admin/restore", &missing).await.status(), 404);
+    let range = fixture.post("/v3/kv/range", &json!({"key": "Zm9v"})).await;
+    let range: Value = range.json().await.unwrap();
+    assert_eq!(
+        (&range["count"], &range["header"]["revision"]),
+        (&Value::Null, &json!("1"))
+    );
+    let reset = fixture.client.delete(fixture.url("/admin/counts")).send();
+    assert!(reset.await.unwrap().status().is_success());
+    assert_eq!(fixture.counts().await.of("put"), 0);
+}
