--- a/crates/rattanwinch_decisions/src/lib.rs
+++ b/crates/rattanwinch_decisions/src/lib.rs
@@ -9,6 +9,7 @@
 //! [`MemberTable`] holds and runs the members of gangs, [`ZonePolicy`] places jobs, and [`apply`]
 //! changes the configuration.
 
+mod burn;
 mod claims;
 mod config_changes;
 mod gate;
@@ -16,6 +17,13 @@
 mod policy;
 mod routing;
 
+pub use burn::BurnAlert;
+pub use burn::BurnReport;
+pub use burn::BurnWindow;
+pub use burn::BurnWindows;
+pub use burn::MAX_BURN_ORGANISATIONS;
+pub use burn::OrganisationBurn;
+pub use burn::RequestCount;
 pub use claims::AskResponse;
 pub use claims::Claim;
 pub use claims::ClaimStep;
