Say from the command whether an id is new

Cause: the command couldn't say that it sends an id for the first time, so a refusal before the store was asked would say "may have run". Change: an id that the command made itself counts as new.

--- a/crates/rattanwinch_cli/src/commands/jobs.rs
+++ b/crates/rattanwinch_cli/src/commands/jobs.rs
@@ -43,12 +43,15 @@
     let now = now_unix_ms();
     let in_span = now.saturating_add(arguments.deadline_ms);
     let deadline = arguments.deadline_unix_ms.unwrap_or(in_span);
+    // An id that was made here can't have been sent before.
+    let first_submission = arguments.id.is_none();
     let id = arguments.id.unwrap_or_else(new_id);
     let again = format!("--id {id} --deadline-unix-ms {deadline}");
     let body = to_body(&WirePlainRequest {
         organisation: arguments.organisation,
         id,
         idempotent: !arguments.non_idempotent,
+        first_submission,
         deadline_unix_ms: deadline,
         payload: arguments.payload,
     })?;
--- a/crates/rattanwinch_platform/src/lib.rs
+++ b/crates/rattanwinch_platform/src/lib.rs
@@ -2,9 +2,7 @@
 //!
 //! [`Store`] is what rattanwinch needs of it: compare-and-swap over a few keys, reads, and leases
 //! that remove keys of processes that are gone. [`EtcdStore`] provides it over the etcd v3 JSON
-//! gateway, whose messages are in [`wire`]. [`keys`] builds every key, [`records`] has the JSON forms of
-//! what is stored under them.
-//! gateway, whose messages are in [`wire`]. [`keys`] builds every key, and [`records`] has the JSON
+//! gateway, whose messages are in [`wire`]. [`keys`] builds every key, [`records`] has the JSON
 //! forms of what is stored under them.
 //!
 //! Start reading at [`Store`], then [`EtcdStore`].
