--- /dev/null
+++ b/crates/rattanwinch_decisions/tests/member_table/cases.rs
@@ -0,0 +1,233 @@
+//! Cases that random runs seldom reach or that the model's executor hides.
+
+use std::time::Duration;
+
+use rattanwinch_decisions::Action;
+use rattanwinch_decisions::Actions;
+use rattanwinch_decisions::Gate;
+use rattanwinch_decisions::Hold;
+use rattanwinch_decisions::MAX_ENDED_MEMBERS;
+use rattanwinch_decisions::MAX_TOMBSTONES;
+use rattanwinch_decisions::MemberTable;
+use rattanwinch_decisions::ObservedState;
+use rattanwinch_decisions::ObservedTask;
+use rattanwinch_decisions::Release;
+use rattanwinch_decisions::TASK_LEASE;
+use rattanwinch_decisions::TOMBSTONE_RETENTION;
+use rattanwinch_types::AcceleratorSet;
+use rattanwinch_types::Epoch;
+use rattanwinch_types::ErrorKind;
+use rattanwinch_types::MemberKey;
+use rattanwinch_types::StopMode;
+use rattanwinch_types::Timestamp;
+use rattanwinch_types::Verdict;
+
+use crate::support::hold_order;
+use crate::support::member;
+use crate::support::response;
+
+const EPOCH: Epoch = Epoch(5);
+const START: Timestamp = Timestamp::from_millis(1_000_000);
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+fn open_gate() -> Gate {
+    let mut response = response(Some(EPOCH));
+    response.freshness = Duration::from_secs(1_000_000);
+    Gate::default().after_heartbeat(START, &response)
+}
+
+fn table() -> MemberTable {
+    MemberTable::new(AcceleratorSet::ALL)
+}
+
+fn hold(table: &mut MemberTable, key: &MemberKey, now: Timestamp) -> Result<Hold, ErrorKind> {
+    let order = hold_order(key, EPOCH, AcceleratorSet::block(0, 4));
+    let held = table.hold(order, &open_gate(), now);
+    held.map_err(|error| {
+        assert!(error.is_not_run(), "{error}");
+        error.kind
+    })
+}
+
+/// Holds, loads, releases and runs a member.
+fn run(table: &mut MemberTable, key: &MemberKey, now: Timestamp) {
+    assert!(matches!(hold(table, key, now), Ok(Hold::Load(_))));
+    table.loaded(key, &Ok(()), now);
+    let released = table.release(key, EPOCH, &open_gate(), now);
+    assert!(matches!(released, Ok(Release::Run(_))), "{released:?}");
+    table.ran(key, &Ok(()), now);
+}
+
+fn stops(actions: &Actions, key: &MemberKey) -> bool {
+    let stop = Action::Stop {
+        member: key.clone(),
+        mode: StopMode::Stop,
+    };
+    actions.contains(&stop)
+}
+
+/// Guards against a grant of accelerators that a task in the executor still has.
+#[test]
+fn accelerators_stay_taken_until_the_executor_has_dropped_the_task() {
+    let mut table = table();
+    let (first, second) = (member("a", 1, 0), member("b", 1, 0));
+    assert!(matches!(hold(&mut table, &first, START), Ok(Hold::Load(_))));
+    assert!(
+        table
+            .abort(&first, EPOCH, START)
+            .expect("aborted")
+            .is_empty()
+    );
+    assert_eq!(
+        hold(&mut table, &second, START),
+        Err(ErrorKind::Busy),
+        "while it is loaded"
+    );
+    assert!(stops(&table.loaded(&first, &Ok(()), START), &first));
+    assert_eq!(
+        hold(&mut table, &second, START),
+        Err(ErrorKind::Busy),
+        "while it is dropped"
+    );
+    table.stopped(&first, StopMode::Stop, &Ok(()), START);
+    assert!(matches!(
+        hold(&mut table, &second, START),
+        Ok(Hold::Load(_))
+    ));
+}
+
+/// Guards against a lease that is counted from a response's arrival, that an old decider renews,
+/// or that never ends.
+#[test]
+fn a_task_lease_runs_from_the_sending_of_an_answered_heartbeat() {
+    let mut table = table();
+    let key = member("a", 1, 0);
+    run(&mut table, &key, START);
+    let sent_at = START + Duration::from_secs(10);
+    let arrived = sent_at + Duration::from_secs(9);
+    table.heartbeat_answered(sent_at, &response(Some(EPOCH)), arrived);
+    let later = sent_at + Duration::from_secs(5);
+    table.heartbeat_answered(later, &response(Some(Epoch(4))), arrived);
+    table.heartbeat_answered(later, &response(None), arrived);
+
+    let end = sent_at + TASK_LEASE;
+    let before = Timestamp::from_millis(end.as_millis() - 1);
+    assert!(!stops(&table.tick(before), &key), "the lease still lasts");
+    assert!(stops(&table.tick(end), &key), "the lease has ended");
+    assert!(
+        !stops(&table.tick(end + MILLISECOND), &key),
+        "the order is on its way"
+    );
+    assert!(
+        stops(&table.tick(end + Duration::from_secs(1)), &key),
+        "it wasn't accepted"
+    );
+}
+
+/// Guards against a release of a task whose hold the agent before had granted.
+#[test]
+fn a_loaded_task_that_is_adopted_is_stopped_and_never_released() {
+    let mut table = table();
+    let task = ObservedTask {
+        member: member("a", 1, 0),
+        epoch: EPOCH,
+        accelerators: AcceleratorSet::block(0, 4),
+        state: ObservedState::Loaded,
+    };
+    let key = task.member.clone();
+    assert!(stops(&table.adopt(&[task], START), &key));
+    assert_eq!(table.epoch(), EPOCH);
+    let error = table
+        .release(&key, EPOCH, &open_gate(), START)
+        .expect_err("refused");
+    assert_eq!(
+        (error.kind, error.verdict),
+        (ErrorKind::Cancelled, Verdict::MayHaveRun)
+    );
+}
+
+/// Guards against a tombstone that is dropped while a late hold may come, and against a table
+/// that grows without bound.
+#[test]
+fn a_full_table_of_tombstones_refuses_rather_than_forgets() {
+    let mut table = table();
+    for n in 0..MAX_TOMBSTONES {
+        let key = member(&format!("job-{n}"), 1, 0);
+        table.abort(&key, EPOCH, START).expect("there is room");
+    }
+    let key = member("new", 1, 0);
+    assert_eq!(hold(&mut table, &key, START), Err(ErrorKind::Busy));
+    let error = table
+        .abort(&key, EPOCH, START)
+        .expect_err("there is no room");
+    assert_eq!(
+        (error.kind, error.verdict),
+        (ErrorKind::Busy, Verdict::MayHaveRun)
+    );
+
+    let over = START + TOMBSTONE_RETENTION + MILLISECOND;
+    table.tick(over);
+    assert_eq!(
+        hold(&mut table, &key, over),
+        Err(ErrorKind::Busy),
+        "time alone shows nothing"
+    );
+    let sent_early = START + TOMBSTONE_RETENTION;
+    table.heartbeat_answered(sent_early, &response(Some(EPOCH)), over);
+    assert_eq!(table.tombstone_count(), MAX_TOMBSTONES);
+
+    let mut fenced = table.clone();
+    fenced.accept_epoch(Epoch(6)).expect("a higher epoch");
+    let order = hold_order(&key, Epoch(6), AcceleratorSet::block(0, 4));
+    let held = fenced.hold(order, &open_gate(), over);
+    assert!(
+        matches!(held, Ok(Hold::Load(_))),
+        "late copies are fenced: {held:?}"
+    );
+    assert_eq!(fenced.tombstone_count(), MAX_TOMBSTONES - 1);
+
+    table.heartbeat_answered(over, &response(Some(EPOCH)), over);
+    assert_eq!(table.tombstone_count(), 0);
+    assert!(matches!(hold(&mut table, &key, over), Ok(Hold::Load(_))));
+}
+
+/// Guards against heartbeats that grow with each aborted hold, and against an agent that refuses
+/// holds for good because of them.
+#[test]
+fn ended_members_that_never_ran_make_room_by_themselves() {
+    let mut table = table();
+    for n in 0..MAX_ENDED_MEMBERS {
+        let key = member(&format!("job-{n}"), 1, 0);
+        assert!(matches!(hold(&mut table, &key, START), Ok(Hold::Load(_))));
+        table.loaded(&key, &Ok(()), START);
+        assert!(stops(
+            &table.abort(&key, EPOCH, START).expect("aborted"),
+            &key
+        ));
+        table.stopped(&key, StopMode::Stop, &Ok(()), START);
+    }
+    let key = member("new", 1, 0);
+    assert_eq!(hold(&mut table, &key, START), Err(ErrorKind::Busy));
+    let later = START + Duration::from_secs(2);
+    table.tick(later);
+    assert!(matches!(hold(&mut table, &key, later), Ok(Hold::Load(_))));
+    let barred = member("job-0", 1, 0);
+    assert_eq!(hold(&mut table, &barred, later), Err(ErrorKind::Cancelled));
+}
+
+/// Guards against two orders for one member, and against an attempt that was given up and comes
+/// after its successor.
+#[test]
+fn other_orders_and_lower_attempts_are_refused() {
+    let mut table = table();
+    let key = member("a", 2, 0);
+    assert!(matches!(hold(&mut table, &key, START), Ok(Hold::Load(_))));
+    assert_eq!(hold(&mut table, &key, START), Ok(Hold::Loading));
+    let other = hold_order(&key, EPOCH, AcceleratorSet::block(4, 4));
+    let error = table
+        .hold(other, &open_gate(), START)
+        .expect_err("another order");
+    assert_eq!(error.kind, ErrorKind::Conflict);
+    let lower = member("a", 1, 1);
+    assert_eq!(hold(&mut table, &lower, START), Err(ErrorKind::Cancelled));
+}
