Test the agent's side of a gang's start over real connections

Cause: fencing, expired holds, tombstones, adoption and failing or slow executors have to work across messages and processes, not only in the table. Change: tests of an agent between a fake entry that decides and the stand-in for the executor, which counts the calls about tasks.

--- a/crates/rattanwinch_agent/tests/support/mod.rs
+++ b/crates/rattanwinch_agent/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! An agent before a stand-in for an executor, and a fake entry that decides its zone.
 
-use std::future::Future;
+use std::cell::Cell;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,6 +27,7 @@
 use rattanwinch_types::AcceleratorSet;
 use rattanwinch_types::AttemptKey;
 use rattanwinch_types::Epoch;
+use rattanwinch_types::ErrorKind;
 use rattanwinch_types::Heartbeat;
 use rattanwinch_types::HeartbeatResponse;
 use rattanwinch_types::HoldOrder;
@@ -52,6 +53,7 @@
 struct EntryState {
     response: HeartbeatResponse,
     last: Option<Heartbeat>,
+    count: u64,
 }
 
 /// An entry that answers each heartbeat as it is told to.
@@ -63,6 +65,7 @@
     async fn heartbeat(&self, wire: WireHeartbeat) -> RpcResult<WireHeartbeatResponse> {
         let mut state = self.0.lock().unwrap();
         state.last = Some(Heartbeat::try_from(wire).expect("an agent sends readable heartbeats"));
+        state.count += 1;
         Ok(state.response.clone().into())
     }
 }
@@ -83,6 +86,7 @@
         let state = EntryState {
             response,
             last: None,
+            count: 0,
         };
         let entry = Self(Arc::new(Mutex::new(state)));
         let server = RpcServer::start(ANY_PORT, 16, entry.clone().into_rpc()).await;
@@ -104,14 +108,29 @@
         Some(report?.phase)
     }
 
-    /// Waits until a heartbeat reports the member as `wanted` says, and returns the phase.
-    pub async fn wait_phase(
-        &self,
-        member: &MemberKey,
-        wanted: impl Fn(&MemberPhase) -> bool,
-    ) -> MemberPhase {
-        let what = format!("the wanted phase of {member}");
-        eventually(&what, async || self.phase(member).filter(&wanted)).await
+    /// Waits until a heartbeat reports the member in the wanted phase.
+    pub async fn wait_phase(&self, member: &MemberKey, wanted: &MemberPhase) {
+        let what = format!("{member} as {wanted:?}");
+        let found = async || self.phase(member).filter(|it| it == wanted);
+        eventually(&what, found).await;
+    }
+
+    /// Waits until a heartbeat doesn't report the member any longer.
+    pub async fn wait_unreported(&self, member: &MemberKey) {
+        let gone = async || self.phase(member).is_none().then_some(());
+        eventually(&format!("{member} is unreported"), gone).await;
+    }
+
+    /// Waits for this many heartbeats that are answered from now on.
+    pub async fn heartbeats(&self, count: u64) {
+        let until = self.0.lock().unwrap().count + count;
+        let counted = async || (self.0.lock().unwrap().count >= until).then_some(());
+        eventually("heartbeats", counted).await;
+    }
+
+    /// Forgets the heartbeats so far.
+    pub fn forget_last(&self) {
+        self.0.lock().unwrap().last = None;
     }
 }
 
@@ -162,8 +181,14 @@
 
 impl Rig {
     pub async fn start() -> Self {
+        Self::start_fresh_for(Duration::from_secs(60)).await
+    }
+
+    /// Starts with an entry whose responses keep the agent fresh for so long.
+    pub async fn start_fresh_for(freshness: Duration) -> Self {
         let executor = StandinExecutor::start(ANY_PORT, 8).await.unwrap();
         let (entry, entry_server) = FakeEntry::start().await;
+        entry.respond(|it| it.freshness = freshness);
         let agent = start_agent(executor.address(), entry_server.address()).await;
         let decider = connect(agent.address()).await;
         let rig = Self {
@@ -184,6 +209,20 @@
         eventually("a heartbeat with the epoch", found).await;
     }
 
+    /// Waits until the agent's gate refuses new members.
+    pub async fn gate_closed(&self) {
+        let attempt = Cell::new(0);
+        let refusal = async || {
+            attempt.set(attempt.get() + 1);
+            let probe = member("probe", attempt.get(), 0);
+            let refused = self.hold(hold_order(&probe, 0x80, "")).await.err();
+            self.abort(&probe, EPOCH).await.expect("aborted");
+            // Many aborted holds in a short time are refused as busy as well.
+            refused.filter(|it| it.kind == ErrorKind::Unavailable)
+        };
+        eventually("a closed gate", refusal).await;
+    }
+
     pub async fn hold(&self, order: HoldOrder) -> Result<(), RequestError> {
         let held = self.decider.hold(order.into()).await;
         held.map_err(|error| request_error(&error))
--- a/crates/rattanwinch_standins/src/executor/standin_executor.rs
+++ b/crates/rattanwinch_standins/src/executor/standin_executor.rs
@@ -117,6 +117,12 @@
         self.tasks.set_delay(delay);
     }
 
+    /// The calls about gang tasks so far, lists included.
+    #[must_use]
+    pub fn task_calls(&self) -> u64 {
+        self.tasks.calls()
+    }
+
     /// Every gang task that was started, as `organisation/id#attempt.index`, in order.
     ///
     /// # Panics
--- a/crates/rattanwinch_standins/src/executor/task_routes.rs
+++ b/crates/rattanwinch_standins/src/executor/task_routes.rs
@@ -37,6 +37,7 @@
 #[derive(Debug, Default)]
 pub(super) struct TaskService {
     tasks: Mutex<StandinTasks>,
+    calls: AtomicU64,
     delay_ms: AtomicU64,
     fails_everything: AtomicBool,
 }
@@ -47,6 +48,11 @@
         self.tasks.lock().expect("no call about tasks panics")
     }
 
+    /// The calls so far.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Acquire)
+    }
+
     /// Delays every call about tasks from now on; the call takes effect after the delay.
     pub fn set_delay(&self, delay: Duration) {
         let millis = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
@@ -64,6 +70,7 @@
         self: &Arc<Self>,
         call: impl FnOnce(&mut StandinTasks, Instant) -> T + Send + 'static,
     ) -> T {
+        self.calls.fetch_add(1, Ordering::AcqRel);
         let service = Arc::clone(self);
         let delay = Duration::from_millis(self.delay_ms.load(Ordering::Acquire));
         let task = tokio::spawn(async move {
