--- /dev/null
+++ b/crates/rattanwinch_agent/tests/gang/agent_process.rs
@@ -0,0 +1,180 @@
+//! The agent as a process of its own: frozen, killed and measured.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::support::ANY_PORT;
+use crate::support::EPOCH;
+use crate::support::FakeEntry;
+use crate::support::connect;
+use crate::support::eventually;
+use crate::support::hold_order;
+use crate::support::member;
+use jsonrpsee::ws_client::WsClient;
+use rattanwinch_peers::GangRpcClient as _;
+use rattanwinch_peers::RpcServer;
+use rattanwinch_peers::request_error;
+use rattanwinch_standins::StandinExecutor;
+use rattanwinch_types::ErrorKind;
+use rattanwinch_types::MemberPhase;
+
+/// An agent process that is killed at the end of a test.
+struct AgentProcess(Child);
+
+impl Drop for AgentProcess {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl AgentProcess {
+    fn start(name: &str, executor: SocketAddr, entry: SocketAddr) -> Self {
+        let settings = format!(
+            "[agent]\ntarget = {name}\nzone = az-1\nrack = rack-1\nlisten = 127.0.0.1:0\n\
+             executor = {executor}\nentries = {entry}\n"
+        );
+        let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.ini"));
+        fs::write(&file, settings).expect("the settings can be written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_rattanwinch-agent"));
+        let child = command.arg("--settings").arg(file).spawn();
+        Self(child.expect("the agent can be started"))
+    }
+
+    fn signal(&self, signal: &str) {
+        let pid = self.0.id().to_string();
+        let sent = Command::new("kill").args([signal, &pid]).status();
+        assert!(sent.expect("kill can be run").success());
+    }
+
+    /// The processor time of all threads so far.
+    fn processor_time(&self) -> Duration {
+        let tasks = fs::read_dir(format!("/proc/{}/task", self.0.id()));
+        let tasks = tasks.expect("the process lives").map(Result::unwrap);
+        let nanos = tasks.map(|task| {
+            let text = fs::read_to_string(task.path().join("schedstat")).unwrap_or_default();
+            let first = text.split(' ').next().unwrap_or_default().to_owned();
+            first.parse::<u64>().unwrap_or(0)
+        });
+        Duration::from_nanos(nanos.sum())
+    }
+
+    /// The largest resident memory so far, in KiB.
+    fn peak_memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.0.id()));
+        let status = status.expect("the process lives");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let value = line.and_then(|line| line.split_whitespace().nth(1));
+        value
+            .and_then(|text| text.parse().ok())
+            .expect("the kernel tells the peak")
+    }
+}
+
+struct Rig {
+    executor: StandinExecutor,
+    entry: FakeEntry,
+    entry_server: RpcServer,
+    agent: AgentProcess,
+    decider: WsClient,
+}
+
+impl Rig {
+    async fn start(name: &str) -> Self {
+        let executor = StandinExecutor::start(ANY_PORT, 8).await.unwrap();
+        let (entry, entry_server) = FakeEntry::start().await;
+        let agent = AgentProcess::start(name, executor.address(), entry_server.address());
+        let decider = decider(&entry).await;
+        Self {
+            executor,
+            entry,
+            entry_server,
+            agent,
+            decider,
+        }
+    }
+
+    async fn run(&self, index: u16) {
+        let key = member("ladder-1", 1, index);
+        let mut order = hold_order(&key, 1 << index, "work_ms=600000");
+        order.gang_tasks = 8;
+        self.decider.hold(order.into()).await.expect("held");
+        let released = self.decider.release(key.into(), EPOCH).await;
+        released.expect("released");
+    }
+}
+
+/// Connects to the agent that announced itself, once its view is fresh.
+async fn decider(entry: &FakeEntry) -> WsClient {
+    let fresh = async || entry.last().filter(|beat| beat.epoch.0 == EPOCH);
+    connect(eventually("a heartbeat", fresh).await.address).await
+}
+
+/// Guards against a process that is frozen while it holds a member and starts it when it
+/// resumes, because a release was waiting for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_agent_starts_nothing_after_the_hold() {
+    let rig = Rig::start("frozen").await;
+    let key = member("ladder-1", 1, 0);
+    let mut order = hold_order(&key, 1, "");
+    order.hold_for = Duration::from_secs(1);
+    rig.decider.hold(order.into()).await.expect("held");
+    let expired = tokio::time::Instant::now() + Duration::from_secs(1);
+    rig.agent.signal("-STOP");
+    let release = rig.decider.release(key.into(), EPOCH);
+    let resume = async {
+        tokio::time::sleep_until(expired).await;
+        rig.agent.signal("-CONT");
+    };
+    let (released, ()) = tokio::join!(release, resume);
+    let error = request_error(&released.expect_err("the hold has expired"));
+    let by_agent = matches!(error.kind, ErrorKind::Deadline | ErrorKind::Cancelled);
+    assert!(by_agent && error.is_not_run(), "{error}");
+    assert!(rig.executor.task_starts().is_empty());
+}
+
+/// Guards against a killed agent that takes a running gang with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn running_tasks_outlive_a_killed_agent() {
+    let mut rig = Rig::start("killed").await;
+    rig.run(0).await;
+    let key = member("ladder-1", 1, 0);
+    rig.entry.wait_phase(&key, &MemberPhase::Running).await;
+    let before = rig.entry.last().expect("reported").incarnation;
+    drop(rig.agent);
+    rig.entry.forget_last();
+    let entry = rig.entry_server.address();
+    rig.agent = AgentProcess::start("killed", rig.executor.address(), entry);
+    rig.entry.wait_phase(&key, &MemberPhase::Running).await;
+    assert_ne!(rig.entry.last().expect("reported").incarnation, before);
+
+    let decider = decider(&rig.entry).await;
+    let released = decider.release(key.into(), EPOCH).await;
+    released.expect("a repeated release finds that it runs");
+    assert_eq!(rig.executor.task_starts().len(), 1, "it was started again");
+}
+
+/// Guards against an agent that costs its node more than 1.7% of a core or 32 MB, idle or with a
+/// worker full of tasks.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_stays_within_its_share_of_a_node() {
+    let rig = Rig::start("measured").await;
+    for (what, members) in [("idle", 0..0), ("8 running tasks", 0..8)] {
+        for index in members {
+            rig.run(index).await;
+        }
+        let (since, before) = (Instant::now(), rig.agent.processor_time());
+        rig.entry.heartbeats(10).await;
+        let used = rig.agent.processor_time() - before;
+        let share = 100.0 * used.as_secs_f64() / since.elapsed().as_secs_f64();
+        let memory = rig.agent.peak_memory();
+        println!("{what}: {share:.2}% of a core, at most {memory} KiB");
+        assert!(share < 1.7, "{what}: {share:.2}% of a core");
+        assert!(memory < 32 * 1024, "{what}: {memory} KiB");
+    }
+}
--- a/crates/rattanwinch_agent/tests/gang_start.rs
+++ b/crates/rattanwinch_agent/tests/gang/gang_start.rs
@@ -1,10 +1,15 @@
 //! The agent's side of a gang's start, over real connections.
 
-mod support;
-
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::support::EPOCH;
+use crate::support::Rig;
+use crate::support::connect;
+use crate::support::eventually;
+use crate::support::hold_order;
+use crate::support::member;
+use crate::support::start_agent;
 use rattanwinch_peers::GangRpcClient as _;
 use rattanwinch_peers::request_error;
 use rattanwinch_types::Answer;
@@ -16,13 +21,6 @@
 use rattanwinch_types::StopMode;
 use rattanwinch_types::StopOrder;
 use rattanwinch_types::Verdict;
-use support::EPOCH;
-use support::Rig;
-use support::connect;
-use support::eventually;
-use support::hold_order;
-use support::member;
-use support::start_agent;
 
 const SUCCEEDED: MemberPhase = MemberPhase::Ended(MemberEnd::Succeeded);
 const STOPPED: MemberPhase = MemberPhase::Ended(MemberEnd::Stopped);
