Check an action right before the executor's call in one place

Cause: the agent and the random run each had a copy of the check that a frozen agent relies on, so the run didn't test the agent's. Change: Action::check_still_due, used by both; the log tells each change of a member and the reason of each refused command.

--- a/crates/rattanwinch_agent/src/member_actions.rs
+++ b/crates/rattanwinch_agent/src/member_actions.rs
@@ -8,10 +8,8 @@
 use rattanwinch_targets::TaskOrder;
 use rattanwinch_targets::TaskReport;
 use rattanwinch_targets::TaskState;
-use rattanwinch_types::ErrorKind;
 use rattanwinch_types::HoldOrder;
 use rattanwinch_types::MemberKey;
-use rattanwinch_types::RequestError;
 use rattanwinch_types::Timestamp;
 use slog::debug;
 
@@ -23,16 +21,20 @@
 impl<E: Executor> AgentState<E> {
     /// Carries out an action at the executor and tells the owner of the member table the result.
     pub(crate) async fn perform(self: Arc<Self>, action: Action) {
+        let due = action.check_still_due(&self.gate.load(), self.clock.now());
         let (member, step, result) = match action {
             Action::Load { order, lease_until } => {
-                let result = self.load(&order, lease_until).await;
+                let result = match due {
+                    Ok(()) => self.load(&order, lease_until).await,
+                    Err(error) => Err(error),
+                };
                 (order.member, Step::Load, result)
             }
-            Action::Run {
-                member,
-                start_before,
-            } => {
-                let result = self.run(&member, start_before).await;
+            Action::Run { member, .. } => {
+                let result = match due {
+                    Ok(()) => self.executor.run_task(&member).await,
+                    Err(error) => Err(error),
+                };
                 (member, Step::Run, result)
             }
             Action::Stop { member, mode } => {
@@ -63,34 +65,17 @@
     }
 
     async fn load(&self, order: &HoldOrder, lease_until: Timestamp) -> Result<()> {
-        let lease = self.clock.now().until(lease_until);
-        if lease.is_zero() {
-            let message = "the hold expired before the executor was called";
-            return Err(RequestError::not_run(ErrorKind::Deadline, message));
-        }
         let task = TaskOrder::builder()
             .member(order.member.clone())
             .epoch(order.epoch)
             .accelerators(order.accelerators)
             .gang_tasks(order.gang_tasks)
             .payload(Arc::clone(&order.payload))
-            .lease(lease)
+            .lease(self.clock.now().until(lease_until))
             .build();
         self.executor.load_task(&task).await
     }
 
-    /// Runs a loaded task if it may still start at the time read right before the call: the
-    /// process may have been frozen since the release was granted.
-    async fn run(&self, member: &MemberKey, start_before: Timestamp) -> Result<()> {
-        let now = self.clock.now();
-        self.gate.load().check_start(now)?;
-        if now >= start_before {
-            let message = "the hold or the freshness expired before the executor was called";
-            return Err(RequestError::not_run(ErrorKind::Deadline, message));
-        }
-        self.executor.run_task(member).await
-    }
-
     async fn renew(&self, members: &[MemberKey], lease_until: Timestamp) {
         let lease = self.clock.now().until(lease_until);
         if lease.is_zero() {
--- a/crates/rattanwinch_agent/src/member_owner.rs
+++ b/crates/rattanwinch_agent/src/member_owner.rs
@@ -16,6 +16,7 @@
 use rattanwinch_types::ErrorKind;
 use rattanwinch_types::HoldOrder;
 use rattanwinch_types::MemberKey;
+use rattanwinch_types::MemberReport;
 use rattanwinch_types::RequestError;
 use slog::error;
 use slog::info;
@@ -177,7 +178,7 @@
                 self.wait(member, Awaits::Load, answer);
                 tokio::spawn(Arc::clone(&self.state).perform(action));
             }
-            Err(error) => drop(answer.send(Err(error))),
+            Err(error) => self.refuse("hold", error, answer),
         }
     }
 
@@ -194,7 +195,7 @@
                 self.wait(member, Awaits::Run, answer);
                 tokio::spawn(Arc::clone(&self.state).perform(action));
             }
-            Err(error) => drop(answer.send(Err(error))),
+            Err(error) => self.refuse("release", error, answer),
         }
     }
 
@@ -210,7 +211,7 @@
                 // Answered by `settle` if the executor has nothing of the member.
                 self.wait(member, Awaits::Stop, answer);
             }
-            Err(error) => drop(answer.send(Err(error))),
+            Err(error) => self.refuse("abort or stop", error, answer),
         }
     }
 
@@ -304,13 +305,32 @@
         self.state
             .epoch
             .store(self.table.epoch().0, Ordering::Release);
-        let reports = Some(self.table.reports());
+        let reports = self.table.reports();
+        self.log_changes(&reports);
         self.reports.send_if_modified(|published| {
-            let changed = *published != reports;
-            *published = reports;
+            let changed = published.as_ref() != Some(&reports);
+            *published = Some(reports);
             changed
         });
     }
+
+    /// Logs each member that is new or in another phase than was published.
+    fn log_changes(&self, reports: &[MemberReport]) {
+        let published = self.reports.borrow();
+        let before = published.as_deref().unwrap_or_default();
+        for report in reports.iter().filter(|report| !before.contains(report)) {
+            info!(self.state.logger, "a member changed"; "member" => %report.member,
+                "phase" => ?report.phase, "epoch" => report.epoch.0,
+                "accelerators" => %report.accelerators);
+        }
+    }
+
+    /// Logs the reason of a refusal and answers it.
+    fn refuse<T>(&self, command: &str, error: RequestError, answer: AnswerTo<T>) {
+        info!(self.state.logger, "a decider's command was refused"; "command" => command,
+            "error" => %error);
+        let _ = answer.send(Err(error));
+    }
 }
 
 /// Asks the executor for its tasks until it answers.
--- a/crates/rattanwinch_agent/tests/gang/agent_process.rs
+++ b/crates/rattanwinch_agent/tests/gang/agent_process.rs
@@ -8,13 +8,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::support::ANY_PORT;
-use crate::support::EPOCH;
-use crate::support::FakeEntry;
-use crate::support::connect;
-use crate::support::eventually;
-use crate::support::hold_order;
-use crate::support::member;
 use jsonrpsee::ws_client::WsClient;
 use rattanwinch_peers::GangRpcClient as _;
 use rattanwinch_peers::RpcServer;
@@ -23,6 +16,14 @@
 use rattanwinch_types::ErrorKind;
 use rattanwinch_types::MemberPhase;
 
+use crate::support::ANY_PORT;
+use crate::support::EPOCH;
+use crate::support::FakeEntry;
+use crate::support::connect;
+use crate::support::eventually;
+use crate::support::hold_order;
+use crate::support::member;
+
 /// An agent process that is killed at the end of a test.
 struct AgentProcess(Child);
 
--- a/crates/rattanwinch_agent/tests/gang/gang_start.rs
+++ b/crates/rattanwinch_agent/tests/gang/gang_start.rs
@@ -3,13 +3,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::support::EPOCH;
-use crate::support::Rig;
-use crate::support::connect;
-use crate::support::eventually;
-use crate::support::hold_order;
-use crate::support::member;
-use crate::support::start_agent;
 use rattanwinch_peers::GangRpcClient as _;
 use rattanwinch_peers::request_error;
 use rattanwinch_types::Answer;
@@ -22,6 +15,14 @@
 use rattanwinch_types::StopOrder;
 use rattanwinch_types::Verdict;
 
+use crate::support::EPOCH;
+use crate::support::Rig;
+use crate::support::connect;
+use crate::support::eventually;
+use crate::support::hold_order;
+use crate::support::member;
+use crate::support::start_agent;
+
 const SUCCEEDED: MemberPhase = MemberPhase::Ended(MemberEnd::Succeeded);
 const STOPPED: MemberPhase = MemberPhase::Ended(MemberEnd::Stopped);
 const LAPSED: MemberPhase = MemberPhase::Ended(MemberEnd::Lapsed);
--- a/crates/rattanwinch_decisions/src/members/action.rs
+++ b/crates/rattanwinch_decisions/src/members/action.rs
@@ -1,9 +1,14 @@
+use rattanwinch_types::ErrorKind;
 use rattanwinch_types::HoldOrder;
 use rattanwinch_types::MemberKey;
+use rattanwinch_types::RequestError;
 use rattanwinch_types::StopMode;
 use rattanwinch_types::Timestamp;
 use smallvec::SmallVec;
 
+use super::member_table::Result;
+use crate::Gate;
+
 /// What one command or result asks of the executor, in order.
 pub type Actions = SmallVec<[Action; 2]>;
 
@@ -45,3 +50,27 @@
         Forget(MemberKey),
     }
 }
+
+impl Action {
+    /// Whether the call may still be made. The agent asks right before it, with the time read
+    /// then, because it may have been frozen since the action was decided.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Deadline`] if a hold has expired or the gate's freshness of the decision has,
+    /// or what the gate answers now; nothing has run on account of the action.
+    pub fn check_still_due(&self, gate: &Gate, now: Timestamp) -> Result<()> {
+        let late = |what: &str| {
+            let message = format!("{what} expired before the executor was called");
+            Err(RequestError::not_run(ErrorKind::Deadline, message))
+        };
+        match self {
+            Self::Load { lease_until, .. } if now >= *lease_until => late("the hold"),
+            Self::Run { start_before, .. } if now >= *start_before => {
+                late("the hold or the freshness")
+            }
+            Self::Run { .. } => gate.check_start(now),
+            _ => Ok(()),
+        }
+    }
+}
--- a/crates/rattanwinch_decisions/tests/member_table/world.rs
+++ b/crates/rattanwinch_decisions/tests/member_table/world.rs
@@ -250,25 +250,19 @@
 
     /// As the agent does it: the time is read right before the executor is called.
     fn send(&mut self, action: Action, cause: u64) {
-        if let Action::Run {
-            member,
-            start_before,
-        } = &action
-        {
-            let fresh = self.gate.check_start(self.now);
-            if fresh.is_err() || self.now >= *start_before {
-                let refused = RequestError::not_run(ErrorKind::Deadline, "too late");
-                self.messages.push(Message::Done(action, Err(refused)));
-                return;
-            }
+        if let Err(error) = action.check_still_due(&self.gate, self.now) {
+            self.messages.push(Message::Done(action, Err(error)));
+            return;
+        }
+        if let Action::Run { member, .. } = &action {
             let held_at = self.held_at[member];
             assert!(
                 self.now < held_at + HOLD_LIMIT,
                 "{member} is started after its hold"
             );
             assert!(
-                self.now < self.gate.fresh_until,
-                "{member}: start under an expired gate"
+                self.now < self.gate.fresh_until && !self.gate.zone_closed,
+                "{member} is started under an expired or closed gate"
             );
         }
         self.calls.push(Call {
