Tell owners of keys when the store was restored, and bound read-backs

Cause: a restored store can know the process's lease and yet lack the keys that were put with it, and a read-back could take several time-outs while its caller waits.

Change: the lease counts as lost under another cluster id. A read-back ends after two call time-outs. Transactions that waited too long for a lease are refused before they are sent. The stand-in renews all leases when it starts or is restored, as etcd does. Metrics count read-backs by result and the transactions of a call.

--- a/crates/rattanwinch_platform/src/etcd/committer.rs
+++ b/crates/rattanwinch_platform/src/etcd/committer.rs
@@ -72,7 +72,8 @@
             while let Ok(pending) = self.incoming.try_recv() {
                 self.waiting.push_back(pending);
             }
-            self.refuse_late(Instant::now());
+            let waiting = std::mem::take(&mut self.waiting);
+            self.waiting = self.refuse_late(waiting);
             if let Err(error) = reserved {
                 self.refuse_all(&error);
                 continue;
@@ -103,20 +104,21 @@
         self.gateway.reserve(CallKind::Commit).await
     }
 
-    /// Refuses the transactions that have waited too long and those that nobody waits for.
-    fn refuse_late(&mut self, now: Instant) {
+    /// Refuses the transactions that have waited too long and those that nobody waits for, and
+    /// returns the others.
+    fn refuse_late<C: FromIterator<Pending>>(&self, all: impl IntoIterator<Item = Pending>) -> C {
+        let now = Instant::now();
         let limit = self.gateway.settings.max_wait;
-        for pending in std::mem::take(&mut self.waiting) {
-            if pending.reply.is_closed() {
-                continue;
-            }
-            if now.duration_since(pending.since) > limit {
-                let message = format!("no turn for the write within {} ms", limit.as_millis());
-                pending.finish(Err(StoreError::not_applied(message)));
-            } else {
-                self.waiting.push_back(pending);
+        let open = all.into_iter().filter(|pending| !pending.reply.is_closed());
+        let in_time = open.filter_map(|pending| {
+            if now.duration_since(pending.since) <= limit {
+                return Some(pending);
             }
-        }
+            let message = format!("no turn for the write within {} ms", limit.as_millis());
+            pending.finish(Err(StoreError::not_applied(message)));
+            None
+        });
+        in_time.collect()
     }
 
     fn refuse_all(&mut self, error: &CallError) {
@@ -213,7 +215,8 @@
             refused,
             &StoreError::not_applied("the store granted no lease for the write"),
         );
-        (leases, ready)
+        // A lease can take long to get.
+        (leases, self.refuse_late(ready))
     }
 
     async fn send(
@@ -224,6 +227,8 @@
         if group.is_empty() {
             return Ok(Vec::new());
         }
+        metrics::histogram!("rattanwinch_store_group_transactions")
+            .record(u32::try_from(group.len()).unwrap_or(u32::MAX));
         let body = encode_group(group.iter().map(|pending| &pending.transaction), leases);
         let response: WireTxnResponse = self.gateway.send(CallKind::Commit, &body).await?;
         decode_group(response, group.len()).map_err(CallError::Lost)
--- a/crates/rattanwinch_platform/src/etcd/etcd_store.rs
+++ b/crates/rattanwinch_platform/src/etcd/etcd_store.rs
@@ -54,6 +54,9 @@
 
 /// The client of a store that speaks the etcd v3 JSON gateway.
 ///
+/// Group commit, the budget of calls and the read-back of lost responses are as [`Store`] asks.
+/// A read-back recognises a write by its bytes, so values tell who wrote them and in which attempt.
+///
 /// It is started within a tokio runtime. Dropping it stops its tasks and leaves the process's
 /// lease to expire; [`EtcdStore::close`] ends the lease at once.
 #[derive(Debug)]
--- a/crates/rattanwinch_platform/src/etcd/lease_keeper.rs
+++ b/crates/rattanwinch_platform/src/etcd/lease_keeper.rs
@@ -79,15 +79,17 @@
 
     /// Renews the lease until the future is dropped; grants none before one is wanted.
     pub async fn run(&self) {
+        self.wanted.notified().await;
+        let mut cluster = None;
         loop {
             let state = *self.state.borrow();
-            let pause = match state {
-                ProcessLease::NotGranted => {
-                    self.wanted.notified().await;
-                    self.grant().await
+            let pause = match state.held() {
+                Some(id) => self.renew(id, cluster).await,
+                None => {
+                    let pause = self.grant().await;
+                    cluster = self.cluster();
+                    pause
                 }
-                ProcessLease::Lost(_) => self.grant().await,
-                ProcessLease::Held(id) => self.renew(id).await,
             };
             tokio::select! {
                 () = tokio::time::sleep(pause) => {}
@@ -110,12 +112,20 @@
         }
     }
 
-    async fn renew(&self, id: LeaseId) -> Duration {
+    fn cluster(&self) -> Option<u64> {
+        self.gateway.view().map(|view| view.cluster)
+    }
+
+    /// Renews the lease that was granted by the store with the id `cluster`. A restored store can
+    /// know the lease and yet lack keys that were put with it, so the lease counts as lost there.
+    async fn renew(&self, id: LeaseId, cluster: Option<u64>) -> Duration {
         let body = WireLeaseId { id: JsonInt(id.0) };
         let response: CallResult<WireLeaseKeepAliveResponse> =
             self.gateway.call(CallKind::LeaseKeepAlive, &body).await;
         match response {
-            Ok(response) if response.result.ttl.0 > 0 => self.gateway.settings.lease_interval,
+            Ok(response) if response.result.ttl.0 > 0 && self.cluster() == cluster => {
+                self.gateway.settings.lease_interval
+            }
             Ok(_) => {
                 self.lost(id);
                 Duration::ZERO
--- a/crates/rattanwinch_platform/src/etcd/read_back.rs
+++ b/crates/rattanwinch_platform/src/etcd/read_back.rs
@@ -1,9 +1,11 @@
 //! Reads transactions whose response was lost back by content.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use rattanwinch_types::Revision;
 
+use super::CallError;
 use super::CallKind;
 use super::CallResult;
 use super::Gateway;
@@ -14,6 +16,7 @@
 use crate::Transaction;
 use crate::Versioned;
 use crate::Write;
+use crate::keys::Key;
 use crate::wire::WireRequestOp;
 use crate::wire::WireTxn;
 use crate::wire::WireTxnResponse;
@@ -25,6 +28,9 @@
 /// The time between two reads, about one group commit.
 const READ_INTERVAL: Duration = Duration::from_millis(150);
 
+/// The time in which a read-back ends, in call time-outs; its caller still waits.
+const LIMIT_IN_TIMEOUTS: u32 = 2;
+
 /// The most keys in one read; the store's default limit is 128 operations a transaction.
 const MAX_KEYS: usize = 128;
 
@@ -37,6 +43,25 @@
     before: StoreView,
 ) -> Vec<Option<Revision>> {
     let mut applied = vec![None; lost.len()];
+    let limit = LIMIT_IN_TIMEOUTS * gateway.settings.call_timeout;
+    let reading = read_repeatedly(gateway, lost, before, &mut applied);
+    // What was found by the limit counts; the rest stays unknown.
+    let _ = tokio::time::timeout(limit, reading).await;
+    let found = applied.iter().flatten().count();
+    let results = [("found", found), ("unknown", lost.len() - found)];
+    for (result, count) in results {
+        metrics::counter!("rattanwinch_store_lost_writes_total", "result" => result)
+            .increment(u64::try_from(count).unwrap_or(u64::MAX));
+    }
+    applied
+}
+
+async fn read_repeatedly(
+    gateway: &Gateway,
+    lost: &[&Transaction],
+    before: StoreView,
+    applied: &mut [Option<Revision>],
+) {
     for attempt in 0..MAX_READS {
         if attempt > 0 {
             tokio::time::sleep(READ_INTERVAL).await;
@@ -48,21 +73,20 @@
         if cluster != before.cluster {
             break;
         }
-        for (transaction, applied) in lost.iter().zip(&mut applied) {
-            *applied = applied_at(transaction, before.revision, &found);
+        for (transaction, applied) in lost.iter().zip(&mut *applied) {
+            *applied = applied.or_else(|| applied_at(transaction, before.revision, &found));
         }
         if applied.iter().all(Option::is_some) {
             break;
         }
     }
-    applied
 }
 
 /// The revision at which a transaction was applied, judged by its puts among `found`.
 ///
 /// One put with our bytes is enough: the transaction is applied as a whole, and another process
 /// may have overwritten the other keys since.
-pub(crate) fn applied_at(
+fn applied_at(
     transaction: &Transaction,
     before: Revision,
     found: &[Versioned],
@@ -85,9 +109,7 @@
         .min()
 }
 
-fn puts(
-    transaction: &Transaction,
-) -> impl Iterator<Item = (&crate::keys::Key, &std::sync::Arc<[u8]>)> {
+fn puts(transaction: &Transaction) -> impl Iterator<Item = (&Key, &Arc<[u8]>)> {
     transaction.writes.iter().filter_map(|write| match write {
         Write::Put { key, value, .. } => Some((key, value)),
         Write::Delete(_) => None,
@@ -112,7 +134,7 @@
         let response: WireTxnResponse = gateway.call(CallKind::ReadBack, &body).await?;
         cluster = response.header.cluster_id.0;
         for op in response.responses {
-            found.extend(decode_range_op(op).map_err(super::CallError::Lost)?);
+            found.extend(decode_range_op(op).map_err(CallError::Lost)?);
         }
     }
     Ok((cluster, found))
--- a/crates/rattanwinch_platform/tests/store/leases.rs
+++ b/crates/rattanwinch_platform/tests/store/leases.rs
@@ -110,6 +110,32 @@
     assert_eq!(stored(&store, "p").map(|kv| kv.lease.0), Some(second.0));
 }
 
+/// Guards against a registration that is missing in a restored store which knows the lease.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_owner_learns_that_the_store_was_restored() {
+    let store = start_store().await;
+    let client = client(short_lease(&store));
+    let mut lease = client.process_lease();
+    applied(
+        client
+            .transact(put("p", "1", Retention::WithProcess))
+            .await
+            .unwrap(),
+    );
+    let first = held_other_than(&mut lease, None).await;
+    let snapshot = store.snapshot();
+    applied(
+        client
+            .transact(put("q", "1", Retention::WithProcess))
+            .await
+            .unwrap(),
+    );
+    assert!(store.restore(snapshot));
+    assert!(store.state().lease_ttl(first.0).is_some());
+    held_other_than(&mut lease, Some(first)).await;
+    assert!(stored(&store, "q").is_none());
+}
+
 /// Guards against a write that fails because the store lost a lease between two renewals.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_write_under_a_lost_lease_gets_a_new_one() {
--- a/crates/rattanwinch_standins/src/store/kv_lease.rs
+++ b/crates/rattanwinch_standins/src/store/kv_lease.rs
@@ -105,6 +105,14 @@
         ended.count()
     }
 
+    /// Renews all leases, as etcd does when it starts again: its clients couldn't.
+    pub fn renew_all(&mut self, now: Timestamp) {
+        let ids: Vec<i64> = self.leases.keys().copied().collect();
+        for id in ids {
+            self.keep_alive(id, now);
+        }
+    }
+
     /// The time to live that a lease was granted, in seconds.
     #[must_use]
     pub fn lease_ttl(&self, id: i64) -> Option<i64> {
--- a/crates/rattanwinch_standins/src/store/shared.rs
+++ b/crates/rattanwinch_standins/src/store/shared.rs
@@ -30,9 +30,11 @@
 
 impl Shared {
     /// A store with the given state.
-    pub fn new(state: KvState, counter: CallCounter) -> Self {
+    pub fn new(mut state: KvState, counter: CallCounter) -> Self {
+        let clock = Clock::start();
+        state.renew_all(clock.now());
         Self {
-            clock: Clock::start(),
+            clock,
             state: Mutex::new(state),
             snapshots: Mutex::new(Vec::new()),
             counter: Mutex::new(counter),
@@ -99,7 +101,10 @@
             return false;
         };
         older.set_cluster_id(rand::random());
-        self.with_state(|state, _| *state = older);
+        self.with_state(|state, now| {
+            older.renew_all(now);
+            *state = older;
+        });
         true
     }
 
