Keep to the budget of calls also when a call is sent late

Cause: a call that left long after the time reserved for it, for example because its group waited for a lease, counted in an earlier window than the store's.

Change: a call is sent within 50 ms of its turn, or takes another turn. The interval of 100 ms between shared calls counts from the send.

--- a/crates/rattanwinch_platform/src/etcd/committer.rs
+++ b/crates/rattanwinch_platform/src/etcd/committer.rs
@@ -15,6 +15,7 @@
 use super::GroupLeases;
 use super::LeaseKeeper;
 use super::Pending;
+use super::Turn;
 use super::choose_group;
 use super::decode_group;
 use super::encode_group;
@@ -74,14 +75,12 @@
             }
             let waiting = std::mem::take(&mut self.waiting);
             self.waiting = self.refuse_late(waiting);
-            if let Err(error) = reserved {
-                self.refuse_all(&error);
-                continue;
-            }
-            let group = self.take_group();
-            if !group.is_empty() {
-                self.last_start = Some(Instant::now());
-                self.commit(group).await;
+            match reserved {
+                Ok(turn) => {
+                    let group = self.take_group();
+                    self.commit(group, turn).await;
+                }
+                Err(error) => self.refuse_all(&error),
             }
         }
     }
@@ -97,7 +96,7 @@
         true
     }
 
-    async fn next_turn(&self) -> CallResult<()> {
+    async fn next_turn(&self) -> CallResult<Turn> {
         if let Some(last) = self.last_start {
             tokio::time::sleep_until((last + CALL_INTERVAL).into()).await;
         }
@@ -141,13 +140,16 @@
         group
     }
 
-    async fn commit(&mut self, group: Vec<Pending>) {
+    async fn commit(&mut self, group: Vec<Pending>, turn: Turn) {
+        if group.is_empty() {
+            return;
+        }
         let before = match self.view().await {
             Ok(before) => before,
             Err(error) => return finish_all(group, &error.of_read()),
         };
         let (leases, group) = self.attach_leases(group).await;
-        match self.send(&group, leases).await {
+        match self.send(&group, leases, turn).await {
             Err(error) if error.is_not_found() => {
                 // The store refused the group because it doesn't know a lease, so nothing is
                 // applied and sending it with new leases repeats nothing.
@@ -155,7 +157,7 @@
                 let (leases, group) = self.attach_leases(group).await;
                 let reserved = self.gateway.reserve(CallKind::Commit).await;
                 let sent = match reserved {
-                    Ok(()) => self.send(&group, leases).await,
+                    Ok(turn) => self.send(&group, leases, turn).await,
                     Err(error) => Err(error),
                 };
                 self.finish(group, before, sent);
@@ -220,17 +222,19 @@
     }
 
     async fn send(
-        &self,
+        &mut self,
         group: &[Pending],
         leases: GroupLeases,
+        turn: Turn,
     ) -> CallResult<Vec<TransactionOutcome>> {
         if group.is_empty() {
             return Ok(Vec::new());
         }
+        self.last_start = Some(Instant::now());
         metrics::histogram!("rattanwinch_store_group_transactions")
             .record(u32::try_from(group.len()).unwrap_or(u32::MAX));
         let body = encode_group(group.iter().map(|pending| &pending.transaction), leases);
-        let response: WireTxnResponse = self.gateway.send(CallKind::Commit, &body).await?;
+        let response: WireTxnResponse = self.gateway.send(CallKind::Commit, turn, &body).await?;
         decode_group(response, group.len()).map_err(CallError::Lost)
     }
 
--- a/crates/rattanwinch_platform/src/etcd/gateway.rs
+++ b/crates/rattanwinch_platform/src/etcd/gateway.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use arc_swap::ArcSwapOption;
@@ -23,6 +24,14 @@
 /// The header in which a client tells its name, so that operators can tell clients apart.
 pub const CLIENT_NAME_HEADER: &str = "x-client-name";
 
+/// How late a call may be sent after the time that was reserved for it. Together with the margin
+/// of the budget's window it bounds how close calls can arrive.
+const MAX_DELAY: Duration = Duration::from_millis(50);
+
+/// The turn of one call within the budget.
+#[derive(Debug)]
+pub(crate) struct Turn(Timestamp);
+
 /// The JSON gateway of the store: sends calls within the budget and tells what became of them.
 #[derive(Debug)]
 pub(crate) struct Gateway {
@@ -65,19 +74,36 @@
     }
 
     /// Waits for the call's turn within the budget.
-    pub async fn reserve(&self, kind: CallKind) -> CallResult<()> {
+    pub async fn reserve(&self, kind: CallKind) -> CallResult<Turn> {
         let budget = if kind.is_read() {
             &self.reads
         } else {
             &self.writes
         };
-        let now = Timestamp::ZERO + self.started.elapsed();
-        let Some(start) = budget.reserve(now, self.settings.max_wait) else {
-            count(kind, CallError::OverBudget.label());
-            return Err(CallError::OverBudget);
-        };
-        tokio::time::sleep(now.until(start)).await;
-        Ok(())
+        let deadline = self.now() + self.settings.max_wait;
+        loop {
+            let now = self.now();
+            let Some(start) = budget.reserve(now, now.until(deadline)) else {
+                count(kind, CallError::OverBudget.label());
+                return Err(CallError::OverBudget);
+            };
+            if start > now {
+                tokio::time::sleep(now.until(start)).await;
+            }
+            let turn = Turn(start);
+            if self.is_due(&turn) {
+                return Ok(turn);
+            }
+        }
+    }
+
+    /// False if the turn has passed, for example because the process was paused.
+    fn is_due(&self, turn: &Turn) -> bool {
+        self.now().since(turn.0) <= MAX_DELAY
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::ZERO + self.started.elapsed()
     }
 
     /// Waits for the call's turn and makes it.
@@ -86,16 +112,20 @@
         kind: CallKind,
         body: &Q,
     ) -> CallResult<R> {
-        self.reserve(kind).await?;
-        self.send(kind, body).await
+        let turn = self.reserve(kind).await?;
+        self.send(kind, turn, body).await
     }
 
-    /// Makes a call whose turn was reserved.
+    /// Makes a call in its turn, or in another one if that has passed.
     pub async fn send<Q: Serialize, R: DeserializeOwned + HasHeader>(
         &self,
         kind: CallKind,
+        turn: Turn,
         body: &Q,
     ) -> CallResult<R> {
+        if !self.is_due(&turn) {
+            self.reserve(kind).await?;
+        }
         let index = self.endpoint.load(Ordering::Relaxed);
         let address = self.settings.endpoints[index % self.settings.endpoints.len()];
         let url = format!("http://{address}{}", kind.path());
--- a/crates/rattanwinch_platform/src/etcd/mod.rs
+++ b/crates/rattanwinch_platform/src/etcd/mod.rs
@@ -34,6 +34,7 @@
 use encoding::range_of;
 use encoding::range_of_prefix;
 use gateway::Gateway;
+use gateway::Turn;
 use group::choose_group;
 use group::key_of;
 use lease_keeper::LeaseKeeper;
--- a/crates/rattanwinch_platform/tests/store/budget.rs
+++ b/crates/rattanwinch_platform/tests/store/budget.rs
@@ -93,3 +93,29 @@
     assert!(counts.most_writes_per_second <= 10, "{counts:?}");
     assert!(counts.most_reads_per_second <= 60, "{counts:?}");
 }
+
+/// Guards against calls that leave without waiting for others under load, which would use up the
+/// store's rate with a few transactions each.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_are_100_ms_apart_under_load() {
+    let store = start_store().await;
+    let client = client(StoreSettings {
+        writes_per_second: 100,
+        ..settings(&store)
+    });
+    let end = Instant::now() + LOAD;
+    let load = (0..8).map(|index| {
+        let (client, name) = (Arc::clone(&client), index.to_string());
+        async move {
+            while Instant::now() < end {
+                let write = put(&name, "1", Retention::Permanent);
+                client.transact(write).await.unwrap();
+            }
+        }
+    });
+    join_all(load).await;
+    let counts = store.counts();
+    // Eleven fit into a second: one at each end.
+    assert!(counts.most_writes_per_second <= 11, "{counts:?}");
+    assert!(counts.of("txn_write") > 10, "{counts:?}");
+}
