--- a/crates/rattanwinch_cli/tests/cli/commands.rs
+++ b/crates/rattanwinch_cli/tests/cli/commands.rs
@@ -1,9 +1,9 @@
 //! What operators do with the command, and its exit codes.
 
-use serde_json::Value;
-
 use rattanwinch_standins::StoreFaults;
 use rattanwinch_standins::StoreMode;
+use serde_json::Value;
+use serde_json::json;
 
 use crate::site::Site;
 use crate::site::command;
@@ -51,6 +51,48 @@
     done(&site, &["guarantee", "list", "--json"]).await;
 }
 
+/// Guards against changing commands that send something else than they say; the examples are those
+/// of `docs/operators.md`.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_kind_of_change_reaches_the_document() {
+    let site = Site::start().await;
+    for change in [
+        "zone add a",
+        "zone add b",
+        "zone remove b",
+        "config dry-run max_attempts 7",
+        "config set max_attempts 5",
+        "organisation add letrafa --quota 64",
+        "organisation add gait",
+        "organisation change letrafa",
+        "organisation remove gait",
+        "guarantee add letrafa a 16 --blocks 2",
+        "guarantee add letrafa a 1 --blocks 2",
+        "guarantee change letrafa a 16 --blocks 3",
+        "guarantee remove letrafa a 1",
+        "exception add INC-311 --exclude-target t-17",
+        "exception add INC-312 --limit-organisation letrafa=32",
+        "exception add INC-313 --close-zone a",
+        "exception remove INC-311",
+    ] {
+        let words: Vec<_> = change.split(' ').collect();
+        done(&site, &[&words[..], &WHY].concat()).await;
+    }
+    let show = done(&site, &["config", "show", "--json"]).await;
+    let show: Value = serde_json::from_str(&show).expect("JSON");
+    let config = &show["config"];
+    assert_eq!(config["zones"], json!(["a"]));
+    assert_eq!(config["defaults"]["max_attempts"], 5);
+    assert_eq!(config["organisations"], json!([{"name": "letrafa"}]));
+    let guarantee =
+        json!({"organisation": "letrafa", "zone": "a", "blocks": 3, "accelerators": 16});
+    assert_eq!(config["guarantees"], json!([guarantee]));
+    let effects = config["exceptions"].as_array().expect("a list");
+    let effects: Vec<_> = effects.iter().map(|one| one["effect"].clone()).collect();
+    let limit = json!({"limit_organisation": {"organisation": "letrafa", "accelerators": 32}});
+    assert_eq!(effects, [limit, json!({"close_zone": {"zone": "a"}})]);
+}
+
 /// Guards against exit codes that scripts can't rely on, and failures without a verdict.
 #[tokio::test(flavor = "multi_thread")]
 async fn exit_codes_tell_usage_conflicts_and_failures_apart() {
@@ -116,7 +158,7 @@
     done(&site, &[&["zone", "add", "a"], &WHY[..]].concat()).await;
     let show = done(&site, &["config", "show", "--json"]).await;
     let show: Value = serde_json::from_str(&show).expect("JSON");
-    assert_eq!(show["config"]["zones"], serde_json::json!(["a"]));
+    assert_eq!(show["config"]["zones"], json!(["a"]));
 }
 
 /// Guards against a watch that ends early or never.
--- a/crates/rattanwinch_cli/tests/cli/main.rs
+++ b/crates/rattanwinch_cli/tests/cli/main.rs
@@ -2,4 +2,5 @@
 
 mod commands;
 mod entries;
+mod jobs;
 mod site;
--- a/crates/rattanwinch_cli/tests/cli/site.rs
+++ b/crates/rattanwinch_cli/tests/cli/site.rs
@@ -13,6 +13,7 @@
 use poem::listener::Acceptor as _;
 use poem::listener::Listener as _;
 use poem::listener::TcpListener;
+use rattanwinch_callers::job_routes;
 use rattanwinch_decisions::BurnReport;
 use rattanwinch_decisions::BurnWindows;
 use rattanwinch_operators::ConfigChanges;
@@ -34,6 +35,8 @@
 use rattanwinch_types::ZoneName;
 use serde_json::json;
 
+use crate::jobs::ScriptedJobs;
+
 const NOW: Timestamp = Timestamp::from_millis(1_800_000_000_000);
 
 /// A closed zone where one task ends between two looks.
@@ -113,6 +116,7 @@
         });
         let app = Route::new()
             .nest("/v1", operator_routes(&Arc::new(api)))
+            .nest("/v1/jobs", job_routes(&Arc::new(ScriptedJobs::default())))
             .at("/v1/requests", poem::post(answer));
         let acceptor = TcpListener::bind(any).into_acceptor().await;
         let acceptor = acceptor.expect("a free port");
