Add the roles of entries and the gang coordinator as pure decisions

Cause: an availability zone needs one decider, and a gang must start whole or not at all. Change: Role says when an entry takes a zone over; GangCoordinator holds, commits, releases and ends gangs from responses, heartbeats and time, and returns what to send and to write.

--- a/crates/rattanwinch_decisions/src/lib.rs
+++ b/crates/rattanwinch_decisions/src/lib.rs
@@ -5,11 +5,40 @@
 //! is decided, so that another front end can use the same code.
 //!
 //! Start reading at [`Gate`], which says what an agent may start now, and [`pick_target`], which
-//! routes a plain request.
+//! routes a plain request. [`Role`] says which entry decides an availability zone, and
+//! [`GangCoordinator`] starts, watches and ends the gangs of one.
 
+mod gang;
 mod gate;
+mod role;
 mod routing;
 
+pub use gang::AttemptEnd;
+pub use gang::Committed;
+pub use gang::Finished;
+pub use gang::GangAction;
+pub use gang::GangCoordinator;
+pub use gang::GangLimits;
+pub use gang::HOLD_FOR;
+pub use gang::HOLD_TIMEOUT;
+pub use gang::HeartbeatOrders;
+pub use gang::Holding;
+pub use gang::Job;
+pub use gang::Queued;
+pub use gang::RELEASE_MARGIN;
+pub use gang::TASK_LEASE;
+pub use gang::WriteOutcome;
 pub use gate::Gate;
+pub use role::Adopting;
+pub use role::DeciderKey;
+pub use role::Deciding;
+pub use role::Following;
+pub use role::PING_INTERVAL;
+pub use role::Peers;
+pub use role::RANK_DELAY;
+pub use role::Role;
+pub use role::SUSPECT_AFTER;
+pub use role::StoreView;
+pub use role::rank_entries;
 pub use routing::TargetLoad;
 pub use routing::pick_target;
--- /dev/null
+++ b/crates/rattanwinch_decisions/src/role/mod.rs
@@ -0,0 +1,21 @@
+//! Which entry decides an availability zone.
+//!
+//! [`Peers`] says which entries are suspected to be dead; [`Role`] is one entry's part in one
+//! zone. Safety doesn't depend on either: the store's comparison and the agents' memory of the
+//! highest epoch fence an entry that is wrong about its role.
+
+mod peers;
+mod rank;
+mod state;
+
+pub use peers::PING_INTERVAL;
+pub use peers::Peers;
+pub use peers::SUSPECT_AFTER;
+pub use rank::rank_entries;
+pub use state::Adopting;
+pub use state::DeciderKey;
+pub use state::Deciding;
+pub use state::Following;
+pub use state::RANK_DELAY;
+pub use state::Role;
+pub use state::StoreView;
--- /dev/null
+++ b/crates/rattanwinch_decisions/tests/gang_model/mod.rs
@@ -0,0 +1,462 @@
+//! A model of the store, the agents and the network around a [`GangCoordinator`].
+
+mod agent;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use agent::Agent;
+use arbtest::arbitrary;
+use arbtest::arbitrary::Unstructured;
+use rattanwinch_decisions::GangAction;
+use rattanwinch_decisions::GangCoordinator;
+use rattanwinch_decisions::GangLimits;
+use rattanwinch_decisions::WriteOutcome;
+use rattanwinch_types::AcceleratorSet;
+use rattanwinch_types::Adjacency;
+use rattanwinch_types::Answer;
+use rattanwinch_types::Epoch;
+use rattanwinch_types::ErrorKind;
+use rattanwinch_types::GangShape;
+use rattanwinch_types::JobRecord;
+use rattanwinch_types::JobSpec;
+use rattanwinch_types::MemberEnd;
+use rattanwinch_types::MemberKey;
+use rattanwinch_types::MemberPhase;
+use rattanwinch_types::Organisation;
+use rattanwinch_types::PlacedTask;
+use rattanwinch_types::RecordedState;
+use rattanwinch_types::RequestError;
+use rattanwinch_types::RequestId;
+use rattanwinch_types::RequestKey;
+use rattanwinch_types::Revision;
+use rattanwinch_types::StopMode;
+use rattanwinch_types::TargetName;
+use rattanwinch_types::Timestamp;
+use rattanwinch_types::Verdict;
+use rattanwinch_types::ZoneName;
+
+const TARGETS: usize = 4;
+const MOST_UNFINISHED: usize = 6;
+
+/// A message on its way, with the epoch of its sender.
+#[derive(Debug)]
+struct InFlight {
+    epoch: Epoch,
+    action: GangAction,
+}
+
+pub struct World {
+    now: Timestamp,
+    revision: i64,
+    epoch: Epoch,
+    records: BTreeMap<RequestKey, (JobRecord, Revision)>,
+    agents: BTreeMap<TargetName, Agent>,
+    network: Vec<InFlight>,
+    coordinator: GangCoordinator,
+    waiting: BTreeSet<RequestKey>,
+    committed: BTreeSet<(RequestKey, u32)>,
+    ran: BTreeMap<RequestKey, BTreeSet<u32>>,
+    pub finished: usize,
+    pub succeeded: usize,
+}
+
+fn zone() -> ZoneName {
+    ZoneName::new("az-1").expect("valid")
+}
+
+fn target(index: usize) -> TargetName {
+    TargetName::new(format!("target-{index}")).expect("valid")
+}
+
+fn output(member: &MemberKey) -> Answer {
+    Answer::whole(format!("output of {member}"))
+}
+
+fn coordinator(epoch: Epoch) -> GangCoordinator {
+    GangCoordinator::new(zone(), epoch, GangLimits::default(), epoch.0.unsigned_abs())
+}
+
+impl World {
+    pub fn new() -> Self {
+        let agents = (0..TARGETS).map(|index| (target(index), Agent::default()));
+        Self {
+            now: Timestamp::from_millis(1_000_000),
+            revision: 1,
+            epoch: Epoch(1),
+            records: BTreeMap::new(),
+            agents: agents.collect(),
+            network: Vec::new(),
+            coordinator: coordinator(Epoch(1)),
+            waiting: BTreeSet::new(),
+            committed: BTreeSet::new(),
+            ran: BTreeMap::new(),
+            finished: 0,
+            succeeded: 0,
+        }
+    }
+
+    /// Takes one random step and checks everything that must hold.
+    pub fn step(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+        match u.int_in_range(0..=99_u8)? {
+            0..=3 => self.submit(u)?,
+            4..=13 => self.start(u)?,
+            14..=63 => self.deliver(u)?,
+            64..=77 => self.heartbeat(u)?,
+            78..=84 => self.end_task(u)?,
+            85 => self.replace_decider(),
+            86 => self.lose_worker(u)?,
+            87 => self.cancel_or_evict(u)?,
+            88 => self.advance(Duration::from_secs(u.int_in_range(1..=40)?)),
+            89 => self.coordinator.suspend_losses(u.arbitrary()?),
+            _ => self.advance(Duration::from_millis(u.int_in_range(1..=300)?)),
+        }
+        self.take_actions();
+        self.coordinator
+            .check_invariants()
+            .expect("an invariant of the coordinator is broken");
+        self.check_runs();
+        Ok(())
+    }
+
+    fn advance(&mut self, span: Duration) {
+        self.now = self.now + span;
+        let now = self.now;
+        self.agents.values_mut().for_each(|agent| agent.expire(now));
+        self.coordinator.tick(now);
+    }
+
+    fn submit(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+        if self.records.len() - self.finished >= MOST_UNFINISHED {
+            return Ok(());
+        }
+        let id = format!("job-{}", self.records.len());
+        let key = RequestKey {
+            organisation: Organisation::new("letrafa").expect("valid"),
+            id: RequestId::new(id).expect("valid"),
+        };
+        let tasks = u.int_in_range(1..=3)?;
+        let spec = JobSpec::builder()
+            .key(key.clone())
+            .shape(GangShape::new(tasks, 1, Adjacency::Zone).expect("valid"))
+            .idempotent(u.arbitrary()?)
+            .deadline(self.now + Duration::from_secs(u.int_in_range(1..=600)?))
+            .declared_run_time(Duration::from_secs(1))
+            .payload("work".into())
+            .build();
+        let record = JobRecord {
+            spec,
+            zone: zone(),
+            attempt: 0,
+            runs: 0,
+            state: RecordedState::Queued,
+            reason: None,
+        };
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        self.records.insert(key.clone(), (record.clone(), revision));
+        self.coordinator.restore(record, revision, self.now);
+        self.waiting.insert(key);
+        Ok(())
+    }
+
+    fn start(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+        let Some(key) = self.waiting.pop_first() else {
+            return Ok(());
+        };
+        let tasks = self.records[&key].0.spec.shape.tasks();
+        let mut placed = Vec::new();
+        for _ in 0..tasks {
+            placed.push(PlacedTask {
+                target: target(u.int_in_range(0..=TARGETS - 1)?),
+                accelerators: AcceleratorSet::block(0, 1),
+            });
+        }
+        self.coordinator.start(&key, placed, "fits", self.now);
+        Ok(())
+    }
+
+    fn take_actions(&mut self) {
+        for action in self.coordinator.take_actions() {
+            match action {
+                GangAction::Requeue { key } | GangAction::StartFailed { key, .. } => {
+                    self.waiting.insert(key);
+                }
+                GangAction::Withdraw { key } => {
+                    self.waiting.remove(&key);
+                }
+                GangAction::Started { .. } | GangAction::Ended { .. } => {}
+                GangAction::Finished { .. } => {}
+                GangAction::Deposed => panic!("the only decider was deposed"),
+                action => self.network.push(InFlight {
+                    epoch: self.epoch,
+                    action,
+                }),
+            }
+        }
+    }
+
+    /// Delivers a random message, or loses it, or loses its response.
+    fn deliver(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+        if self.network.is_empty() {
+            return Ok(());
+        }
+        let index = u.int_in_range(0..=self.network.len() - 1)?;
+        let message = self.network.swap_remove(index);
+        let fate = u.int_in_range(0..=19_u8)?;
+        let (arrives, answered) = (fate != 0, fate > 1);
+        let own = message.epoch == self.epoch;
+        match &message.action {
+            GangAction::Write { expected, record } => {
+                self.deliver_write(&message, *expected, record, fate);
+            }
+            GangAction::Read { key } if own => {
+                let found = self.records.get(key).cloned();
+                let found = found.map(|(record, revision)| (Box::new(record), revision));
+                let found = found.filter(|_| answered);
+                self.coordinator.record_read(key, found, self.now);
+            }
+            action if arrives => self.deliver_to_agent(&message, action, own && answered),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn deliver_write(&mut self, sent: &InFlight, expected: Revision, record: &JobRecord, fate: u8) {
+        let key = &record.spec.key;
+        let own = sent.epoch == self.epoch;
+        let outcome = match fate {
+            0 => WriteOutcome::NotApplied,
+            1 => WriteOutcome::Unknown,
+            2 if own => {
+                // The caller gives up, but the write still arrives later.
+                self.network.push(InFlight {
+                    epoch: sent.epoch,
+                    action: sent.action.clone(),
+                });
+                WriteOutcome::Unknown
+            }
+            _ => self.apply(sent.epoch, expected, record),
+        };
+        let outcome = if fate == 3 {
+            WriteOutcome::Unknown
+        } else {
+            outcome
+        };
+        if own {
+            self.coordinator.write_answered(key, outcome, self.now);
+        }
+    }
+
+    fn apply(&mut self, epoch: Epoch, expected: Revision, record: &JobRecord) -> WriteOutcome {
+        if epoch != self.epoch {
+            return WriteOutcome::Deposed;
+        }
+        let key = record.spec.key.clone();
+        let (found, revision) = self.records[&key].clone();
+        if revision != expected {
+            return WriteOutcome::Conflict(Some((Box::new(found), revision)));
+        }
+        let was_finished = matches!(found.state, RecordedState::Finished { .. });
+        assert!(!was_finished, "{key} finished twice");
+        match &record.state {
+            RecordedState::Committed { .. } => {
+                self.committed.insert((key.clone(), record.attempt));
+            }
+            RecordedState::Finished { outcome, .. } => {
+                self.check_outcome(record, outcome);
+                self.finished += 1;
+                self.succeeded += usize::from(outcome.is_ok());
+            }
+            RecordedState::Queued => {}
+        }
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        self.records.insert(key, (record.clone(), revision));
+        WriteOutcome::Applied(revision)
+    }
+
+    fn check_outcome(&self, record: &JobRecord, outcome: &Result<Vec<Answer>, RequestError>) {
+        let ran = self.ran.contains_key(&record.spec.key);
+        match outcome {
+            Ok(answers) => {
+                assert_eq!(answers.len(), usize::from(record.spec.shape.tasks()));
+                let key = |index| MemberKey {
+                    attempt: rattanwinch_types::AttemptKey {
+                        key: record.spec.key.clone(),
+                        attempt: record.attempt,
+                    },
+                    index,
+                };
+                for (index, answer) in (0..).zip(answers) {
+                    assert_eq!(*answer, output(&key(index)), "another attempt's output");
+                }
+            }
+            Err(error) if error.verdict == Verdict::NotRun => {
+                assert!(!ran, "{} ran but is said not to have run", record.spec.key);
+            }
+            Err(_) => {}
+        }
+    }
+
+    fn deliver_to_agent(&mut self, sent: &InFlight, action: &GangAction, answered: bool) {
+        let now = self.now;
+        let epoch = sent.epoch;
+        match action {
+            GangAction::Hold { target, order } => {
+                let held = self.agents.get_mut(target).expect("known").hold(order, now);
+                if answered {
+                    self.coordinator.hold_answered(&order.member, held, now);
+                }
+            }
+            GangAction::Release { target, member } => {
+                let agent = self.agents.get_mut(target).expect("known");
+                let (runs, began) = agent.release(member, epoch, now);
+                if began {
+                    self.began(member);
+                }
+                let refusal = || RequestError::not_run(ErrorKind::Unavailable, "not held");
+                let response = runs.then_some(()).ok_or_else(refusal);
+                if answered {
+                    self.coordinator.release_answered(member, response, now);
+                }
+            }
+            GangAction::Abort { target, member } => {
+                let agent = self.agents.get_mut(target).expect("known");
+                if agent.abort(member, epoch) && answered {
+                    self.coordinator.abort_answered(member, now);
+                }
+            }
+            GangAction::Stop { target, order } if order.mode != StopMode::Throttle => {
+                let agent = self.agents.get_mut(target).expect("known");
+                if agent.accepts(epoch) {
+                    agent.stop(&order.member);
+                }
+            }
+            GangAction::Collect { target, member } => {
+                let known = self.agents[target].members.get(member);
+                let succeeded = MemberPhase::Ended(MemberEnd::Succeeded);
+                let found = known.is_some_and(|member| member.phase == succeeded);
+                let missing = || RequestError::may_have_run(ErrorKind::NotFound, "no output");
+                let output = found.then(|| output(member)).ok_or_else(missing);
+                if answered {
+                    self.coordinator.collected(member, output, now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn began(&mut self, member: &MemberKey) {
+        let attempt = &member.attempt;
+        let committed = (attempt.key.clone(), attempt.attempt);
+        assert!(
+            self.committed.contains(&committed),
+            "{member} runs without a commit"
+        );
+        let attempts = self.ran.entry(attempt.key.clone()).or_default();
+        attempts.insert(attempt.attempt);
+        let (record, _) = &self.records[&attempt.key];
+        let finished = matches!(&record.state, RecordedState::Finished { outcome: Err(error), .. }
+            if error.verdict == Verdict::NotRun);
+        assert!(!finished, "{member} runs after the verdict not run");
+        assert!(
+            record.spec.idempotent || attempts.len() == 1,
+            "{member} runs a non-idempotent job again"
+        );
+    }
+
+    fn heartbeat(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+        let target = target(u.int_in_range(0..=TARGETS - 1)?);
+        let agent = self.agents.get_mut(&target).expect("known");
+        if !agent.accepts(self.epoch) {
+            return Ok(());
+        }
+        let reports = agent.reports();
+        let orders = self.coordinator.heartbeat(&target, &reports, self.now);
+        if u.ratio(1, 10)? {
+            return Ok(());
+        }
+        agent.renew(self.now);
+        orders.stop.iter().for_each(|stop| agent.stop(&stop.member));
+        for member in &orders.forget {
+            agent.members.remove(member);
+        }
+        Ok(())
+    }
+
+    fn end_task(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+        let agent = self
+            .agents
+            .get_mut(&target(u.int_in_range(0..=TARGETS - 1)?));
+        let members = agent.expect("known").members.values_mut();
+        let mut running = members.filter(|member| member.phase == MemberPhase::Running);
+        if let Some(member) = running.next() {
+            let end = if u.ratio(1, 5)? {
+                MemberEnd::Failed("fault".into())
+            } else {
+                MemberEnd::Succeeded
+            };
+            member.phase = MemberPhase::Ended(end);
+        }
+        Ok(())
+    }
+
+    fn replace_decider(&mut self) {
+        self.revision += 1;
+        self.epoch = Epoch(self.revision);
+        self.coordinator = coordinator(self.epoch);
+        self.waiting.clear();
+        for (key, (record, revision)) in self.records.clone() {
+            if record.state == RecordedState::Queued {
+                self.waiting.insert(key);
+            }
+            self.coordinator.restore(record, revision, self.now);
+        }
+    }
+
+    fn lose_worker(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+        let target = target(u.int_in_range(0..=TARGETS - 1)?);
+        self.agents.insert(target, Agent::default());
+        Ok(())
+    }
+
+    fn cancel_or_evict(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+        let Some(key) = self.records.keys().next_back().cloned() else {
+            return Ok(());
+        };
+        match u.int_in_range(0..=3_u8)? {
+            0 => drop(self.coordinator.cancel(&key, self.now)),
+            1 => drop(
+                self.coordinator
+                    .evict(&key, StopMode::Checkpoint, "reclaim", self.now),
+            ),
+            2 => drop(
+                self.coordinator
+                    .evict(&key, StopMode::Stop, "reclaim", self.now),
+            ),
+            _ => drop(
+                self.coordinator
+                    .evict(&key, StopMode::Throttle, "reclaim", self.now),
+            ),
+        }
+        Ok(())
+    }
+
+    /// Two attempts at one job never run at the same time.
+    fn check_runs(&self) {
+        let mut running: BTreeMap<&RequestKey, u32> = BTreeMap::new();
+        for (member, state) in self.agents.values().flat_map(|agent| &agent.members) {
+            if state.phase == MemberPhase::Running {
+                let attempt = member.attempt.attempt;
+                let other = running.insert(&member.attempt.key, attempt);
+                assert!(
+                    other.is_none_or(|other| other == attempt),
+                    "two attempts at {} run",
+                    member.attempt.key
+                );
+            }
+        }
+    }
+}
