Add the stored forms of jobs, deciders and entries

Cause: deciders rebuild their queues from the store after a takeover. Change: job records carry the spec with its digest, the attempt, the placement and the outcome; pointers lead from a job's id to its zone. Result: records are read back as written; changed ones are refused.

--- a/crates/rattanwinch_platform/src/lib.rs
+++ b/crates/rattanwinch_platform/src/lib.rs
@@ -5,10 +5,19 @@
 //! a key is made and read by the packages that own it.
 
 pub mod keys;
+mod records;
 mod store;
 mod store_error;
 mod transaction;
 
+pub use records::DeciderRecord;
+pub use records::EntryRecord;
+pub use records::InvalidRecord;
+pub use records::JobPointer;
+pub use records::StoredDecider;
+pub use records::StoredEntry;
+pub use records::StoredJob;
+pub use records::StoredJobPointer;
 pub use store::ControlRead;
 pub use store::LeaseId;
 pub use store::Page;
--- /dev/null
+++ b/crates/rattanwinch_platform/src/records/outcome.rs
@@ -0,0 +1,112 @@
+use std::sync::Arc;
+
+use rattanwinch_types::Answer;
+use rattanwinch_types::Digest;
+use rattanwinch_types::ErrorKind;
+use rattanwinch_types::RequestError;
+use rattanwinch_types::Verdict;
+
+use super::InvalidRecord;
+use super::Result;
+
+rattanwinch_types::value! { wire
+    /// An [`Answer`] as it is stored, with the digest that shows that it is whole.
+    pub struct StoredAnswer {
+        /// The text.
+        pub text: String,
+        /// The digest of the text, in hexadecimal.
+        pub digest: String,
+    }
+}
+
+impl From<&Answer> for StoredAnswer {
+    fn from(answer: &Answer) -> Self {
+        Self {
+            text: answer.text().as_ref().to_owned(),
+            digest: answer.digest().to_hex(),
+        }
+    }
+}
+
+impl TryFrom<StoredAnswer> for Answer {
+    type Error = InvalidRecord;
+
+    fn try_from(stored: StoredAnswer) -> Result<Self> {
+        let invalid = || InvalidRecord::new("answer", "the digest doesn't match the text");
+        let digest = Digest::parse_hex(&stored.digest).ok_or_else(invalid)?;
+        Self::checked(stored.text, digest).ok_or_else(invalid)
+    }
+}
+
+rattanwinch_types::value! { wire
+    /// A [`RequestError`] as it is stored.
+    pub struct StoredError {
+        /// The stable text of the verdict.
+        pub verdict: String,
+        /// The stable text of the kind.
+        pub kind: String,
+        /// What was wrong.
+        pub message: String,
+    }
+}
+
+impl From<&RequestError> for StoredError {
+    fn from(error: &RequestError) -> Self {
+        Self {
+            verdict: error.verdict.as_str().to_owned(),
+            kind: error.kind.as_str().to_owned(),
+            message: error.message.to_string(),
+        }
+    }
+}
+
+impl TryFrom<StoredError> for RequestError {
+    type Error = InvalidRecord;
+
+    fn try_from(stored: StoredError) -> Result<Self> {
+        let verdict = Verdict::parse(&stored.verdict)
+            .ok_or_else(|| InvalidRecord::new("error", "unknown verdict"))?;
+        let kind = ErrorKind::parse(&stored.kind)
+            .ok_or_else(|| InvalidRecord::new("error", "unknown kind"))?;
+        let message = Arc::from(stored.message);
+        Ok(Self {
+            verdict,
+            kind,
+            message,
+        })
+    }
+}
+
+rattanwinch_types::value! { wire
+    /// What a job came to, as it is stored.
+    #[serde(rename_all = "snake_case")]
+    pub enum StoredOutcome {
+        /// The answers of all tasks.
+        Answered(Vec<StoredAnswer>),
+        /// Why there are none.
+        Refused(StoredError),
+    }
+}
+
+impl From<&std::result::Result<Vec<Answer>, RequestError>> for StoredOutcome {
+    fn from(outcome: &std::result::Result<Vec<Answer>, RequestError>) -> Self {
+        match outcome {
+            Ok(answers) => Self::Answered(answers.iter().map(StoredAnswer::from).collect()),
+            Err(error) => Self::Refused(error.into()),
+        }
+    }
+}
+
+impl TryFrom<StoredOutcome> for std::result::Result<Vec<Answer>, RequestError> {
+    type Error = InvalidRecord;
+
+    fn try_from(stored: StoredOutcome) -> Result<Self> {
+        Ok(match stored {
+            StoredOutcome::Answered(answers) => {
+                let answers = answers.into_iter().map(Answer::try_from);
+                Ok(answers.collect::<Result<_>>()?)
+            }
+            StoredOutcome::Refused(error) => Err(error.try_into()?),
+        })
+    }
+}
