--- a/crates/rattanwinch_decisions/src/role/mod.rs
+++ b/crates/rattanwinch_decisions/src/role/mod.rs
@@ -18,4 +18,4 @@
 pub use state::Following;
 pub use state::RANK_DELAY;
 pub use state::Role;
-pub use state::StoreView;
+pub use state::RoleView;
--- a/crates/rattanwinch_decisions/src/role/state.rs
+++ b/crates/rattanwinch_decisions/src/role/state.rs
@@ -28,7 +28,7 @@
 
 rattanwinch_types::value! {
     /// What an entry knows of the store and of itself when it looks at its role.
-    pub struct StoreView {
+    pub struct RoleView {
         /// The decider key; `None` if there is none.
         pub decider: Option<DeciderKey>,
         /// Whether the last control read is fresh.
@@ -40,7 +40,7 @@
     }
 }
 
-impl StoreView {
+impl RoleView {
     /// Whether the entry may take a zone over: its view has to be true and it has to stay.
     #[must_use]
     pub const fn may_take_over(&self) -> bool {
@@ -97,7 +97,7 @@
     }
 
     /// Whether another entry has taken over from `epoch`, by the store or by its own word.
-    fn is_deposed(&self, epoch: Epoch, view: &StoreView, peers: &Peers) -> bool {
+    fn is_deposed(&self, epoch: Epoch, view: &RoleView, peers: &Peers) -> bool {
         let replaced = view
             .decider
             .as_ref()
@@ -123,7 +123,7 @@
     /// key that it has to replace, or `None` in place of it if there is no key.
     pub fn look(
         &mut self,
-        view: &StoreView,
+        view: &RoleView,
         peers: &Peers,
         now: Timestamp,
     ) -> Option<Option<Revision>> {
@@ -146,7 +146,7 @@
     }
 
     /// Since when the zone is without a decider.
-    fn vacant_since(&self, view: &StoreView, peers: &Peers, now: Timestamp) -> Option<Timestamp> {
+    fn vacant_since(&self, view: &RoleView, peers: &Peers, now: Timestamp) -> Option<Timestamp> {
         let known = self.stage.vacant_since.unwrap_or(now);
         let Some(key) = &view.decider else {
             return Some(known);
@@ -200,7 +200,7 @@
 
     /// Whether the entry has to give the role up: another one has taken over.
     #[must_use]
-    pub fn has_lost(&self, view: &StoreView, peers: &Peers) -> bool {
+    pub fn has_lost(&self, view: &RoleView, peers: &Peers) -> bool {
         self.is_deposed(self.stage.epoch, view, peers)
     }
 
--- a/crates/rattanwinch_decisions/tests/roles.rs
+++ b/crates/rattanwinch_decisions/tests/roles.rs
@@ -13,8 +13,8 @@
 use rattanwinch_decisions::Peers;
 use rattanwinch_decisions::RANK_DELAY;
 use rattanwinch_decisions::Role;
+use rattanwinch_decisions::RoleView;
 use rattanwinch_decisions::SUSPECT_AFTER;
-use rattanwinch_decisions::StoreView;
 use rattanwinch_types::EntryName;
 use rattanwinch_types::Epoch;
 use rattanwinch_types::Incarnation;
@@ -126,7 +126,7 @@
 
     fn look(&mut self, index: usize) {
         let entry = &mut self.entries[index];
-        let view = StoreView {
+        let view = RoleView {
             decider: self.key.clone(),
             fresh: entry.fresh,
             regressed: false,
