--- a/crates/rattanwinch_decisions/src/gang/limits.rs
+++ b/crates/rattanwinch_decisions/src/gang/limits.rs
@@ -12,9 +12,6 @@
 /// has expired is refused, and then the gang would start in part.
 pub const RELEASE_MARGIN: Duration = Duration::from_secs(2);
 
-/// How long a task runs on without its lease being renewed.
-pub const TASK_LEASE: Duration = Duration::from_secs(30);
-
 /// Added to the task lease before a silent member counts as ended, for clocks that drift.
 pub(super) const LEASE_MARGIN: Duration = Duration::from_secs(1);
 
--- a/crates/rattanwinch_decisions/src/gang/mod.rs
+++ b/crates/rattanwinch_decisions/src/gang/mod.rs
@@ -27,4 +27,3 @@
 pub use limits::HOLD_FOR;
 pub use limits::HOLD_TIMEOUT;
 pub use limits::RELEASE_MARGIN;
-pub use limits::TASK_LEASE;
--- a/crates/rattanwinch_decisions/src/gang/timers.rs
+++ b/crates/rattanwinch_decisions/src/gang/timers.rs
@@ -7,7 +7,6 @@
 use super::GangCoordinator;
 use super::HOLD_TIMEOUT;
 use super::RELEASE_MARGIN;
-use super::TASK_LEASE;
 use super::coordinator::AnyJob;
 use super::limits::LEASE_MARGIN;
 use super::limits::MISSING_AFTER;
@@ -15,6 +14,7 @@
 use super::tasks::EndCause;
 use super::tasks::HoldStep;
 use super::tasks::TaskPhase;
+use crate::TASK_LEASE;
 
 impl GangCoordinator {
     /// Acts on everything that is due at `now`. To be called every 100 ms or so.
--- a/crates/rattanwinch_decisions/src/lib.rs
+++ b/crates/rattanwinch_decisions/src/lib.rs
@@ -5,11 +5,13 @@
 //! is decided, so that another front end can use the same code.
 //!
 //! Start reading at [`Gate`], which says what an agent may start now, and [`pick_target`], which
-//! routes a plain request. [`Role`] says which entry decides an availability zone, and
-//! [`GangCoordinator`] starts, watches and ends the gangs of one.
+//! routes a plain request. [`Role`] says which entry decides an availability zone,
+//! [`GangCoordinator`] starts, watches and ends the gangs of one, and [`MemberTable`] holds and
+//! runs their members at an agent.
 
 mod gang;
 mod gate;
+mod members;
 mod role;
 mod routing;
 
@@ -26,9 +28,30 @@
 pub use gang::Job;
 pub use gang::Queued;
 pub use gang::RELEASE_MARGIN;
-pub use gang::TASK_LEASE;
 pub use gang::WriteOutcome;
 pub use gate::Gate;
+pub use members::Action;
+pub use members::Actions;
+pub use members::Ended;
+pub use members::HOLD_LIMIT;
+pub use members::Held;
+pub use members::Hold;
+pub use members::Invariant;
+pub use members::ListRequest;
+pub use members::MAX_ENDED_MEMBERS;
+pub use members::MAX_TOMBSTONES;
+pub use members::Member;
+pub use members::MemberState;
+pub use members::MemberTable;
+pub use members::ObservedState;
+pub use members::ObservedTask;
+pub use members::Refused;
+pub use members::Release;
+pub use members::Running;
+pub use members::Start;
+pub use members::TASK_LEASE;
+pub use members::TOMBSTONE_RETENTION;
+pub use members::Violation;
 pub use role::Adopting;
 pub use role::DeciderKey;
 pub use role::Deciding;
