--- a/crates/rattanwinch_decisions/src/lib.rs
+++ b/crates/rattanwinch_decisions/src/lib.rs
@@ -7,14 +7,32 @@
 //! Start reading at [`Gate`], which says what an agent may start now, and [`pick_target`], which
 //! routes a plain request. [`Role`] says which entry decides an availability zone,
 //! [`GangCoordinator`] starts, watches and ends the gangs of one, and [`MemberTable`] holds and
-//! runs their members at an agent.
+//! runs their members at an agent. [`Claim`] is how a non-idempotent request runs at most once,
+//! and [`apply`] changes the configuration.
 
+mod claims;
+mod config_changes;
 mod gang;
 mod gate;
 mod members;
 mod role;
 mod routing;
 
+pub use claims::AskResponse;
+pub use claims::Claim;
+pub use claims::ClaimStep;
+pub use claims::Claimed;
+pub use claims::Dispatched;
+pub use claims::Proposed;
+pub use claims::Unclaimed;
+pub use claims::WriteResponse;
+pub use config_changes::ChangeError;
+pub use config_changes::ConfigChange;
+pub use config_changes::DefaultKey;
+pub use config_changes::MAX_AUTHOR_BYTES;
+pub use config_changes::MAX_REASON_BYTES;
+pub use config_changes::apply;
+pub use config_changes::effect;
 pub use gang::AttemptEnd;
 pub use gang::Committed;
 pub use gang::Finished;
--- a/crates/rattanwinch_platform/src/lib.rs
+++ b/crates/rattanwinch_platform/src/lib.rs
@@ -2,15 +2,15 @@
 //!
 //! [`Store`] is what rattanwinch needs of it: compare-and-swap over a few keys, reads, and leases
 //! that remove keys of processes that are gone. [`EtcdStore`] provides it over the etcd v3 JSON
-//! gateway, whose messages are in [`wire`]. [`keys`] builds every key. What is stored under a key
-//! is made and read by the packages that own it.
+//! gateway, whose messages are in [`wire`]. [`keys`] builds every key, and [`records`] has the
+//! JSON forms of what is stored under them.
 //!
 //! Start reading at [`Store`], then [`EtcdStore`].
 
 mod etcd;
 pub mod keys;
 mod process_lease;
-mod records;
+pub mod records;
 mod store;
 mod store_error;
 mod store_settings;
@@ -22,14 +22,6 @@
 pub use etcd::MAX_VALUE_BYTES;
 pub use etcd::StoreView;
 pub use process_lease::ProcessLease;
-pub use records::DeciderRecord;
-pub use records::EntryRecord;
-pub use records::InvalidRecord;
-pub use records::JobPointer;
-pub use records::StoredDecider;
-pub use records::StoredEntry;
-pub use records::StoredJob;
-pub use records::StoredJobPointer;
 pub use store::ControlRead;
 pub use store::LeaseId;
 pub use store::Page;
--- a/crates/rattanwinch_platform/src/records/invalid_record.rs
+++ b/crates/rattanwinch_platform/src/records/invalid_record.rs
@@ -1,32 +1,20 @@
 use std::fmt;
-use std::sync::Arc;
 
-/// What reading a record returns.
-pub type Result<T> = std::result::Result<T, InvalidRecord>;
-
-/// A stored value that isn't what its key promises.
+/// A stored value that can't be read; says which field and what was expected.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct InvalidRecord {
-    /// The kind of record.
-    pub what: &'static str,
-    /// What was wrong with it.
-    pub message: Arc<str>,
-}
+pub struct InvalidRecord(String);
 
 impl InvalidRecord {
-    /// An error about a record of the given kind.
+    /// Names the field and what was expected of it.
     #[must_use]
-    pub fn new(what: &'static str, message: impl AsRef<str>) -> Self {
-        Self {
-            what,
-            message: Arc::from(message.as_ref()),
-        }
+    pub fn new(field: &str, expected: &str) -> Self {
+        Self(format!("stored field {field}: expected {expected}"))
     }
 }
 
 impl fmt::Display for InvalidRecord {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "invalid {} in the store: {}", self.what, self.message)
+        f.write_str(&self.0)
     }
 }
 
--- a/crates/rattanwinch_platform/src/records/job.rs
+++ b/crates/rattanwinch_platform/src/records/job.rs
@@ -59,9 +59,9 @@
     }
 }
 
-/// An error in one field of a job record.
+/// A name or a shape that isn't valid.
 fn invalid(error: impl fmt::Display) -> InvalidRecord {
-    InvalidRecord::new("job record", format!("{error}"))
+    InvalidRecord::new("of a job", &format!("a valid value: {error}"))
 }
 
 impl TryFrom<StoredSpec> for JobSpec {
@@ -72,9 +72,10 @@
             organisation: Organisation::new(stored.organisation).map_err(invalid)?,
             id: RequestId::new(stored.id).map_err(invalid)?,
         };
-        let adjacency =
-            Adjacency::parse(&stored.adjacency).ok_or_else(|| invalid("unknown adjacency"))?;
-        let urgency = Urgency::parse(&stored.urgency).ok_or_else(|| invalid("unknown urgency"))?;
+        let adjacency = Adjacency::parse(&stored.adjacency)
+            .ok_or_else(|| InvalidRecord::new("adjacency", "zone, racks, rack or worker"))?;
+        let urgency = Urgency::parse(&stored.urgency)
+            .ok_or_else(|| InvalidRecord::new("urgency", "normal or urgent"))?;
         let shape = GangShape::new(stored.tasks, stored.accelerators_per_task, adjacency);
         Ok(Self {
             key,
@@ -230,7 +231,7 @@
     fn try_from(stored: StoredJob) -> Result<Self> {
         let spec = JobSpec::try_from(stored.spec)?;
         if spec.digest().to_hex() != stored.digest {
-            return Err(invalid("the digest doesn't match the job"));
+            return Err(InvalidRecord::new("digest", "the digest of the job"));
         }
         Ok(Self {
             spec,
@@ -312,7 +313,8 @@
     fn try_from(stored: StoredJobPointer) -> Result<Self> {
         let digest = Digest::parse_hex(&stored.job_digest);
         Ok(Self {
-            digest: digest.ok_or_else(|| invalid("the digest isn't 64 hexadecimal characters"))?,
+            digest: digest
+                .ok_or_else(|| InvalidRecord::new("job_digest", "64 hexadecimal characters"))?,
             zone: ZoneName::new(stored.job_zone).map_err(invalid)?,
         })
     }
--- a/crates/rattanwinch_platform/src/records/mod.rs
+++ b/crates/rattanwinch_platform/src/records/mod.rs
@@ -1,13 +1,29 @@
-//! The stored forms of jobs, deciders and entries: JSON values that convert to and from plain
-//! types. Reading one checks it.
+//! What is stored under the keys: JSON forms that convert to and from plain types. Reading one
+//! checks it.
 
+mod change_record;
+mod claim_record;
+mod config_document;
 mod invalid_record;
 mod job;
 mod outcome;
 mod process;
 
+pub use change_record::ChangeRecord;
+pub use change_record::WireChangeRecord;
+pub use claim_record::WireClaimOutcome;
+pub use claim_record::WireClaimRecord;
+pub use config_document::ConfigDocument;
+pub use config_document::InvalidConfig;
+pub use config_document::MAX_RECENT_CHANGES;
+pub use config_document::WireConfigDocument;
+pub use config_document::WireException;
+pub use config_document::WireExceptionEffect;
+pub use config_document::WireFleetConfig;
+pub use config_document::WireFleetDefaults;
+pub use config_document::WireGuarantee;
+pub use config_document::WireOrganisation;
 pub use invalid_record::InvalidRecord;
-pub use invalid_record::Result;
 pub use job::JobPointer;
 pub use job::StoredJob;
 pub use job::StoredJobPointer;
@@ -21,6 +37,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+/// What reading a record returns.
+type Result<T> = std::result::Result<T, InvalidRecord>;
+
 /// The JSON text of a stored form.
 fn encode<T: Serialize>(stored: &T) -> Arc<[u8]> {
     let text = serde_json::to_vec(stored).expect("stored forms have string keys only");
@@ -29,5 +48,5 @@
 
 /// Reads a stored form.
 fn decode<T: DeserializeOwned>(what: &'static str, value: &[u8]) -> Result<T> {
-    serde_json::from_slice(value).map_err(|error| InvalidRecord::new(what, error.to_string()))
+    serde_json::from_slice(value).map_err(|error| InvalidRecord::new(what, &error.to_string()))
 }
--- a/crates/rattanwinch_platform/src/records/outcome.rs
+++ b/crates/rattanwinch_platform/src/records/outcome.rs
@@ -32,7 +32,7 @@
     type Error = InvalidRecord;
 
     fn try_from(stored: StoredAnswer) -> Result<Self> {
-        let invalid = || InvalidRecord::new("answer", "the digest doesn't match the text");
+        let invalid = || InvalidRecord::new("digest", "the digest of the text");
         let digest = Digest::parse_hex(&stored.digest).ok_or_else(invalid)?;
         Self::checked(stored.text, digest).ok_or_else(invalid)
     }
@@ -65,9 +65,9 @@
 
     fn try_from(stored: StoredError) -> Result<Self> {
         let verdict = Verdict::parse(&stored.verdict)
-            .ok_or_else(|| InvalidRecord::new("error", "unknown verdict"))?;
+            .ok_or_else(|| InvalidRecord::new("verdict", "not_run, may_have_run or ran"))?;
         let kind = ErrorKind::parse(&stored.kind)
-            .ok_or_else(|| InvalidRecord::new("error", "unknown kind"))?;
+            .ok_or_else(|| InvalidRecord::new("kind", "a known class of error"))?;
         let message = Arc::from(stored.message);
         Ok(Self {
             verdict,
--- a/crates/rattanwinch_platform/src/records/process.rs
+++ b/crates/rattanwinch_platform/src/records/process.rs
@@ -3,6 +3,7 @@
 
 use rattanwinch_types::EntryName;
 use rattanwinch_types::Incarnation;
+use rattanwinch_types::InvalidName;
 use rattanwinch_types::ZoneName;
 
 use super::InvalidRecord;
@@ -10,6 +11,11 @@
 use super::decode;
 use super::encode;
 
+/// A name that isn't valid.
+fn invalid_name(error: InvalidName) -> InvalidRecord {
+    InvalidRecord::new(error.kind, &format!("a valid name: {error}"))
+}
+
 rattanwinch_types::value! {
     /// Which entry decides an availability zone; the key's revision is the epoch.
     pub struct DeciderRecord {
@@ -60,11 +66,8 @@
     type Error = InvalidRecord;
 
     fn try_from(stored: StoredDecider) -> Result<Self> {
-        let invalid = |error: rattanwinch_types::InvalidName| {
-            InvalidRecord::new("decider record", error.to_string())
-        };
         Ok(Self {
-            entry: EntryName::new(stored.entry).map_err(invalid)?,
+            entry: EntryName::new(stored.entry).map_err(invalid_name)?,
             incarnation: Incarnation(stored.incarnation),
         })
     }
@@ -130,14 +133,11 @@
     type Error = InvalidRecord;
 
     fn try_from(stored: StoredEntry) -> Result<Self> {
-        let invalid = |error: rattanwinch_types::InvalidName| {
-            InvalidRecord::new("entry record", error.to_string())
-        };
         Ok(Self {
-            entry: EntryName::new(stored.entry).map_err(invalid)?,
+            entry: EntryName::new(stored.entry).map_err(invalid_name)?,
             incarnation: Incarnation(stored.incarnation),
             address: stored.address,
-            zone: ZoneName::new(stored.zone).map_err(invalid)?,
+            zone: ZoneName::new(stored.zone).map_err(invalid_name)?,
         })
     }
 }
--- a/crates/rattanwinch_platform/tests/records.rs
+++ b/crates/rattanwinch_platform/tests/records.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use rattanwinch_platform::JobPointer;
-use rattanwinch_platform::StoredJob;
+use rattanwinch_platform::records::JobPointer;
+use rattanwinch_platform::records::StoredJob;
 use rattanwinch_types::AcceleratorSet;
 use rattanwinch_types::Adjacency;
 use rattanwinch_types::Answer;
