--- a/crates/rattanwinch_decisions/src/lib.rs
+++ b/crates/rattanwinch_decisions/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! Start reading at [`Gate`], which says what an agent may start now, and [`pick_target`], which
 //! routes a plain request. [`Role`] says which entry decides an availability zone,
-//! [`GangCoordinator`] starts, watches and ends the gangs of one, and [`MemberTable`] holds and
+//! [`ZonePolicy`] decides which gang job starts where in it, [`GangCoordinator`] starts, watches and ends the gangs of one, and [`MemberTable`] holds and
 //! runs their members at an agent. [`Claim`] is how a non-idempotent request runs at most once,
 //! and [`apply`] changes the configuration.
 
@@ -15,6 +15,7 @@
 mod gang;
 mod gate;
 mod members;
+mod policy;
 mod role;
 mod routing;
 
@@ -70,6 +71,14 @@
 pub use members::TASK_LEASE;
 pub use members::TOMBSTONE_RETENTION;
 pub use members::Violation;
+pub use policy::Decision;
+pub use policy::GuaranteeReport;
+pub use policy::JobEnd;
+pub use policy::Placement;
+pub use policy::TaskPlacement;
+pub use policy::WorkerInfo;
+pub use policy::ZoneCapacity;
+pub use policy::ZonePolicy;
 pub use role::Adopting;
 pub use role::DeciderKey;
 pub use role::Deciding;
