--- a/crates/rattanwinch_demo/examples/measure_path.rs
+++ b/crates/rattanwinch_demo/examples/measure_path.rs
@@ -63,7 +63,7 @@
         .iter()
         .map(|executor| format!("http://{}/v1/requests", executor.address()))
         .collect();
-    let through = vec![site.url("/v1/requests")];
+    let through = vec![site.url(0, "/v1/requests")];
     // A short round of each first, so that connections are open and code is warm.
     run(&arguments, &direct, 1, false).await?;
     run(&arguments, &through, 1, true).await?;
--- a/crates/rattanwinch_entry/src/bin/rattanwinch-entry.rs
+++ b/crates/rattanwinch_entry/src/bin/rattanwinch-entry.rs
@@ -7,6 +7,7 @@
 use eyre::Result;
 use rattanwinch_entry::EntryDaemon;
 use rattanwinch_entry::EntrySettings;
+use rattanwinch_platform::EtcdStore;
 use rattanwinch_runtime::Shutdown;
 use rattanwinch_runtime::install_metrics;
 use rattanwinch_runtime::json_logger;
@@ -50,9 +51,13 @@
     let signals = Shutdown::new();
     signals.watch_signals()?;
     let logger = json_logger("rattanwinch-entry");
-    let entry = EntryDaemon::new(settings, install_metrics(), logger)
-        .serve()
-        .await?;
+    let store = EtcdStore::builder()
+        .settings(settings.store.clone())
+        .client_name(settings.entry.as_str())
+        .logger(logger.clone())
+        .start();
+    let entry = EntryDaemon::new(settings, store, install_metrics(), logger);
+    let entry = entry.serve().await?;
     signals.requested().await;
     entry.drain().finish().await;
     Ok(())
--- a/crates/rattanwinch_entry/src/entry_daemon.rs
+++ b/crates/rattanwinch_entry/src/entry_daemon.rs
@@ -112,6 +112,12 @@
         self.stage.rpc.address()
     }
 
+    /// Whether the balancer may send requests: the configuration was read and no stop was asked.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.state.ready.load(Ordering::Acquire)
+    }
+
     /// The number of targets that have announced themselves and are connected.
     #[must_use]
     pub fn connected_targets(&self) -> usize {
--- a/crates/rattanwinch_entry/src/entry_settings.rs
+++ b/crates/rattanwinch_entry/src/entry_settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bon::Builder;
+use rattanwinch_platform::StoreSettings;
 use rattanwinch_runtime::SettingsErrors;
 use rattanwinch_runtime::SettingsFile;
 use rattanwinch_types::EntryName;
@@ -22,6 +23,8 @@
     pub http_listen: SocketAddr,
     /// Where agents and other entries connect; port 0 takes a free one.
     pub rpc_listen: SocketAddr,
+    /// The platform's store.
+    pub store: StoreSettings,
     /// How long the entry goes on serving after it has become not ready, so that the platform's
     /// balancer stops sending first.
     #[builder(default = Duration::from_secs(5))]
@@ -52,6 +55,7 @@
         let zone = file.required("entry", "zone", "an availability zone name");
         let http_listen = file.required("entry", "http_listen", address);
         let rpc_listen = file.required("entry", "rpc_listen", address);
+        let store = StoreSettings::from_file(&mut file);
         let drain_wait = file.millis("entry", "drain_wait_ms", Duration::from_secs(5));
         let drain_limit = file.millis("entry", "drain_limit_ms", Duration::from_secs(60));
         let settings = (|| {
@@ -60,6 +64,7 @@
                 zone: zone?,
                 http_listen: http_listen?,
                 rpc_listen: rpc_listen?,
+                store: store?,
                 drain_wait: drain_wait?,
                 drain_limit: drain_limit?,
             })
