Decide availability zones and run gang jobs in the entry

Cause: gang jobs need a decider for each availability zone that outlives the death of any entry. Change: entries register, ping each other, take zones over by a compare-and-swap, adopt agents and records, and run one task a zone that owns the policy and the gang coordinator; callers submit, watch, cancel and explain jobs at any entry.

--- a/crates/rattanwinch_decisions/src/gang/coordinator.rs
+++ b/crates/rattanwinch_decisions/src/gang/coordinator.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::Rng as _;
 use rand::SeedableRng as _;
@@ -172,10 +173,10 @@
         }
     }
 
-    /// Drops jobs that finished and were recorded before `before`.
-    pub fn drop_finished(&mut self, before: Timestamp) {
+    /// Drops recorded jobs that finished longer than `keep` ago.
+    pub fn drop_finished(&mut self, keep: Duration, now: Timestamp) {
         self.jobs.retain(|_, job| match job {
-            AnyJob::Finished(job) => !job.stage.recorded || job.stage.at >= before,
+            AnyJob::Finished(job) => !job.stage.recorded || now.since(job.stage.at) <= keep,
             _ => true,
         });
     }
@@ -242,7 +243,7 @@
         let doubled = FIRST_BACKOFF_MS.saturating_mul(1 << failures.min(10));
         let most = doubled.min(LAST_BACKOFF_MS);
         let wait = self.rng.random_range(most / 2..=most);
-        now + std::time::Duration::from_millis(wait)
+        now + Duration::from_millis(wait)
     }
 
     /// Checks what must hold at any time.
--- a/crates/rattanwinch_decisions/src/role/state.rs
+++ b/crates/rattanwinch_decisions/src/role/state.rs
@@ -14,6 +14,10 @@
 /// needs to write its key and to be seen.
 pub const RANK_DELAY: Duration = Duration::from_millis(300);
 
+/// A decider that isn't known for this long counts as dead: the time in which its registration
+/// or its first ping arrives.
+const UNKNOWN_FOR: Duration = Duration::from_millis(1500);
+
 rattanwinch_types::value! {
     /// The decider key of a zone, as last read.
     pub struct DeciderKey {
@@ -158,7 +162,11 @@
         }
         match peers.suspected_since(&key.entry, key.incarnation, now) {
             Some(since) => Some(self.stage.vacant_since.unwrap_or(since)),
-            None if !peers.knows(&key.entry) => Some(known),
+            // An entry that has just started may decide before its registration is read here.
+            None if !peers.knows(&key.entry) => {
+                let since = self.stage.vacant_since;
+                Some(since.unwrap_or(now + UNKNOWN_FOR))
+            }
             None => None,
         }
     }
@@ -177,6 +185,12 @@
         self.stage.epoch
     }
 
+    /// Whether another entry has taken over in the meantime.
+    #[must_use]
+    pub fn has_lost(&self, view: &RoleView, peers: &Peers) -> bool {
+        self.is_deposed(self.stage.epoch, view, peers)
+    }
+
     /// The records are read, so that the entry may decide.
     #[must_use]
     pub fn decide(self) -> Role<Deciding> {
--- a/crates/rattanwinch_decisions/tests/gang_model/mod.rs
+++ b/crates/rattanwinch_decisions/tests/gang_model/mod.rs
@@ -7,8 +7,7 @@
 use std::time::Duration;
 
 use agent::Agent;
-use arbtest::arbitrary;
-use arbtest::arbitrary::Unstructured;
+use arbitrary::Unstructured;
 use rattanwinch_decisions::GangAction;
 use rattanwinch_decisions::GangCoordinator;
 use rattanwinch_decisions::GangLimits;
--- a/crates/rattanwinch_decisions/tests/roles.rs
+++ b/crates/rattanwinch_decisions/tests/roles.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use arbtest::arbitrary;
-use arbtest::arbitrary::Unstructured;
+use arbitrary::Unstructured;
 use arbtest::arbtest;
 use rattanwinch_decisions::DeciderKey;
 use rattanwinch_decisions::Deciding;
--- a/crates/rattanwinch_entry/src/entry_daemon.rs
+++ b/crates/rattanwinch_entry/src/entry_daemon.rs
@@ -4,15 +4,19 @@
 use std::time::Duration;
 
 use eyre::WrapErr as _;
+use jsonrpsee::Methods;
 use poem::Server;
 use poem::listener::Acceptor as _;
 use poem::listener::Listener as _;
 use poem::listener::TcpListener;
 use rattanwinch_peers::EntryRpcServer as _;
+use rattanwinch_peers::JobRpcServer as _;
+use rattanwinch_peers::PeerRpcServer as _;
 use rattanwinch_peers::RpcServer;
 use rattanwinch_platform::Store;
 use rattanwinch_runtime::MetricsText;
 use rattanwinch_runtime::Shutdown;
+use rattanwinch_types::ZoneName;
 use slog::Logger;
 use slog::error;
 use slog::info;
@@ -23,6 +27,9 @@
 use crate::entry_state::EntryState;
 use crate::heartbeats::EntryCalls;
 use crate::http;
+use crate::zones;
+use crate::zones::JobCalls;
+use crate::zones::PeerCalls;
 
 /// What starting and stopping an entry returns.
 pub type Result<T> = eyre::Result<T>;
@@ -86,6 +93,7 @@
         let http = serve_http(&state, stage.metrics, &shutdown).await?;
         shutdown.spawn(sweep(Arc::clone(&state), shutdown.clone()));
         shutdown.spawn(control_reads::run(Arc::clone(&state), shutdown.clone()));
+        shutdown.spawn(zones::run_roles(Arc::clone(&state), shutdown.clone()));
         info!(state.logger, "entry serves"; "entry" => %state.settings.entry,
             "incarnation" => state.incarnation.0, "http" => %http, "rpc" => %rpc.address());
         Ok(EntryDaemon {
@@ -128,6 +136,20 @@
             .count()
     }
 
+    /// The availability zones that this entry decides now.
+    #[must_use]
+    pub fn decided_zones(&self) -> Vec<ZoneName> {
+        let summaries = self.state.zones.summaries();
+        summaries.into_iter().map(|summary| summary.zone).collect()
+    }
+
+    /// Stops without handing anything over, as if the process had died.
+    pub async fn stop_abruptly(self) {
+        let Serving { rpc, shutdown, .. } = self.stage;
+        shutdown.request();
+        rpc.stop().await;
+    }
+
     /// Becomes not ready, but goes on serving what still arrives.
     #[must_use]
     pub fn drain(self) -> EntryDaemon<S, Draining> {
@@ -169,7 +191,9 @@
 
 async fn serve_rpc<S: Store>(state: &Arc<EntryState<S>>) -> Result<RpcServer> {
     let listen = state.settings.rpc_listen;
-    let calls = EntryCalls(Arc::clone(state)).into_rpc();
+    let mut calls = Methods::from(EntryCalls(Arc::clone(state)).into_rpc());
+    calls.merge(PeerCalls(Arc::clone(state)).into_rpc())?;
+    calls.merge(JobCalls(Arc::clone(state)).into_rpc())?;
     let rpc = RpcServer::start(listen, MAX_RPC_CONNECTIONS, calls)
         .await
         .wrap_err_with(|| format!("can't listen on {listen}"))?;
--- a/crates/rattanwinch_entry/src/entry_state.rs
+++ b/crates/rattanwinch_entry/src/entry_state.rs
@@ -15,6 +15,7 @@
 use crate::fleet::Fleet;
 use crate::in_flight::InFlight;
 use crate::retry_budget::RetryBudget;
+use crate::zones::ZoneTable;
 
 /// What all parts of an entry share. Requests read immutable values and atomics only.
 #[derive(Debug)]
@@ -31,6 +32,8 @@
     pub control: ArcSwap<ControlView>,
     /// The targets.
     pub fleet: Fleet,
+    /// The availability zones that this entry decides, and the other entries.
+    pub zones: ZoneTable,
     /// The share of requests that may be sent a second time.
     pub retries: RetryBudget,
     /// Callers' requests that run or wait.
@@ -56,6 +59,7 @@
             rpc_address: OnceLock::new(),
             control: ArcSwap::from_pointee(ControlView::default()),
             fleet: Fleet::default(),
+            zones: ZoneTable::default(),
             retries: RetryBudget::default(),
             in_flight: AtomicU32::new(0),
             ready: AtomicBool::new(false),
--- a/crates/rattanwinch_entry/src/heartbeats.rs
+++ b/crates/rattanwinch_entry/src/heartbeats.rs
@@ -29,7 +29,14 @@
 impl<S: Store> EntryRpcServer for EntryCalls<S> {
     async fn heartbeat(&self, wire: WireHeartbeat) -> RpcResult<WireHeartbeatResponse> {
         let heartbeat = Heartbeat::try_from(wire).map_err(|error| invalid(&error))?;
-        let response = self.0.take_heartbeat(&heartbeat, self.0.clock.now());
+        let mut response = self.0.take_heartbeat(&heartbeat, self.0.clock.now());
+        if !response.duplicate
+            && let Some((epoch, orders)) = self.0.zones.heartbeat(&heartbeat).await
+        {
+            response.deciding = Some(epoch);
+            response.stop = orders.stop;
+            response.forget = orders.forget;
+        }
         Ok(response.into())
     }
 }
--- a/crates/rattanwinch_entry/src/http.rs
+++ b/crates/rattanwinch_entry/src/http.rs
@@ -5,12 +5,14 @@
 use poem::endpoint::make_sync;
 use poem::get;
 use poem::http::StatusCode;
+use rattanwinch_callers::job_routes;
 use rattanwinch_callers::plain_routes;
 use rattanwinch_platform::Store;
 use rattanwinch_runtime::MetricsText;
 
 use crate::entry_state::EntryState;
 use crate::plain_requests::PlainRequests;
+use crate::zones::Jobs;
 
 /// The whole HTTP interface of an entry.
 pub(crate) fn routes<S: Store>(state: &Arc<EntryState<S>>, metrics: MetricsText) -> Route {
@@ -27,6 +29,7 @@
             "/v1/requests",
             plain_routes(Arc::new(PlainRequests(Arc::clone(state)))),
         )
+        .nest("/v1/jobs", job_routes(&Arc::new(Jobs(Arc::clone(state)))))
         .at("/live", get(make_sync(|_| StatusCode::OK)))
         .at("/ready", get(ready))
         .at("/metrics", get(make_sync(move |_| metrics.render())))
--- a/crates/rattanwinch_entry/src/lib.rs
+++ b/crates/rattanwinch_entry/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! [`EntryDaemon`] is the whole process in its life cycle; the binary `rattanwinch-entry` only
 //! reads the settings and starts it. Routing is decided by `rattanwinch_decisions`. The path of
-//! a plain request starts in `plain_requests.rs`; what it reads is in `fleet.rs`.
+//! a plain request starts in `plain_requests.rs`; what it reads is in `fleet.rs`. The deciders of
+//! availability zones and callers' jobs are in `zones/`.
 
 mod claims;
 mod control_reads;
@@ -18,6 +19,7 @@
 mod plain_requests;
 mod retry_budget;
 mod target;
+mod zones;
 
 pub use entry_daemon::Draining;
 pub use entry_daemon::EntryDaemon;
--- /dev/null
+++ b/crates/rattanwinch_entry/src/zones/decider.rs
@@ -0,0 +1,331 @@
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use metrics::counter;
+use rattanwinch_decisions::Decision;
+use rattanwinch_decisions::GangCoordinator;
+use rattanwinch_decisions::GangLimits;
+use rattanwinch_decisions::HeartbeatOrders;
+use rattanwinch_decisions::ZonePolicy;
+use rattanwinch_platform::Store;
+use rattanwinch_types::Epoch;
+use rattanwinch_types::Heartbeat;
+use rattanwinch_types::JobStatus;
+use rattanwinch_types::PlacedTask;
+use rattanwinch_types::RequestKey;
+use rattanwinch_types::Revision;
+use rattanwinch_types::Timestamp;
+use rattanwinch_types::ZoneName;
+use rattanwinch_types::ZoneSummary;
+use slog::error;
+use slog::info;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use super::message::Response;
+use super::message::ZoneMessage;
+use super::workers::Workers;
+use super::zone_table::ZoneHandle;
+use crate::entry_state::EntryState;
+
+/// Messages that may wait: the heartbeats of a zone of the two-year size within a second.
+const QUEUED_MESSAGES: usize = 4096;
+
+/// Messages that are taken in before the next decision.
+const BATCH: usize = 256;
+
+/// How often timers are looked at.
+const TICK: Duration = Duration::from_millis(50);
+
+/// How long finished jobs are kept in memory; the store has them for a day.
+const KEEP_FINISHED: Duration = Duration::from_secs(600);
+
+/// How long a cancellation waits for the end of the job that it cancels.
+const CANCEL_WAIT: Duration = Duration::from_secs(2);
+
+/// Someone who waits for a job's end.
+struct Waiter {
+    key: RequestKey,
+    until: Timestamp,
+    reply: oneshot::Sender<Option<JobStatus>>,
+}
+
+/// The task that decides one availability zone: it owns all state of the zone.
+pub(super) struct ZoneDecider<S> {
+    pub(super) state: Arc<EntryState<S>>,
+    pub(super) zone: ZoneName,
+    pub(super) epoch: Epoch,
+    pub(super) messages: mpsc::Sender<ZoneMessage>,
+    pub(super) gangs: GangCoordinator,
+    pub(super) policy: ZonePolicy,
+    pub(super) workers: Workers,
+    /// Jobs that are being moved to another zone.
+    pub(super) moving: BTreeSet<RequestKey>,
+    /// Whether another entry has taken the zone over.
+    pub(super) deposed: bool,
+    waiters: Vec<Waiter>,
+    config_revision: Option<Revision>,
+    ticked_at: Timestamp,
+    handle: ZoneHandle,
+}
+
+/// Makes the task that decides `zone` at `epoch`, and its handle.
+pub(super) fn start<S: Store>(
+    state: &Arc<EntryState<S>>,
+    zone: &ZoneName,
+    epoch: Epoch,
+) -> (ZoneHandle, impl Future<Output = ()> + Send + 'static) {
+    let (tx, rx) = mpsc::channel(QUEUED_MESSAGES);
+    let summary = ZoneSummary {
+        zone: zone.clone(),
+        epoch,
+        free_blocks: [0; 4],
+        accelerators: 0,
+        waiting: 0,
+    };
+    let handle = ZoneHandle {
+        epoch,
+        messages: tx.clone(),
+        ready: Arc::new(AtomicBool::new(false)),
+        summary: Arc::new(ArcSwap::from_pointee(summary)),
+    };
+    let limits = GangLimits::default();
+    let decider = ZoneDecider {
+        state: Arc::clone(state),
+        zone: zone.clone(),
+        epoch,
+        messages: tx,
+        gangs: GangCoordinator::new(zone.clone(), epoch, limits, rand::random()),
+        policy: ZonePolicy::new(zone.clone()),
+        workers: Workers::default(),
+        moving: BTreeSet::new(),
+        deposed: false,
+        waiters: Vec::new(),
+        config_revision: None,
+        ticked_at: Timestamp::ZERO,
+        handle: handle.clone(),
+    };
+    (handle, decider.run(rx))
+}
+
+impl<S: Store> ZoneDecider<S> {
+    async fn run(mut self, mut rx: mpsc::Receiver<ZoneMessage>) {
+        self.adopt_known_agents();
+        self.take_config(self.state.clock.now());
+        self.read_records().await;
+        self.handle.ready.store(true, Ordering::Release);
+        while !self.deposed {
+            let message = tokio::time::timeout(TICK, rx.recv()).await;
+            let now = self.state.clock.now();
+            if let Ok(Some(message)) = message {
+                self.take(message, now);
+                for _ in 1..BATCH {
+                    match rx.try_recv() {
+                        Ok(message) => self.take(message, now),
+                        Err(_) => break,
+                    }
+                }
+            }
+            self.act(now);
+        }
+        info!(self.state.logger, "zone was taken over by another entry"; "zone" => %self.zone);
+    }
+
+    fn take(&mut self, message: ZoneMessage, now: Timestamp) {
+        match message {
+            ZoneMessage::Heartbeat(heartbeat, reply) => {
+                let orders = self.heartbeat(&heartbeat, now);
+                // Without a receiver the heartbeat has waited too long; the next one comes soon.
+                let _ = reply.send(orders);
+            }
+            ZoneMessage::Submit(record, revision, reply) => {
+                let key = record.spec.key.clone();
+                self.take_record(*record, revision);
+                if let Some(status) = self.status(&key) {
+                    let _ = reply.send(status);
+                }
+            }
+            ZoneMessage::Status(key, until, reply) => self.answer_at_end(key, until, reply),
+            ZoneMessage::Cancel(key, reply) => {
+                if !self.moving.contains(&key) {
+                    self.gangs.cancel(&key, now);
+                    self.answer_at_end(key, now + CANCEL_WAIT, reply);
+                }
+            }
+            ZoneMessage::Explain(key, reply) => {
+                let _ = reply.send(self.gangs.explanations(&key));
+            }
+            ZoneMessage::Response(response) => self.take_response(response, now),
+        }
+    }
+
+    fn take_response(&mut self, response: Response, now: Timestamp) {
+        match response {
+            Response::Adopted(target, incarnation, reports) => {
+                self.adopted(&target, incarnation, reports, now);
+            }
+            Response::Held(member, held) => self.gangs.hold_answered(&member, held, now),
+            Response::Released(member, response) => {
+                self.gangs.release_answered(&member, response, now);
+            }
+            Response::Aborted(member) => self.gangs.abort_answered(&member, now),
+            Response::Collected(member, output) => self.gangs.collected(&member, output, now),
+            Response::Written(key, outcome) => self.gangs.write_answered(&key, outcome, now),
+            Response::Read(key, found) => self.gangs.record_read(&key, found, now),
+            Response::Moved(key, zone, moved) => self.moved(&key, &zone, moved, now),
+        }
+    }
+
+    fn heartbeat(&mut self, heartbeat: &Heartbeat, now: Timestamp) -> HeartbeatOrders {
+        if self.workers.hear(heartbeat, now) {
+            self.policy.worker_unknown(&heartbeat.target, now);
+            self.adopt(&heartbeat.target, heartbeat.incarnation);
+        }
+        let Some(worker) = self.workers.get(&heartbeat.target, heartbeat.incarnation) else {
+            return HeartbeatOrders::default();
+        };
+        if !worker.adopted {
+            return HeartbeatOrders::default();
+        }
+        if std::mem::take(&mut worker.silent) {
+            self.policy.worker_ready(worker.info.clone(), now);
+        }
+        if worker.leaving {
+            self.policy.worker_leaving(&heartbeat.target, now);
+        }
+        self.gangs
+            .heartbeat(&heartbeat.target, &heartbeat.members, now)
+    }
+
+    /// Acts on what was taken in and on what is due.
+    fn act(&mut self, now: Timestamp) {
+        if now.since(self.ticked_at) >= TICK {
+            self.ticked_at = now;
+            self.take_config(now);
+            self.look_for_silence(now);
+            self.gangs.tick(now);
+            self.answer_late_waiters(now);
+            self.gangs.drop_finished(KEEP_FINISHED, now);
+            self.move_queued(now);
+        }
+        self.carry_out(now);
+        let control = self.state.control.load();
+        if control.is_fresh(now) && !control.regressed {
+            drop(control);
+            self.decide(now);
+            self.carry_out(now);
+        }
+        if let Err(broken) = self.gangs.check_invariants() {
+            counter!("invariant_violations_total", "invariant" => "gangs").increment(1);
+            error!(self.state.logger, "invariant violated"; "zone" => %self.zone,
+                "what" => broken);
+        }
+        self.publish_summary();
+    }
+
+    fn decide(&mut self, now: Timestamp) {
+        for decision in self.policy.decide(now) {
+            match decision {
+                Decision::Start {
+                    key,
+                    placement,
+                    reason,
+                } => {
+                    let tasks = placement.tasks.into_iter().map(|task| PlacedTask {
+                        target: task.target,
+                        accelerators: task.accelerators,
+                    });
+                    if !self.gangs.start(&key, tasks.collect(), &reason, now) {
+                        self.policy.start_failed(&key, &[], now);
+                    }
+                }
+                Decision::Evict { key, mode, reason } => {
+                    self.gangs.evict(&key, mode, &reason, now);
+                }
+                Decision::Refuse { key, error } => self.gangs.refuse(&key, error, now),
+            }
+        }
+    }
+
+    fn take_config(&mut self, now: Timestamp) {
+        let control = self.state.control.load();
+        if self.config_revision == Some(control.revision) {
+            return;
+        }
+        self.config_revision = Some(control.revision);
+        self.policy.set_config(&control.config, now);
+        self.gangs
+            .set_limits(GangLimits::from(&control.config.defaults));
+    }
+
+    fn look_for_silence(&mut self, now: Timestamp) {
+        let doubt = self.workers.doubts_itself(now);
+        self.gangs.suspend_losses(doubt);
+        let silent = self.workers.silent(now);
+        let silent: Vec<_> = silent.map(|worker| worker.info.target.clone()).collect();
+        for target in silent {
+            if doubt {
+                self.policy.worker_unknown(&target, now);
+            } else {
+                self.policy.worker_gone(&target, now);
+            }
+            if let Some(worker) = self.workers.0.get_mut(&target) {
+                worker.silent = true;
+            }
+        }
+    }
+
+    fn publish_summary(&self) {
+        let capacity = self.policy.summary();
+        let summary = ZoneSummary {
+            zone: self.zone.clone(),
+            epoch: self.epoch,
+            free_blocks: capacity.free_blocks,
+            accelerators: capacity.accelerators,
+            waiting: capacity.waiting,
+        };
+        if **self.handle.summary.load() != summary {
+            self.handle.summary.store(Arc::new(summary));
+        }
+    }
+
+    pub(super) fn status(&self, key: &RequestKey) -> Option<JobStatus> {
+        self.gangs.status(key, self.policy.wait_reason(key))
+    }
+
+    fn answer_at_end(
+        &mut self,
+        key: RequestKey,
+        until: Timestamp,
+        reply: oneshot::Sender<Option<JobStatus>>,
+    ) {
+        let status = self.status(&key);
+        let ended = status.as_ref().is_none_or(JobStatus::is_finished);
+        if ended || self.state.clock.now() >= until {
+            let _ = reply.send(status);
+        } else {
+            self.waiters.push(Waiter { key, until, reply });
+        }
+    }
+
+    pub(super) fn answer_finished(&mut self, key: &RequestKey) {
+        let status = self.status(key);
+        let done = self.waiters.extract_if(.., |waiter| waiter.key == *key);
+        for waiter in done {
+            let _ = waiter.reply.send(status.clone());
+        }
+    }
+
+    fn answer_late_waiters(&mut self, now: Timestamp) {
+        let late = |waiter: &mut Waiter| now >= waiter.until || waiter.reply.is_closed();
+        let late: Vec<Waiter> = self.waiters.extract_if(.., late).collect();
+        for waiter in late {
+            let status = self.status(&waiter.key);
+            let _ = waiter.reply.send(status);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_entry/src/zones/pings.rs
@@ -0,0 +1,60 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use rattanwinch_decisions::PING_INTERVAL;
+use rattanwinch_platform::Store;
+use rattanwinch_types::EntryName;
+use rattanwinch_types::PeerState;
+
+use crate::entry_state::EntryState;
+
+impl<S: Store> EntryState<S> {
+    /// What this entry tells the others; `None` before it listens.
+    pub fn peer_state(&self) -> Option<PeerState> {
+        let now = self.clock.now();
+        let control = self.control.load();
+        let state = PeerState::builder()
+            .entry(self.settings.entry.clone())
+            .incarnation(self.incarnation)
+            .address(*self.rpc_address.get()?)
+            .config_revision(control.revision)
+            .maybe_control_age(control.confirmed_at.map(|at| now.since(at)))
+            .draining(self.draining.load(Ordering::Acquire))
+            .zones(self.zones.summaries())
+            .build();
+        Some(state)
+    }
+
+    /// Where the other entries take calls: the registered ones and those that were heard.
+    pub fn peer_addresses(&self) -> BTreeMap<EntryName, SocketAddr> {
+        let control = self.control.load();
+        let registered = control.entry_records();
+        let mut addresses: BTreeMap<_, _> = registered
+            .map(|record| (record.entry, record.address))
+            .collect();
+        for (entry, heard) in self.zones.peers() {
+            addresses.insert(entry, heard.state.address);
+        }
+        addresses.remove(&self.settings.entry);
+        addresses
+    }
+
+    /// Sends one ping to every other entry; the responses are taken in as they arrive.
+    pub fn ping_peers(self: &Arc<Self>) {
+        let Some(own) = self.peer_state() else {
+            return;
+        };
+        for address in self.peer_addresses().into_values() {
+            let (state, own) = (Arc::clone(self), own.clone());
+            tokio::spawn(async move {
+                let client = state.zones.client(address);
+                // Silence is what suspicion counts, so an error needs nothing more.
+                if let Ok(peer) = client.ping(own, PING_INTERVAL * 2).await {
+                    state.zones.hear(&peer, state.clock.now());
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_entry/src/zones/store_calls.rs
@@ -0,0 +1,101 @@
+use std::sync::Arc;
+
+use rattanwinch_decisions::WriteOutcome;
+use rattanwinch_platform::Condition;
+use rattanwinch_platform::Retention;
+use rattanwinch_platform::Store;
+use rattanwinch_platform::Transaction;
+use rattanwinch_platform::TransactionOutcome;
+use rattanwinch_platform::Versioned;
+use rattanwinch_platform::keys;
+use rattanwinch_platform::records::JobPointer;
+use rattanwinch_platform::records::StoredJob;
+use rattanwinch_types::Epoch;
+use rattanwinch_types::JobRecord;
+use rattanwinch_types::RecordedState;
+use rattanwinch_types::RequestKey;
+use rattanwinch_types::Revision;
+use rattanwinch_types::Verdict;
+use rattanwinch_types::ZoneName;
+use slog::error;
+use slog::warn;
+
+use super::message::Found;
+use crate::entry_state::EntryState;
+
+/// The pointer that leads to a record.
+pub(super) fn pointer_to(record: &JobRecord) -> JobPointer {
+    JobPointer {
+        digest: record.spec.digest(),
+        zone: record.zone.clone(),
+    }
+}
+
+impl<S: Store> EntryState<S> {
+    /// Writes a job's record in place of the one at `expected`, if this entry still decides the
+    /// zone. A finished job's record and pointer stay for a day.
+    pub(super) async fn write_record(
+        &self,
+        epoch: Epoch,
+        expected: Revision,
+        record: &JobRecord,
+    ) -> WriteOutcome {
+        let key = keys::job(&record.zone, &record.spec.key);
+        let decider = keys::decider(&record.zone);
+        let finished = matches!(record.state, RecordedState::Finished { .. });
+        let mut transaction = Transaction::new()
+            .with_condition(Condition::At(Arc::clone(&key), expected))
+            .with_condition(Condition::At(Arc::clone(&decider), Revision(epoch.0)));
+        let value = StoredJob::encode(record);
+        if finished {
+            let pointer = pointer_to(record).encode();
+            transaction = transaction
+                .with_put(Arc::clone(&key), value, Retention::Day)
+                .with_put(keys::id(&record.spec.key), pointer, Retention::Day);
+        } else {
+            transaction = transaction.with_put(Arc::clone(&key), value, Retention::Permanent);
+        }
+        match self.store.transact(transaction).await {
+            Ok(TransactionOutcome::Applied(revision)) => WriteOutcome::Applied(revision),
+            Ok(TransactionOutcome::Conflict(found)) => {
+                let decides = |stored: &Versioned| {
+                    stored.key == decider && stored.revision == Revision(epoch.0)
+                };
+                if !found.iter().any(decides) {
+                    return WriteOutcome::Deposed;
+                }
+                let stored = found.into_iter().find(|stored| stored.key == key);
+                WriteOutcome::Conflict(stored.and_then(|stored| self.read_stored(&stored)))
+            }
+            Err(error) => {
+                warn!(self.logger, "job record wasn't written"; "job" => %record.spec.key,
+                    "error" => %error);
+                match error.verdict {
+                    Verdict::NotRun => WriteOutcome::NotApplied,
+                    Verdict::MayHaveRun | Verdict::Ran => WriteOutcome::Unknown,
+                }
+            }
+        }
+    }
+
+    /// Reads a job's record; an error of the store counts as no record.
+    pub(super) async fn read_record(&self, zone: &ZoneName, key: &RequestKey) -> Found {
+        let stored = self.store.read(&keys::job(zone, key)).await;
+        let stored = stored.inspect_err(|error| {
+            warn!(self.logger, "job record wasn't read"; "job" => %key, "error" => %error);
+        });
+        self.read_stored(&stored.ok()??)
+    }
+
+    /// Takes a record from a stored value.
+    pub(super) fn read_stored(&self, stored: &Versioned) -> Found {
+        match StoredJob::decode(&stored.value) {
+            Ok(record) => Some((Box::new(record), stored.revision)),
+            Err(error) => {
+                error!(self.logger, "stored job can't be read"; "key" => &*stored.key,
+                    "error" => %error);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_entry/src/zones/zone_table.rs
@@ -0,0 +1,132 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use imbl::HashMap;
+use rattanwinch_decisions::HeartbeatOrders;
+use rattanwinch_peers::EntryClient;
+use rattanwinch_types::EntryName;
+use rattanwinch_types::Epoch;
+use rattanwinch_types::Heartbeat;
+use rattanwinch_types::PeerState;
+use rattanwinch_types::Timestamp;
+use rattanwinch_types::ZoneName;
+use rattanwinch_types::ZoneSummary;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use super::message::ZoneMessage;
+
+/// How long a heartbeat waits for the zone's task; the agent asks again 500 ms later.
+const HEARTBEAT_WAIT: Duration = Duration::from_millis(200);
+
+/// A zone that this entry decides or takes over.
+#[derive(Clone, Debug)]
+pub(crate) struct ZoneHandle {
+    /// The epoch.
+    pub epoch: Epoch,
+    /// Where the zone's task receives messages.
+    pub messages: mpsc::Sender<ZoneMessage>,
+    /// Whether the records are read, so that the task decides.
+    pub ready: Arc<AtomicBool>,
+    /// What the task last said of the zone.
+    pub summary: Arc<ArcSwap<ZoneSummary>>,
+}
+
+/// What another entry said, and when.
+#[derive(Clone, Debug)]
+pub(crate) struct HeardPeer {
+    /// What it said.
+    pub state: PeerState,
+    /// When that arrived.
+    pub at: Timestamp,
+}
+
+/// The zones that this entry decides, and what other entries said of themselves.
+#[derive(Debug, Default)]
+pub(crate) struct ZoneTable {
+    /// The zones that this entry decides or takes over.
+    own: ArcSwap<HashMap<ZoneName, ZoneHandle>>,
+    /// The other entries.
+    peers: ArcSwap<HashMap<EntryName, HeardPeer>>,
+    /// Clients of other entries.
+    clients: ArcSwap<HashMap<SocketAddr, EntryClient>>,
+}
+
+impl ZoneTable {
+    /// The handle of a zone that this entry decides or takes over.
+    pub fn own(&self, zone: &ZoneName) -> Option<ZoneHandle> {
+        self.own.load().get(zone).cloned()
+    }
+
+    /// All zones that this entry decides or takes over.
+    pub fn own_zones(&self) -> HashMap<ZoneName, ZoneHandle> {
+        HashMap::clone(&self.own.load())
+    }
+
+    /// Adds a zone that this entry takes over.
+    pub fn insert(&self, zone: &ZoneName, handle: &ZoneHandle) {
+        self.own.rcu(|own| own.update(zone.clone(), handle.clone()));
+    }
+
+    /// Removes a zone that this entry doesn't decide any longer.
+    pub fn remove(&self, zone: &ZoneName) {
+        self.own.rcu(|own| own.without(zone));
+    }
+
+    /// The summaries of the zones that this entry decides.
+    pub fn summaries(&self) -> Vec<ZoneSummary> {
+        let own = self.own.load();
+        let ready = own
+            .values()
+            .filter(|handle| handle.ready.load(Ordering::Acquire));
+        ready
+            .map(|handle| ZoneSummary::clone(&handle.summary.load()))
+            .collect()
+    }
+
+    /// Takes in what another entry said.
+    pub fn hear(&self, state: &PeerState, at: Timestamp) {
+        let heard = HeardPeer {
+            state: state.clone(),
+            at,
+        };
+        self.peers
+            .rcu(|peers| peers.update(state.entry.clone(), heard.clone()));
+    }
+
+    /// What the other entries said last.
+    pub fn peers(&self) -> HashMap<EntryName, HeardPeer> {
+        HashMap::clone(&self.peers.load())
+    }
+
+    /// The client of the entry at `address`.
+    pub fn client(&self, address: SocketAddr) -> EntryClient {
+        if let Some(client) = self.clients.load().get(&address) {
+            return client.clone();
+        }
+        let client = EntryClient::new(address);
+        self.clients
+            .rcu(|clients| clients.update(address, client.clone()));
+        client
+    }
+
+    /// Hands a heartbeat to the zone's task; `None` if this entry doesn't decide the zone.
+    pub async fn heartbeat(&self, heartbeat: &Heartbeat) -> Option<(Epoch, HeartbeatOrders)> {
+        let handle = self.own(&heartbeat.zone)?;
+        if !handle.ready.load(Ordering::Acquire) {
+            return None;
+        }
+        let (tx, rx) = oneshot::channel();
+        let message = ZoneMessage::Heartbeat(Box::new(heartbeat.clone()), tx);
+        let asked = async {
+            handle.messages.send(message).await.ok()?;
+            rx.await.ok()
+        };
+        let orders = tokio::time::timeout(HEARTBEAT_WAIT, asked).await.ok()??;
+        Some((handle.epoch, orders))
+    }
+}
--- a/crates/rattanwinch_platform/src/records/process.rs
+++ b/crates/rattanwinch_platform/src/records/process.rs
@@ -12,7 +12,7 @@
 use super::encode;
 
 /// A name that isn't valid.
-fn invalid_name(error: InvalidName) -> InvalidRecord {
+fn invalid_name(error: &InvalidName) -> InvalidRecord {
     InvalidRecord::new(error.kind, &format!("a valid name: {error}"))
 }
 
@@ -67,7 +67,7 @@
 
     fn try_from(stored: StoredDecider) -> Result<Self> {
         Ok(Self {
-            entry: EntryName::new(stored.entry).map_err(invalid_name)?,
+            entry: EntryName::new(stored.entry).map_err(|error| invalid_name(&error))?,
             incarnation: Incarnation(stored.incarnation),
         })
     }
@@ -134,10 +134,10 @@
 
     fn try_from(stored: StoredEntry) -> Result<Self> {
         Ok(Self {
-            entry: EntryName::new(stored.entry).map_err(invalid_name)?,
+            entry: EntryName::new(stored.entry).map_err(|error| invalid_name(&error))?,
             incarnation: Incarnation(stored.incarnation),
             address: stored.address,
-            zone: ZoneName::new(stored.zone).map_err(invalid_name)?,
+            zone: ZoneName::new(stored.zone).map_err(|error| invalid_name(&error))?,
         })
     }
 }
--- a/crates/rattanwinch_types/src/job_status.rs
+++ b/crates/rattanwinch_types/src/job_status.rs
@@ -43,6 +43,14 @@
     }
 }
 
+impl JobStatus {
+    /// True if the job has its outcome.
+    #[must_use]
+    pub const fn is_finished(&self) -> bool {
+        matches!(self.state, JobState::Finished { .. })
+    }
+}
+
 crate::value! {
     /// One decision about a job, kept for `explain`.
     pub struct Explanation {
