--- a/crates/rattanwinch_decisions/src/lib.rs
+++ b/crates/rattanwinch_decisions/src/lib.rs
@@ -5,16 +5,19 @@
 //! is decided, so that another front end can use the same code.
 //!
 //! Start reading at [`Gate`], which says what an agent may start now, and [`pick_target`], which
-//! routes a plain request. [`Claim`] is how a non-idempotent request runs at most once,
-//! [`MemberTable`] holds and runs the members of gangs, [`ZonePolicy`] places jobs, and [`apply`]
-//! changes the configuration.
+//! routes a plain request. [`Role`] says which entry decides an availability zone, [`ZonePolicy`]
+//! decides which gang job starts where in it, [`GangCoordinator`] starts, watches and ends one
+//! gang, and [`MemberTable`] holds and runs its members at an agent. [`Claim`] is how a
+//! non-idempotent request runs at most once, and [`apply`] changes the configuration.
 
 mod burn;
 mod claims;
 mod config_changes;
+mod gang;
 mod gate;
 mod members;
 mod policy;
+mod role;
 mod routing;
 
 pub use burn::BurnAlert;
@@ -39,6 +42,20 @@
 pub use config_changes::MAX_REASON_BYTES;
 pub use config_changes::apply;
 pub use config_changes::effect;
+pub use gang::AttemptEnd;
+pub use gang::Committed;
+pub use gang::Finished;
+pub use gang::GangAction;
+pub use gang::GangCoordinator;
+pub use gang::GangLimits;
+pub use gang::HOLD_FOR;
+pub use gang::HOLD_TIMEOUT;
+pub use gang::HeartbeatOrders;
+pub use gang::Holding;
+pub use gang::Job;
+pub use gang::Queued;
+pub use gang::RELEASE_MARGIN;
+pub use gang::WriteOutcome;
 pub use gate::Gate;
 pub use members::Action;
 pub use members::Actions;
@@ -70,5 +87,16 @@
 pub use policy::WorkerInfo;
 pub use policy::ZoneCapacity;
 pub use policy::ZonePolicy;
+pub use role::Adopting;
+pub use role::DeciderKey;
+pub use role::Deciding;
+pub use role::Following;
+pub use role::PING_INTERVAL;
+pub use role::Peers;
+pub use role::RANK_DELAY;
+pub use role::Role;
+pub use role::RoleView;
+pub use role::SUSPECT_AFTER;
+pub use role::rank_entries;
 pub use routing::TargetLoad;
 pub use routing::pick_target;
--- a/crates/rattanwinch_entry/src/fleet.rs
+++ b/crates/rattanwinch_entry/src/fleet.rs
@@ -99,6 +99,11 @@
             .count()
     }
 
+    /// Every target, in no order.
+    pub fn targets(&self) -> Vec<Arc<Target>> {
+        self.view.load().targets.values().map(Arc::clone).collect()
+    }
+
     /// The target with the given name.
     pub fn target(&self, name: &TargetName) -> Option<Arc<Target>> {
         self.view.load().targets.get(name).map(Arc::clone)
--- a/crates/rattanwinch_entry/src/http.rs
+++ b/crates/rattanwinch_entry/src/http.rs
@@ -6,12 +6,14 @@
 use poem::endpoint::make_sync;
 use poem::get;
 use poem::http::StatusCode;
+use rattanwinch_callers::job_routes;
 use rattanwinch_callers::plain_routes;
 use rattanwinch_platform::Store;
 use rattanwinch_runtime::MetricsText;
 
 use crate::entry_state::EntryState;
 use crate::plain_requests::PlainRequests;
+use crate::zones::Jobs;
 
 /// The whole HTTP interface of an entry.
 pub(crate) fn routes<S: Store>(state: &Arc<EntryState<S>>, metrics: MetricsText) -> Route {
@@ -33,6 +35,7 @@
             "/v1/requests",
             plain_routes(Arc::new(PlainRequests(Arc::clone(state)))),
         )
+        .nest("/v1/jobs", job_routes(&Arc::new(Jobs(Arc::clone(state)))))
         .at("/live", get(make_sync(|_| StatusCode::OK)))
         .at("/ready", get(ready))
         .at("/metrics", get(metrics_text))
