--- a/crates/rattanwinch_decisions/tests/claims.rs
+++ b/crates/rattanwinch_decisions/tests/claims.rs
@@ -8,11 +8,11 @@
 
 use arbtest::arbitrary::Result;
 use arbtest::arbitrary::Unstructured;
-use arbtest::arbtest;
 use rattanwinch_decisions::AskResponse;
 use rattanwinch_decisions::Claim;
 use rattanwinch_decisions::ClaimStep;
 use rattanwinch_decisions::WriteResponse;
+use rattanwinch_testing::RandomRun;
 use rattanwinch_types::Answer;
 use rattanwinch_types::ClaimOutcome;
 use rattanwinch_types::ClaimRecord;
@@ -337,11 +337,10 @@
 /// Guards against double runs and untrue verdicts under any order of faults.
 #[test]
 fn a_request_runs_at_most_once_and_no_verdict_is_better_than_the_truth() {
-    for seed in 0..SEEDS {
-        arbtest(|u| run(u, STEPS).map(drop))
-            .seed((seed << 32) | 4096)
-            .run();
-    }
+    RandomRun::new("claims").with_seeds(SEEDS).run(|u| {
+        run(u, STEPS)?;
+        Ok(STEPS as u64)
+    });
 }
 
 /// Guards against a model in which nothing ever runs, which would pass every check.
