--- a/crates/rattanwinch_decisions/tests/member_table/cases.rs
+++ b/crates/rattanwinch_decisions/tests/member_table/cases.rs
@@ -124,6 +124,31 @@
     );
 }
 
+/// Guards against a start by an agent that was frozen between a release and the executor's call.
+#[test]
+fn a_run_is_due_only_while_the_hold_and_the_freshness_last() {
+    let mut table = table();
+    let key = member("a", 1, 0);
+    assert!(matches!(hold(&mut table, &key, START), Ok(Hold::Load(_))));
+    table.loaded(&key, &Ok(()), START);
+    let gate = open_gate();
+    let Ok(Release::Run(action)) = table.release(&key, EPOCH, &gate, START) else {
+        panic!("the release has to be granted");
+    };
+    let expires_at = START + Duration::from_secs(5);
+    let before = Timestamp::from_millis(expires_at.as_millis() - 1);
+    assert_eq!(action.check_still_due(&gate, before), Ok(()));
+    let late = action
+        .check_still_due(&gate, expires_at)
+        .expect_err("too late");
+    assert_eq!(
+        (late.kind, late.verdict),
+        (ErrorKind::Deadline, Verdict::NotRun)
+    );
+    let leaving = gate.with_leaving();
+    assert!(action.check_still_due(&leaving, before).is_err());
+}
+
 /// Guards against a release of a task whose hold the agent before had granted.
 #[test]
 fn a_loaded_task_that_is_adopted_is_stopped_and_never_released() {
--- a/crates/rattanwinch_decisions/tests/member_table/world.rs
+++ b/crates/rattanwinch_decisions/tests/member_table/world.rs
@@ -63,8 +63,8 @@
     messages: Vec<Message>,
     commands: u64,
     highest: Epoch,
-    /// When the latest hold of a member was granted.
-    held_at: BTreeMap<MemberKey, Timestamp>,
+    /// When the latest hold of a member that was granted expires.
+    held_until: BTreeMap<MemberKey, Timestamp>,
     /// When members were seen to have ended.
     ended_at: BTreeMap<MemberKey, Timestamp>,
     /// The members that the executor started in this life of the agent.
@@ -87,7 +87,7 @@
             messages: Vec::new(),
             commands: 0,
             highest: Epoch(0),
-            held_at: BTreeMap::new(),
+            held_until: BTreeMap::new(),
             ended_at: BTreeMap::new(),
             started: BTreeMap::new(),
             refused: BTreeMap::new(),
@@ -151,11 +151,13 @@
         let first = u.int_in_range(0..=3u8)?;
         let accelerators = AcceleratorSet::block(first * 2, 2);
         let epoch = self.any_epoch(u)?;
-        let order = hold_order(&key, epoch, accelerators);
+        let mut order = hold_order(&key, epoch, accelerators);
+        order.hold_for = Duration::from_millis(u.int_in_range(0..=6000)?);
+        let held_until = self.now + order.hold_for.min(HOLD_LIMIT);
         self.note_epoch(epoch);
         match self.table.hold(order, &self.gate, self.now) {
             Ok(Hold::Load(action)) => {
-                self.held_at.insert(key, self.now);
+                self.held_until.insert(key, held_until);
                 self.waiting.push((action, self.commands));
             }
             Ok(Hold::Held | Hold::Loading) => {}
@@ -255,9 +257,8 @@
             return;
         }
         if let Action::Run { member, .. } = &action {
-            let held_at = self.held_at[member];
             assert!(
-                self.now < held_at + HOLD_LIMIT,
+                self.now < self.held_until[member],
                 "{member} is started after its hold"
             );
             assert!(
