--- a/crates/rattanwinch_platform/src/lib.rs
+++ b/crates/rattanwinch_platform/src/lib.rs
@@ -5,6 +5,9 @@
 //! gateway, whose messages are in [`wire`]. [`keys`] builds every key, [`records`] has the JSON
 //! forms of what is stored under them.
 //!
+//! This package isn't for decisions: what to write, and what to do after a conflict or an unknown
+//! outcome, is up to its users.
+//!
 //! Start reading at [`Store`], then [`EtcdStore`].
 
 mod etcd;
