--- a/crates/rattanwinch_decisions/src/gang/action.rs
+++ b/crates/rattanwinch_decisions/src/gang/action.rs
@@ -122,6 +122,8 @@
     Deposed,
     /// It certainly had no effect.
     NotApplied,
+    /// The record is larger than the store takes.
+    TooLarge,
     /// It may have taken effect, or may still.
     Unknown,
 }
--- a/crates/rattanwinch_decisions/src/lib.rs
+++ b/crates/rattanwinch_decisions/src/lib.rs
@@ -5,11 +5,12 @@
 //! is decided, so that another front end can use the same code.
 //!
 //! Start reading at [`Gate`], which says what an agent may start now, and [`pick_target`], which
-//! routes a plain request. [`Role`] says which entry decides an availability zone,
-//! [`ZonePolicy`] decides which gang job starts where in it, [`GangCoordinator`] starts, watches and ends the gangs of one, and [`MemberTable`] holds and
-//! runs their members at an agent. [`Claim`] is how a non-idempotent request runs at most once,
-//! and [`apply`] changes the configuration.
+//! routes a plain request. [`Role`] says which entry decides an availability zone, [`ZonePolicy`]
+//! decides which gang job starts where in it, [`GangCoordinator`] starts, watches and ends the
+//! gangs of one, and [`MemberTable`] holds and runs their members at an agent. [`Claim`] is how a
+//! non-idempotent request runs at most once, and [`apply`] changes the configuration.
 
+mod burn;
 mod claims;
 mod config_changes;
 mod gang;
@@ -19,6 +20,13 @@
 mod role;
 mod routing;
 
+pub use burn::BurnAlert;
+pub use burn::BurnReport;
+pub use burn::BurnWindow;
+pub use burn::BurnWindows;
+pub use burn::MAX_BURN_ORGANISATIONS;
+pub use burn::OrganisationBurn;
+pub use burn::RequestCount;
 pub use claims::AskResponse;
 pub use claims::Claim;
 pub use claims::ClaimStep;
--- a/crates/rattanwinch_entry/src/fleet.rs
+++ b/crates/rattanwinch_entry/src/fleet.rs
@@ -90,9 +90,18 @@
         });
     }
 
-    /// Every target, in no order.
-    pub fn targets(&self) -> Vec<Arc<Target>> {
-        self.view.load().targets.values().map(Arc::clone).collect()
+    /// The number of targets that are connected.
+    pub fn connected(&self) -> usize {
+        let view = self.view.load();
+        view.targets
+            .values()
+            .filter(|target| target.connection.client().is_ok())
+            .count()
+    }
+
+    /// The targets of a zone.
+    pub fn targets_of(&self, zone: &ZoneName) -> Option<Arc<[Arc<Target>]>> {
+        self.view.load().by_zone.get(zone).map(Arc::clone)
     }
 
     /// The target with the given name.
--- a/crates/rattanwinch_entry/src/zones/decider.rs
+++ b/crates/rattanwinch_entry/src/zones/decider.rs
@@ -13,6 +13,7 @@
 use rattanwinch_decisions::ZonePolicy;
 use rattanwinch_platform::Store;
 use rattanwinch_types::Epoch;
+use rattanwinch_types::Explanation;
 use rattanwinch_types::Heartbeat;
 use rattanwinch_types::JobStatus;
 use rattanwinch_types::PlacedTask;
@@ -157,7 +158,7 @@
                 }
             }
             ZoneMessage::Explain(key, reply) => {
-                let _ = reply.send(self.gangs.explanations(&key));
+                let _ = reply.send(self.explanations(&key, now));
             }
             ZoneMessage::Response(response) => self.take_response(response, now),
         }
@@ -211,6 +212,8 @@
             self.answer_late_waiters(now);
             self.gangs.drop_finished(KEEP_FINISHED, now);
             self.move_queued(now);
+            self.check_invariants();
+            self.publish_summary();
         }
         self.carry_out(now);
         let control = self.state.control.load();
@@ -219,12 +222,6 @@
             self.decide(now);
             self.carry_out(now);
         }
-        if let Err(broken) = self.gangs.check_invariants() {
-            counter!("invariant_violations_total", "invariant" => "gangs").increment(1);
-            error!(self.state.logger, "invariant violated"; "zone" => %self.zone,
-                "what" => broken);
-        }
-        self.publish_summary();
     }
 
     fn decide(&mut self, now: Timestamp) {
@@ -279,6 +276,14 @@
         }
     }
 
+    fn check_invariants(&self) {
+        if let Err(broken) = self.gangs.check_invariants() {
+            counter!("invariant_violations_total", "invariant" => "gangs").increment(1);
+            error!(self.state.logger, "invariant violated"; "zone" => %self.zone,
+                "what" => broken);
+        }
+    }
+
     fn publish_summary(&self) {
         let capacity = self.policy.summary();
         let summary = ZoneSummary {
@@ -297,6 +302,15 @@
         self.gangs.status(key, self.policy.wait_reason(key))
     }
 
+    /// The decisions about a job and, if it waits, what it waits for now.
+    fn explanations(&self, key: &RequestKey, now: Timestamp) -> Option<Vec<Explanation>> {
+        let mut explanations = self.gangs.explanations(key)?;
+        if let Some(text) = self.policy.wait_reason(key) {
+            explanations.push(Explanation { at: now, text });
+        }
+        Some(explanations)
+    }
+
     fn answer_at_end(
         &mut self,
         key: RequestKey,
--- a/crates/rattanwinch_entry/src/zones/jobs.rs
+++ b/crates/rattanwinch_entry/src/zones/jobs.rs
@@ -144,14 +144,25 @@
 
     async fn wait_for_zone(&self, job: &JobSpec, until: Timestamp) -> Result<ZoneName> {
         loop {
-            let config = Arc::clone(&self.control.load().config);
+            let control = self.control.load_full();
             let summaries = self.zone_summaries();
             let organisation = &job.key.organisation;
-            if let Some(zone) = choose_zone(&config, &summaries, organisation, job.shape) {
+            let zone = choose_zone(&control.config, &summaries, organisation, job.shape);
+            let now = self.clock.now();
+            // With a store that doesn't answer, a record that is sent may still arrive later, so
+            // the job could no longer be refused as not run.
+            let fresh = control.is_fresh(now);
+            if let Some(zone) = zone
+                && fresh
+            {
                 return Ok(zone);
             }
-            if self.clock.now() >= until {
-                let message = "no open availability zone has a decider now";
+            if now >= until {
+                let message = if fresh {
+                    "no open availability zone has a decider now"
+                } else {
+                    "the store can't be reached, so the job can't be recorded now"
+                };
                 return Err(RequestError::not_run(ErrorKind::Unavailable, message));
             }
             tokio::time::sleep(TRY_AGAIN_AFTER).await;
--- a/crates/rattanwinch_entry/src/zones/zone_table.rs
+++ b/crates/rattanwinch_entry/src/zones/zone_table.rs
@@ -23,6 +23,9 @@
 /// How long a heartbeat waits for the zone's task; the agent asks again 500 ms later.
 const HEARTBEAT_WAIT: Duration = Duration::from_millis(200);
 
+/// An entry that is gone from the store and hasn't been heard for this long is forgotten.
+const FORGET_PEER_AFTER: Duration = Duration::from_secs(30);
+
 /// A zone that this entry decides or takes over.
 #[derive(Clone, Debug)]
 pub(crate) struct ZoneHandle {
@@ -98,6 +101,21 @@
             .rcu(|peers| peers.update(state.entry.clone(), heard.clone()));
     }
 
+    /// Forgets entries that have been silent for long and aren't registered any longer.
+    pub fn forget_silent(&self, registered: &[EntryName], now: Timestamp) {
+        let gone = |entry: &EntryName, heard: &HeardPeer| {
+            now.since(heard.at) > FORGET_PEER_AFTER && !registered.contains(entry)
+        };
+        let peers = self.peers.load();
+        if peers.iter().any(|(entry, heard)| gone(entry, heard)) {
+            self.peers.rcu(|peers| {
+                let mut kept = HashMap::clone(peers);
+                kept.retain(|entry, heard| !gone(entry, heard));
+                kept
+            });
+        }
+    }
+
     /// What the other entries said last.
     pub fn peers(&self) -> HashMap<EntryName, HeardPeer> {
         HashMap::clone(&self.peers.load())
--- a/crates/rattanwinch_standins/src/lib.rs
+++ b/crates/rattanwinch_standins/src/lib.rs
@@ -2,9 +2,9 @@
 //!
 //! [`StandinExecutor`] behaves as an executor on a target VM: it has slots for plain requests and
 //! accelerators for gang tasks, records what it starts, and can be told to fail or to be slow.
-//! [`StandinStore`] behaves as the platform's store behind the etcd
-//! v3 JSON gateway, keeps to its limits, and can be told to fail in the ways that the store does.
-//! Nothing here ships; no package that ships depends on it.
+//! [`StandinStore`] behaves as the platform's store behind the etcd v3 JSON gateway, keeps to its
+//! limits, and can be told to fail in the ways that the store does. Nothing here ships; no package
+//! that ships depends on it.
 
 mod executor;
 mod store;
