--- a/crates/rattanwinch_entry/src/zones/jobs.rs
+++ b/crates/rattanwinch_entry/src/zones/jobs.rs
@@ -323,7 +323,10 @@
                 let _ = self.take_submitted(&zone, key).await;
             } else if let Some(client) = self.decider_client(&zone) {
                 let answer = client.job_status(key.clone(), now.until(until)).await;
-                if let Ok(status) = answer {
+                // A job that is moved or whose zone is taken over is answered before its end.
+                if let Ok(status) = answer
+                    && (status.is_finished() || self.clock.now() >= until)
+                {
                     return Ok(status);
                 }
             }
@@ -355,7 +358,11 @@
             return Ok(status);
         }
         let zone = self.zone_of(key).await?;
-        self.take_submitted(&zone, key).await
+        let status = self.take_submitted(&zone, key).await?;
+        if status.is_finished() {
+            return Ok(status);
+        }
+        Ok(self.ask_own_zones(key, until).await.unwrap_or(status))
     }
 
     async fn cancel_job(&self, key: &RequestKey) -> Result<JobStatus> {
