--- a/crates/rattanwinch_decisions/src/gang/records.rs
+++ b/crates/rattanwinch_decisions/src/gang/records.rs
@@ -1,7 +1,11 @@
+use rattanwinch_types::ErrorKind;
 use rattanwinch_types::JobRecord;
+use rattanwinch_types::RecordedState;
+use rattanwinch_types::RequestError;
 use rattanwinch_types::RequestKey;
 use rattanwinch_types::Revision;
 use rattanwinch_types::Timestamp;
+use rattanwinch_types::Verdict;
 
 use super::GangAction;
 use super::GangCoordinator;
@@ -15,10 +19,7 @@
 
 /// Whether a record commits the attempt that is being held.
 fn commits(record: &JobRecord, job: &Job<Holding>) -> bool {
-    let committed = matches!(
-        record.state,
-        rattanwinch_types::RecordedState::Committed { .. }
-    );
+    let committed = matches!(record.state, RecordedState::Committed { .. });
     committed && record.attempt == job.core.attempt
 }
 
@@ -63,7 +64,7 @@
                 }
             }
             WriteOutcome::Conflict(found) => self.take_found(key, found, now),
-            WriteOutcome::NotApplied => {
+            WriteOutcome::NotApplied | WriteOutcome::TooLarge => {
                 self.give_up_holds(key, "the store couldn't be reached for the commit", now);
             }
             WriteOutcome::Unknown => self.set_step(key, HoldStep::Unknown(now + RESEND_AFTER)),
@@ -118,10 +119,7 @@
             self.go_on_committed(key, *record, revision, now);
             return;
         }
-        let finished = matches!(
-            record.state,
-            rattanwinch_types::RecordedState::Finished { .. }
-        );
+        let finished = matches!(record.state, RecordedState::Finished { .. });
         job.core.revision = revision;
         job.core.record = (*record).clone();
         self.give_up_holds(
@@ -214,10 +212,7 @@
                 job.recorded(record, revision);
             }
             WriteOutcome::Conflict(Some((record, revision))) => {
-                let finished = matches!(
-                    record.state,
-                    rattanwinch_types::RecordedState::Finished { .. }
-                );
+                let finished = matches!(record.state, RecordedState::Finished { .. });
                 if finished {
                     job.recorded(*record, revision);
                 } else {
@@ -229,6 +224,13 @@
                 let (record, revision) = (job.finish_record(), job.core.revision);
                 job.recorded(record, revision);
             }
+            WriteOutcome::TooLarge => {
+                let message = "all tasks ran, but their answers are larger than the store takes";
+                let error = RequestError::new(Verdict::Ran, ErrorKind::Failed, message);
+                job.core.explain(message, now);
+                job.stage.outcome = Err(error);
+                job.stage.retry_at = Some(now);
+            }
             // The write names the revision that it replaces, so it can be sent again: if the
             // first one applied, the second one conflicts and finds it.
             WriteOutcome::NotApplied | WriteOutcome::Unknown => {
--- a/crates/rattanwinch_entry/src/fleet.rs
+++ b/crates/rattanwinch_entry/src/fleet.rs
@@ -99,9 +99,9 @@
             .count()
     }
 
-    /// Every target, in no order.
-    pub fn targets(&self) -> Vec<Arc<Target>> {
-        self.view.load().targets.values().map(Arc::clone).collect()
+    /// The targets of a zone.
+    pub fn targets_of(&self, zone: &ZoneName) -> Option<Arc<[Arc<Target>]>> {
+        self.view.load().by_zone.get(zone).map(Arc::clone)
     }
 
     /// The target with the given name.
--- a/crates/rattanwinch_entry/src/zones/adoption.rs
+++ b/crates/rattanwinch_entry/src/zones/adoption.rs
@@ -32,10 +32,9 @@
 impl<S: Store> ZoneDecider<S> {
     /// Asks all known agents of the zone for their members, in parallel.
     pub(super) fn adopt_known_agents(&self) {
-        for target in self.state.fleet.targets() {
-            if target.zone == self.zone {
-                self.adopt(&target.name, target.incarnation);
-            }
+        let targets = self.state.fleet.targets_of(&self.zone);
+        for target in targets.iter().flat_map(|targets| targets.iter()) {
+            self.adopt(&target.name, target.incarnation);
         }
     }
 
--- a/crates/rattanwinch_entry/src/zones/jobs.rs
+++ b/crates/rattanwinch_entry/src/zones/jobs.rs
@@ -144,14 +144,25 @@
 
     async fn wait_for_zone(&self, job: &JobSpec, until: Timestamp) -> Result<ZoneName> {
         loop {
-            let config = Arc::clone(&self.control.load().config);
+            let control = self.control.load_full();
             let summaries = self.zone_summaries();
             let organisation = &job.key.organisation;
-            if let Some(zone) = choose_zone(&config, &summaries, organisation, job.shape) {
+            let zone = choose_zone(&control.config, &summaries, organisation, job.shape);
+            let now = self.clock.now();
+            // With a store that doesn't answer, a record that is sent may still arrive later, so
+            // the job could no longer be refused as not run.
+            let fresh = control.is_fresh(now);
+            if let Some(zone) = zone
+                && fresh
+            {
                 return Ok(zone);
             }
-            if self.clock.now() >= until {
-                let message = "no open availability zone has a decider now";
+            if now >= until {
+                let message = if fresh {
+                    "no open availability zone has a decider now"
+                } else {
+                    "the store can't be reached, so the job can't be recorded now"
+                };
                 return Err(RequestError::not_run(ErrorKind::Unavailable, message));
             }
             tokio::time::sleep(TRY_AGAIN_AFTER).await;
@@ -312,7 +323,10 @@
                 let _ = self.take_submitted(&zone, key).await;
             } else if let Some(client) = self.decider_client(&zone) {
                 let answer = client.job_status(key.clone(), now.until(until)).await;
-                if let Ok(status) = answer {
+                // A job that is moved or whose zone is taken over is answered before its end.
+                if let Ok(status) = answer
+                    && (status.is_finished() || self.clock.now() >= until)
+                {
                     return Ok(status);
                 }
             }
@@ -344,7 +358,11 @@
             return Ok(status);
         }
         let zone = self.zone_of(key).await?;
-        self.take_submitted(&zone, key).await
+        let status = self.take_submitted(&zone, key).await?;
+        if status.is_finished() {
+            return Ok(status);
+        }
+        Ok(self.ask_own_zones(key, until).await.unwrap_or(status))
     }
 
     async fn cancel_job(&self, key: &RequestKey) -> Result<JobStatus> {
--- a/crates/rattanwinch_entry/src/zones/roles.rs
+++ b/crates/rattanwinch_entry/src/zones/roles.rs
@@ -119,6 +119,7 @@
         let registered = control.entry_records().map(|record| record.entry);
         let registered: Vec<EntryName> = registered.filter(|entry| entry != own).collect();
         self.peers.set_registered(&registered, now);
+        self.state.zones.forget_silent(&registered, now);
         for heard in self.state.zones.peers().into_iter().map(|(_, heard)| heard) {
             self.peers.hear(heard.state, heard.at);
         }
--- a/crates/rattanwinch_entry/src/zones/store_calls.rs
+++ b/crates/rattanwinch_entry/src/zones/store_calls.rs
@@ -2,6 +2,7 @@
 
 use rattanwinch_decisions::WriteOutcome;
 use rattanwinch_platform::Condition;
+use rattanwinch_platform::MAX_VALUE_BYTES;
 use rattanwinch_platform::Retention;
 use rattanwinch_platform::Store;
 use rattanwinch_platform::Transaction;
@@ -47,6 +48,9 @@
             .with_condition(Condition::At(Arc::clone(&key), expected))
             .with_condition(Condition::At(Arc::clone(&decider), Revision(epoch.0)));
         let value = StoredJob::encode(record);
+        if value.len() > MAX_VALUE_BYTES {
+            return WriteOutcome::TooLarge;
+        }
         if finished {
             let pointer = pointer_to(record).encode();
             transaction = transaction
