Serve the operators' interface and the burn report from each entry

Cause: the configuration, the reports and the burn counters had no place in a running process. Change: an entry mounts the operators' routes, reads the configuration at once after a change that it accepted, reports targets, zones, guarantees and burn; deciders tell how guarantees stand in their pings.

--- a/crates/rattanwinch_cli/src/arguments.rs
+++ b/crates/rattanwinch_cli/src/arguments.rs
@@ -265,7 +265,7 @@
 /// `guarantee`.
 #[derive(Debug, Subcommand)]
 pub enum GuaranteeCommand {
-    /// List the guarantees: what is held, reclaimable and short, with the cause
+    /// List the guarantees: what is used, borrowed and unmet, with the cause
     List,
     /// Add a guarantee
     Add(GuaranteeArguments),
--- a/crates/rattanwinch_cli/src/commands/config.rs
+++ b/crates/rattanwinch_cli/src/commands/config.rs
@@ -255,21 +255,14 @@
     let mut table = Table::new(&[
         "organisation",
         "zone",
-        "blocks",
-        "of accelerators",
-        "held",
-        "reclaimable",
-        "short",
+        "guaranteed",
+        "used",
+        "borrowed",
+        "unmet",
         "cause",
     ]);
     for one in report {
-        let numbers = [
-            one.blocks,
-            one.accelerators,
-            one.held,
-            one.reclaimable,
-            one.short,
-        ];
+        let numbers = [one.guaranteed, one.used, one.borrowed, one.unmet];
         let names = [one.organisation.clone(), one.zone.clone()].into_iter();
         let numbers = numbers.iter().map(u32::to_string);
         table.row(names.chain(numbers).chain([or_dash(one.cause.clone())]));
--- a/crates/rattanwinch_decisions/src/lib.rs
+++ b/crates/rattanwinch_decisions/src/lib.rs
@@ -80,7 +80,6 @@
 pub use members::TOMBSTONE_RETENTION;
 pub use members::Violation;
 pub use policy::Decision;
-pub use policy::GuaranteeReport;
 pub use policy::JobEnd;
 pub use policy::Placement;
 pub use policy::TaskPlacement;
--- a/crates/rattanwinch_decisions/src/policy/mod.rs
+++ b/crates/rattanwinch_decisions/src/policy/mod.rs
@@ -36,7 +36,6 @@
 pub use placement::Placement;
 pub use placement::TaskPlacement;
 pub use worker_info::WorkerInfo;
-pub use zone_capacity::GuaranteeReport;
 pub use zone_capacity::ZoneCapacity;
 pub use zone_policy::ZonePolicy;
 
--- a/crates/rattanwinch_decisions/src/policy/reports.rs
+++ b/crates/rattanwinch_decisions/src/policy/reports.rs
@@ -3,9 +3,9 @@
 use rattanwinch_types::Organisation;
 
 use crate::policy::blocks;
-use crate::policy::zone_capacity::GuaranteeReport;
 use crate::policy::zone_capacity::ZoneCapacity;
 use crate::policy::zone_policy::ZonePolicy;
+use rattanwinch_types::GuaranteeStatus;
 
 impl ZonePolicy {
     /// What the zone has and how it is used. A closed zone has no free blocks.
@@ -34,8 +34,8 @@
         workers.map(u8::count_ones).sum()
     }
 
-    fn guarantee_report(&self, owner: &Organisation) -> GuaranteeReport {
-        let mut report = GuaranteeReport {
+    fn guarantee_report(&self, owner: &Organisation) -> GuaranteeStatus {
+        let mut report = GuaranteeStatus {
             organisation: owner.clone(),
             guaranteed: 0,
             used: 0,
--- a/crates/rattanwinch_decisions/src/policy/zone_capacity.rs
+++ b/crates/rattanwinch_decisions/src/policy/zone_capacity.rs
@@ -1,24 +1,4 @@
-use std::sync::Arc;
-
-use rattanwinch_types::Organisation;
-
-rattanwinch_types::value! {
-    /// How far an organisation's guarantee stands in one availability zone.
-    pub struct GuaranteeReport {
-        /// The owner.
-        pub organisation: Organisation,
-        /// Accelerators that are guaranteed to it.
-        pub guaranteed: u32,
-        /// Accelerators that its work uses within the guarantee.
-        pub used: u32,
-        /// Accelerators that its work has borrowed.
-        pub borrowed: u32,
-        /// Accelerators of blocks that can't be reclaimed now.
-        pub unmet: u32,
-        /// Why they can't; `None` if all can.
-        pub cause: Option<Arc<str>>,
-    }
-}
+use rattanwinch_types::GuaranteeStatus;
 
 rattanwinch_types::value! {
     /// What an availability zone has and how it is used.
@@ -31,6 +11,6 @@
         /// Jobs that wait.
         pub waiting: u32,
         /// The guarantees, by organisation.
-        pub guarantees: Vec<GuaranteeReport>,
+        pub guarantees: Vec<GuaranteeStatus>,
     }
 }
--- a/crates/rattanwinch_decisions/tests/roles.rs
+++ b/crates/rattanwinch_decisions/tests/roles.rs
@@ -69,6 +69,7 @@
             free_blocks: [0; 4],
             accelerators: 0,
             waiting: 0,
+            guarantees: Vec::new(),
         };
         PeerState::builder()
             .entry(self.name.clone())
--- a/crates/rattanwinch_entry/src/control_reads.rs
+++ b/crates/rattanwinch_entry/src/control_reads.rs
@@ -39,6 +39,7 @@
         let pause = READ_INTERVAL.mul_f64(rand::rng().random_range(0.9..1.0));
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
+            () = state.control_wanted.notified() => {}
             () = shutdown.requested() => {}
         }
     }
--- a/crates/rattanwinch_entry/src/entry_daemon.rs
+++ b/crates/rattanwinch_entry/src/entry_daemon.rs
@@ -23,6 +23,7 @@
 use slog::warn;
 
 use crate::EntrySettings;
+use crate::burn;
 use crate::control_reads;
 use crate::entry_state::EntryState;
 use crate::heartbeats::EntryCalls;
@@ -93,6 +94,7 @@
         let http = serve_http(&state, stage.metrics, &shutdown).await?;
         shutdown.spawn(sweep(Arc::clone(&state), shutdown.clone()));
         shutdown.spawn(control_reads::run(Arc::clone(&state), shutdown.clone()));
+        shutdown.spawn(burn::run(Arc::clone(&state), shutdown.clone()));
         shutdown.spawn(zones::run_roles(Arc::clone(&state), shutdown.clone()));
         info!(state.logger, "entry serves"; "entry" => %state.settings.entry,
             "incarnation" => state.incarnation.0, "http" => %http, "rpc" => %rpc.address());
--- a/crates/rattanwinch_entry/src/entry_state.rs
+++ b/crates/rattanwinch_entry/src/entry_state.rs
@@ -5,10 +5,15 @@
 use std::sync::atomic::AtomicU32;
 
 use arc_swap::ArcSwap;
+use rattanwinch_decisions::BurnReport;
+use rattanwinch_decisions::BurnWindows;
+use rattanwinch_operators::BurnCounters;
 use rattanwinch_platform::Store;
 use rattanwinch_runtime::Clock;
 use rattanwinch_types::Incarnation;
+use rattanwinch_types::Timestamp;
 use slog::Logger;
+use tokio::sync::Notify;
 
 use crate::EntrySettings;
 use crate::control_view::ControlView;
@@ -23,7 +28,7 @@
     /// The settings.
     pub settings: EntrySettings,
     /// The platform's store.
-    pub store: S,
+    pub store: Arc<S>,
     /// This life of the entry.
     pub incarnation: Incarnation,
     /// Where agents connect, once the entry listens.
@@ -36,6 +41,12 @@
     pub zones: ZoneTable,
     /// The share of requests that may be sent a second time.
     pub retries: RetryBudget,
+    /// Requests since the last drain, by whether they met the service level.
+    pub burn: BurnCounters,
+    /// How fast error budgets are spent.
+    pub burn_report: ArcSwap<BurnReport>,
+    /// Asks for a control read at once.
+    pub control_wanted: Notify,
     /// Callers' requests that run or wait.
     pub in_flight: AtomicU32,
     /// Whether the balancer may send requests: not before the first control read, and not once
@@ -54,13 +65,16 @@
     pub fn new(settings: EntrySettings, store: S, logger: Logger) -> Arc<Self> {
         Arc::new(Self {
             settings,
-            store,
+            store: Arc::new(store),
             incarnation: Incarnation(rand::random()),
             rpc_address: OnceLock::new(),
             control: ArcSwap::from_pointee(ControlView::default()),
             fleet: Fleet::default(),
             zones: ZoneTable::default(),
             retries: RetryBudget::default(),
+            burn: BurnCounters::new(),
+            burn_report: ArcSwap::from_pointee(BurnWindows::new().report(0, Timestamp::ZERO)),
+            control_wanted: Notify::new(),
             in_flight: AtomicU32::new(0),
             ready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
--- a/crates/rattanwinch_entry/src/fleet.rs
+++ b/crates/rattanwinch_entry/src/fleet.rs
@@ -10,7 +10,6 @@
 use rattanwinch_types::Timestamp;
 use rattanwinch_types::ZoneName;
 
-use crate::target::SILENT_AFTER;
 use crate::target::Target;
 
 /// A target that hasn't been heard for this long is forgotten; it announces itself again.
@@ -60,7 +59,7 @@
                 target.refresh(heartbeat, now);
                 Heard::Known
             }
-            Some(target) if is_heard(&target, now) => Heard::Duplicate,
+            Some(target) if target.is_heard(now) => Heard::Duplicate,
             _ => {
                 let target = Arc::new(Target::new(heartbeat, now));
                 self.view.rcu(|view| view.with_target(&target));
@@ -99,6 +98,11 @@
             .count()
     }
 
+    /// Every target, in no order.
+    pub fn targets(&self) -> Vec<Arc<Target>> {
+        self.view.load().targets.values().map(Arc::clone).collect()
+    }
+
     /// The targets of a zone.
     pub fn targets_of(&self, zone: &ZoneName) -> Option<Arc<[Arc<Target>]>> {
         self.view.load().by_zone.get(zone).map(Arc::clone)
@@ -179,7 +183,3 @@
         self.by_zone.insert(zone.clone(), Arc::from(members));
     }
 }
-
-fn is_heard(target: &Target, now: Timestamp) -> bool {
-    now.since(target.heard_at()) < SILENT_AFTER
-}
--- a/crates/rattanwinch_entry/src/http.rs
+++ b/crates/rattanwinch_entry/src/http.rs
@@ -8,10 +8,14 @@
 use poem::http::StatusCode;
 use rattanwinch_callers::job_routes;
 use rattanwinch_callers::plain_routes;
+use rattanwinch_operators::ConfigChanges;
+use rattanwinch_operators::OperatorsApi;
+use rattanwinch_operators::operator_routes;
 use rattanwinch_platform::Store;
 use rattanwinch_runtime::MetricsText;
 
 use crate::entry_state::EntryState;
+use crate::fleet_report::EntryReport;
 use crate::plain_requests::PlainRequests;
 use crate::zones::Jobs;
 
@@ -30,7 +34,9 @@
         gauge!("targets_connected").set(metrics_state.fleet.connected() as f64);
         metrics.render()
     });
+    let reports = operator_routes(&Arc::new(operators(state)));
     Route::new()
+        .nest("/v1", reports)
         .nest(
             "/v1/requests",
             plain_routes(Arc::new(PlainRequests(Arc::clone(state)))),
@@ -40,3 +46,16 @@
         .at("/ready", get(ready))
         .at("/metrics", get(metrics_text))
 }
+
+/// The operators' side: an accepted change is read at once rather than at the next interval.
+fn operators<S: Store>(state: &Arc<EntryState<S>>) -> OperatorsApi<S, EntryReport<S>> {
+    let known_state = Arc::clone(state);
+    let changes = ConfigChanges::new(Arc::clone(&state.store))
+        .with_known_revision(Arc::new(move || known_state.control.load().revision));
+    let report = Arc::new(EntryReport(Arc::clone(state)));
+    let clock = state.clock;
+    let accepted_state = Arc::clone(state);
+    OperatorsApi::new(changes, report, Arc::new(move || clock.now())).with_on_accepted(Arc::new(
+        move |_| accepted_state.control_wanted.notify_one(),
+    ))
+}
--- a/crates/rattanwinch_entry/src/lib.rs
+++ b/crates/rattanwinch_entry/src/lib.rs
@@ -6,6 +6,7 @@
 //! a plain request starts in `plain_requests.rs`; what it reads is in `fleet.rs`. The deciders of
 //! availability zones and callers' jobs are in `zones/`.
 
+mod burn;
 mod claims;
 mod control_reads;
 mod control_view;
@@ -13,6 +14,7 @@
 mod entry_settings;
 mod entry_state;
 mod fleet;
+mod fleet_report;
 mod heartbeats;
 mod http;
 mod in_flight;
--- a/crates/rattanwinch_entry/src/plain_requests.rs
+++ b/crates/rattanwinch_entry/src/plain_requests.rs
@@ -17,6 +17,7 @@
 use rattanwinch_types::Verdict;
 use smallvec::SmallVec;
 
+use crate::burn::met_service_level;
 use crate::entry_state::EntryState;
 use crate::target::Target;
 
@@ -30,7 +31,11 @@
 impl<S: Store> PlainBackend for PlainRequests<S> {
     async fn run(&self, req: PlainRequest) -> Result<Answer> {
         let _in_flight = self.0.count_in_flight();
+        let organisation = req.key.organisation.clone();
         let outcome = self.0.run_plain(req).await;
+        if let Some(good) = met_service_level(outcome.as_ref().err()) {
+            self.0.burn.record(&organisation, good);
+        }
         let verdict = outcome
             .as_ref()
             .map_or_else(|error| error.verdict, |_| Verdict::Ran);
--- a/crates/rattanwinch_entry/src/target.rs
+++ b/crates/rattanwinch_entry/src/target.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -7,8 +8,11 @@
 
 use rattanwinch_decisions::TargetLoad;
 use rattanwinch_peers::AgentConnection;
+use rattanwinch_types::AcceleratorSet;
 use rattanwinch_types::Heartbeat;
 use rattanwinch_types::Incarnation;
+use rattanwinch_types::MemberPhase;
+use rattanwinch_types::RackName;
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
 use rattanwinch_types::ZoneName;
@@ -26,6 +30,10 @@
     pub incarnation: Incarnation,
     /// The availability zone.
     pub zone: ZoneName,
+    /// The rack.
+    pub rack: RackName,
+    /// The accelerators of the worker.
+    pub accelerators: u8,
     /// Plain requests that the executor runs at once.
     pub slots: u16,
     /// The connection to the agent.
@@ -34,6 +42,10 @@
     sent: AtomicU32,
     /// Requests of other entries at the time of the last heartbeat.
     others: AtomicU32,
+    /// Accelerators that members hold or use.
+    accelerators_used: AtomicU8,
+    /// Members that run.
+    running_tasks: AtomicU32,
     /// The time of the last heartbeat, in milliseconds.
     heard_at: AtomicU64,
     /// Whether the target takes no new work.
@@ -57,10 +69,14 @@
             name: heartbeat.target.clone(),
             incarnation: heartbeat.incarnation,
             zone: heartbeat.zone.clone(),
+            rack: heartbeat.rack.clone(),
+            accelerators: heartbeat.accelerators,
             slots: heartbeat.slots,
             connection: AgentConnection::open(heartbeat.address),
             sent: AtomicU32::new(0),
             others: AtomicU32::new(0),
+            accelerators_used: AtomicU8::new(accelerators_used(heartbeat)),
+            running_tasks: AtomicU32::new(running_tasks(heartbeat)),
             heard_at: AtomicU64::new(now.as_millis()),
             leaving: AtomicBool::new(heartbeat.leaving),
         }
@@ -71,6 +87,10 @@
         let sent = self.sent.load(Ordering::Acquire);
         self.others
             .store(heartbeat.in_flight.saturating_sub(sent), Ordering::Release);
+        let used = accelerators_used(heartbeat);
+        self.accelerators_used.store(used, Ordering::Release);
+        let running = running_tasks(heartbeat);
+        self.running_tasks.store(running, Ordering::Release);
         self.heard_at.fetch_max(now.as_millis(), Ordering::AcqRel);
         if heartbeat.leaving {
             self.leaving.store(true, Ordering::Release);
@@ -82,12 +102,30 @@
         Timestamp::from_millis(self.heard_at.load(Ordering::Acquire))
     }
 
+    /// Whether it has been heard lately.
+    pub fn is_heard(&self, now: Timestamp) -> bool {
+        now.since(self.heard_at()) < SILENT_AFTER
+    }
+
+    /// Whether it takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Accelerators that members hold or use.
+    pub fn accelerators_used(&self) -> u8 {
+        self.accelerators_used.load(Ordering::Acquire)
+    }
+
+    /// Members that run.
+    pub fn running_tasks(&self) -> u32 {
+        self.running_tasks.load(Ordering::Acquire)
+    }
+
     /// Its load for routing.
     pub fn load(&self, now: Timestamp) -> TargetLoad {
-        let silent = now.since(self.heard_at()) >= SILENT_AFTER;
-        let leaving = self.leaving.load(Ordering::Acquire);
         TargetLoad {
-            usable: !silent && !leaving,
+            usable: self.is_heard(now) && !self.is_leaving(),
             in_flight: self.sent.load(Ordering::Acquire) + self.others.load(Ordering::Acquire),
             slots: self.slots,
         }
@@ -99,3 +137,17 @@
         Sent(Arc::clone(self))
     }
 }
+
+fn accelerators_used(heartbeat: &Heartbeat) -> u8 {
+    let members = heartbeat.members.iter();
+    let used = members.fold(AcceleratorSet::EMPTY, |used, member| {
+        used.union(member.accelerators)
+    });
+    u8::try_from(used.count()).unwrap_or(u8::MAX)
+}
+
+fn running_tasks(heartbeat: &Heartbeat) -> u32 {
+    let members = heartbeat.members.iter();
+    let running = members.filter(|member| member.phase == MemberPhase::Running);
+    u32::try_from(running.count()).unwrap_or(u32::MAX)
+}
--- a/crates/rattanwinch_entry/src/zones/decider.rs
+++ b/crates/rattanwinch_entry/src/zones/decider.rs
@@ -87,6 +87,7 @@
         free_blocks: [0; 4],
         accelerators: 0,
         waiting: 0,
+        guarantees: Vec::new(),
     };
     let handle = ZoneHandle {
         epoch,
@@ -292,6 +293,7 @@
             free_blocks: capacity.free_blocks,
             accelerators: capacity.accelerators,
             waiting: capacity.waiting,
+            guarantees: capacity.guarantees,
         };
         if **self.handle.summary.load() != summary {
             self.handle.summary.store(Arc::new(summary));
--- a/crates/rattanwinch_operators/src/report.rs
+++ b/crates/rattanwinch_operators/src/report.rs
@@ -1,4 +1,3 @@
-use std::sync::Arc;
 use std::time::Duration;
 
 use bon::Builder;
@@ -6,7 +5,7 @@
 use rattanwinch_types::EntryName;
 use rattanwinch_types::Epoch;
 use rattanwinch_types::Exception;
-use rattanwinch_types::Organisation;
+use rattanwinch_types::GuaranteeStatus;
 use rattanwinch_types::RackName;
 use rattanwinch_types::RequestError;
 use rattanwinch_types::TargetName;
@@ -84,23 +83,11 @@
     }
 }
 
-/// One guarantee.
-#[derive(Clone, Debug, PartialEq, Eq, Builder)]
+/// One organisation's guarantee in one availability zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GuaranteeReport {
-    /// The owner.
-    pub organisation: Organisation,
     /// The availability zone.
     pub zone: ZoneName,
-    /// The accelerators of each block.
-    pub accelerators: u32,
-    /// The number of blocks that are guaranteed.
-    pub blocks: u32,
-    /// Blocks that the owner's work uses now.
-    pub held: u32,
-    /// Blocks that are free or that borrowers would give back in the stated time.
-    pub reclaimable: u32,
-    /// Blocks that can't be had now.
-    pub short: u32,
-    /// Why blocks are short, such as a closed availability zone.
-    pub cause: Option<Arc<str>>,
+    /// How the guarantee stands; for a zone without a known decider, all of it is unmet.
+    pub status: GuaranteeStatus,
 }
--- a/crates/rattanwinch_operators/src/wire/reports.rs
+++ b/crates/rattanwinch_operators/src/wire/reports.rs
@@ -101,23 +101,21 @@
 }
 
 rattanwinch_types::value! { wire
-    /// A [`GuaranteeReport`] in JSON.
+    /// A [`GuaranteeReport`] in JSON, in accelerators.
     pub struct WireGuaranteeReport {
         /// The owner.
         pub organisation: String,
         /// The availability zone.
         pub zone: String,
-        /// The accelerators of each block.
-        pub accelerators: u32,
-        /// The number of blocks that are guaranteed.
-        pub blocks: u32,
-        /// Blocks that the owner's work uses now.
-        pub held: u32,
-        /// Blocks that are free or that borrowers would give back in the stated time.
-        pub reclaimable: u32,
-        /// Blocks that can't be had now.
-        pub short: u32,
-        /// Why blocks are short.
+        /// Guaranteed to it.
+        pub guaranteed: u32,
+        /// Used by its work within the guarantee.
+        pub used: u32,
+        /// Borrowed by its work.
+        pub borrowed: u32,
+        /// In blocks that can't be reclaimed now.
+        pub unmet: u32,
+        /// Why they can't.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub cause: Option<String>,
     }
@@ -125,15 +123,15 @@
 
 impl From<GuaranteeReport> for WireGuaranteeReport {
     fn from(report: GuaranteeReport) -> Self {
+        let status = report.status;
         Self {
-            organisation: report.organisation.into(),
+            organisation: status.organisation.into(),
             zone: report.zone.into(),
-            accelerators: report.accelerators,
-            blocks: report.blocks,
-            held: report.held,
-            reclaimable: report.reclaimable,
-            short: report.short,
-            cause: report.cause.map(|cause| cause.to_string()),
+            guaranteed: status.guaranteed,
+            used: status.used,
+            borrowed: status.borrowed,
+            unmet: status.unmet,
+            cause: status.cause.map(|cause| cause.to_string()),
         }
     }
 }
--- a/crates/rattanwinch_peers/src/wire/peer_state.rs
+++ b/crates/rattanwinch_peers/src/wire/peer_state.rs
@@ -1,9 +1,12 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rattanwinch_types::EntryName;
 use rattanwinch_types::Epoch;
+use rattanwinch_types::GuaranteeStatus;
 use rattanwinch_types::Incarnation;
+use rattanwinch_types::Organisation;
 use rattanwinch_types::PeerState;
 use rattanwinch_types::Revision;
 use rattanwinch_types::ZoneName;
@@ -12,6 +15,52 @@
 use super::InvalidWire;
 use super::to_millis;
 
+rattanwinch_types::value! { wire
+    /// A [`GuaranteeStatus`] as it travels, in accelerators.
+    pub struct WireGuaranteeStatus {
+        /// The owner.
+        pub organisation: String,
+        /// Guaranteed to it.
+        pub guaranteed: u32,
+        /// Used by its work within the guarantee.
+        pub used: u32,
+        /// Borrowed by its work.
+        pub borrowed: u32,
+        /// In blocks that can't be reclaimed now.
+        pub unmet: u32,
+        /// Why they can't.
+        pub cause: Option<String>,
+    }
+}
+
+impl From<GuaranteeStatus> for WireGuaranteeStatus {
+    fn from(status: GuaranteeStatus) -> Self {
+        Self {
+            organisation: status.organisation.into(),
+            guaranteed: status.guaranteed,
+            used: status.used,
+            borrowed: status.borrowed,
+            unmet: status.unmet,
+            cause: status.cause.map(|cause| cause.to_string()),
+        }
+    }
+}
+
+impl TryFrom<WireGuaranteeStatus> for GuaranteeStatus {
+    type Error = InvalidWire;
+
+    fn try_from(wire: WireGuaranteeStatus) -> Result<Self, InvalidWire> {
+        Ok(Self {
+            organisation: Organisation::new(wire.organisation)?,
+            guaranteed: wire.guaranteed,
+            used: wire.used,
+            borrowed: wire.borrowed,
+            unmet: wire.unmet,
+            cause: wire.cause.map(Arc::from),
+        })
+    }
+}
+
 rattanwinch_types::value! { wire
     /// A [`ZoneSummary`] as it travels.
     pub struct WireZoneSummary {
@@ -25,6 +74,8 @@
         pub accelerators: u32,
         /// Jobs that wait.
         pub waiting: u32,
+        /// How the guarantees stand.
+        pub guarantees: Vec<WireGuaranteeStatus>,
     }
 }
 
@@ -36,6 +87,7 @@
             free_blocks: summary.free_blocks,
             accelerators: summary.accelerators,
             waiting: summary.waiting,
+            guarantees: summary.guarantees.into_iter().map(Into::into).collect(),
         }
     }
 }
@@ -44,12 +96,14 @@
     type Error = InvalidWire;
 
     fn try_from(wire: WireZoneSummary) -> Result<Self, InvalidWire> {
+        let guarantees = wire.guarantees.into_iter().map(GuaranteeStatus::try_from);
         Ok(Self {
             zone: ZoneName::new(wire.zone)?,
             epoch: Epoch(wire.epoch),
             free_blocks: wire.free_blocks,
             accelerators: wire.accelerators,
             waiting: wire.waiting,
+            guarantees: guarantees.collect::<Result<_, _>>()?,
         })
     }
 }
--- a/crates/rattanwinch_types/src/lib.rs
+++ b/crates/rattanwinch_types/src/lib.rs
@@ -72,6 +72,7 @@
 pub use name::RequestId;
 pub use name::TargetName;
 pub use name::ZoneName;
+pub use peer_state::GuaranteeStatus;
 pub use peer_state::PeerState;
 pub use peer_state::ZoneSummary;
 pub use plain_request::MAX_DEADLINE_AHEAD;
--- a/crates/rattanwinch_types/src/peer_state.rs
+++ b/crates/rattanwinch_types/src/peer_state.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bon::Builder;
@@ -6,9 +7,28 @@
 use crate::EntryName;
 use crate::Epoch;
 use crate::Incarnation;
+use crate::Organisation;
 use crate::Revision;
 use crate::ZoneName;
 
+crate::value! {
+    /// How far an organisation's guarantee stands in one availability zone, in accelerators.
+    pub struct GuaranteeStatus {
+        /// The owner.
+        pub organisation: Organisation,
+        /// Guaranteed to it.
+        pub guaranteed: u32,
+        /// Used by its work within the guarantee.
+        pub used: u32,
+        /// Borrowed by its work.
+        pub borrowed: u32,
+        /// In blocks that can't be reclaimed now.
+        pub unmet: u32,
+        /// Why they can't; `None` if all can.
+        pub cause: Option<Arc<str>>,
+    }
+}
+
 crate::value! {
     /// What a zone's decider tells the other entries, so that they can choose a zone for a job.
     pub struct ZoneSummary {
@@ -22,6 +42,8 @@
         pub accelerators: u32,
         /// Jobs that wait.
         pub waiting: u32,
+        /// How the guarantees stand, by organisation.
+        pub guarantees: Vec<GuaranteeStatus>,
     }
 }
 
