Add the demonstration of a whole site

Cause: a newcomer had no single command that shows the main jobs. Change: rattanwinch-demo starts a site on stand-ins in one process and walks through plain requests, an order that must run once, a gang, the closing of an availability zone and a job that can't run.

--- /dev/null
+++ b/crates/rattanwinch_demo/src/tour.rs
@@ -0,0 +1,294 @@
+use std::fmt::Write as _;
+use std::time::Duration;
+use std::time::Instant;
+
+use eyre::Result;
+use eyre::WrapErr as _;
+use eyre::ensure;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::Site;
+use crate::SiteSize;
+use crate::testing::deadline_in;
+
+/// How long the site may take to start.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// How long a job of the demonstration may take.
+const JOB_LIMIT: Duration = Duration::from_secs(30);
+
+/// The time between two looks at something that changes.
+const POLL: Duration = Duration::from_millis(50);
+
+/// What the demonstration asks of a site, told step by step on a page.
+#[derive(Debug)]
+pub struct Tour {
+    site: Site,
+    client: reqwest::Client,
+    page: String,
+}
+
+impl Tour {
+    /// Starts a site of today's size with stand-ins for the store and the executors.
+    ///
+    /// # Errors
+    ///
+    /// If the site doesn't start in time.
+    pub async fn start() -> Result<Self> {
+        let site = Site::start(SiteSize::default()).await?;
+        site.wait_until_ready(START_LIMIT).await?;
+        let client = reqwest::Client::builder().no_proxy().build()?;
+        Ok(Self {
+            site,
+            client,
+            page: String::new(),
+        })
+    }
+
+    /// Walks through the main jobs and returns the page.
+    ///
+    /// # Errors
+    ///
+    /// If a step doesn't end as it should.
+    pub async fn walk(mut self) -> Result<String> {
+        self.show_site();
+        self.plain_requests().await.wrap_err("plain requests")?;
+        self.order_once()
+            .await
+            .wrap_err("an order that must run once")?;
+        self.gang().await.wrap_err("a gang")?;
+        self.close_zone()
+            .await
+            .wrap_err("closing an availability zone")?;
+        self.impossible_job()
+            .await
+            .wrap_err("a job that can't run")?;
+        self.show_costs();
+        Ok(self.page)
+    }
+
+    fn show_site(&mut self) {
+        self.heading("A site");
+        let (targets, entries) = (self.site.agents.len(), self.site.entries.len());
+        self.line(&format!(
+            "{entries} entries, {targets} targets in 3 availability zones, each with an agent, an \
+             executor of 8 slots and 8 accelerators, and a stand-in for the platform's store."
+        ));
+    }
+
+    async fn plain_requests(&mut self) -> Result<()> {
+        self.heading("Plain requests");
+        let started = Instant::now();
+        let calls = (0..100).map(|n| {
+            let body = plain(&format!("hook-load-{n}"), "work_ms=5", true);
+            self.post(n % 2, "/v1/requests", body)
+        });
+        let answers = futures::future::join_all(calls).await;
+        let wrong = answers
+            .iter()
+            .enumerate()
+            .filter(|(n, answer)| !is_answer_to(answer, *n));
+        ensure!(
+            wrong.count() == 0,
+            "an answer is missing or belongs to another request"
+        );
+        self.line(&format!(
+            "100 load checks of 5 ms, half through each entry, were answered in {} ms; each \
+             caller got the answer to its own request.",
+            started.elapsed().as_millis()
+        ));
+        Ok(())
+    }
+
+    async fn order_once(&mut self) -> Result<()> {
+        self.heading("An order that must run once");
+        let order = plain("timber-cut-1", "work_ms=200", false);
+        let first = self.post(0, "/v1/requests", order.clone());
+        let second = self.post(1, "/v1/requests", order.clone());
+        let (first, second) = futures::future::join(first, second).await;
+        let (first, second) = (first?, second?);
+        ensure!(
+            first["answer"] == second["answer"],
+            "two answers to one order"
+        );
+        let mut other = order;
+        other["payload"] = json!("work_ms=1");
+        let refusal = self.post(0, "/v1/requests", other).await?;
+        let runs = crate::testing::count_runs(&self.site.executors, "letrafa/timber-cut-1");
+        ensure!(runs == 1, "the order ran {runs} times");
+        self.line(
+            "The same order was sent through both entries at the same time: it ran once, and \
+             both got its answer.",
+        );
+        self.line(&format!(
+            "Another body under the same id was refused: {}.",
+            text(&refusal["error"]["message"])
+        ));
+        Ok(())
+    }
+
+    async fn gang(&mut self) -> Result<()> {
+        self.heading("A gang");
+        let started = Instant::now();
+        let job = gang("finish-render-1", 4, 8);
+        self.post(0, "/v1/jobs", job).await?;
+        let status = self.wait_for("finish-render-1").await?;
+        let answers = status["answers"].as_array().map_or(0, Vec::len);
+        ensure!(answers == 4, "{answers} of 4 answers: {status}");
+        self.line(&format!(
+            "4 tasks of 8 adjacent accelerators started together in {}, and all 4 answers came \
+             back after {} ms. What was decided, in the order of time:",
+            text(&status["zone"]),
+            started.elapsed().as_millis()
+        ));
+        let reasons = self
+            .get(0, "/v1/jobs/letrafa/finish-render-1/explain")
+            .await?;
+        for reason in reasons.as_array().into_iter().flatten() {
+            self.line(&format!("  - {}", text(&reason["text"])));
+        }
+        Ok(())
+    }
+
+    async fn close_zone(&mut self) -> Result<()> {
+        self.heading("Closing an availability zone");
+        let config = self.get(0, "/v1/config").await?;
+        let change =
+            json!({"add_exception": {"id": "power-works", "effect": {"close_zone": "az-1"}}});
+        let change = json!({"id": "tour-1", "author": "operator", "based_on": config["revision"],
+            "reason": "the power supply is being replaced", "change": change});
+        let started = Instant::now();
+        let answer = self.post(0, "/v1/config/changes", change).await?;
+        ensure!(
+            answer["accepted"] == json!(true),
+            "the change was refused: {answer}"
+        );
+        while !self.is_closed_everywhere("az-1").await? {
+            ensure!(
+                started.elapsed() < START_LIMIT,
+                "the closing isn't in force"
+            );
+            tokio::time::sleep(POLL).await;
+        }
+        self.line(&format!(
+            "Closed az-1, with a reason; every entry acted on it after {} ms.",
+            started.elapsed().as_millis()
+        ));
+        let before = self.starts_in_first_zone();
+        let calls = (0..50).map(|n| {
+            let body = plain(&format!("after-closing-{n}"), "work_ms=1", true);
+            self.post(n % 2, "/v1/requests", body)
+        });
+        let answers = futures::future::join_all(calls).await;
+        let answered = answers.iter().filter(|answer| answer.is_ok()).count();
+        let inside = self.starts_in_first_zone() - before;
+        ensure!(inside == 0, "{inside} requests started in the closed zone");
+        self.line(&format!(
+            "50 more requests: {answered} answered, none of them started in az-1."
+        ));
+        Ok(())
+    }
+
+    async fn impossible_job(&mut self) -> Result<()> {
+        self.heading("A job that can't run");
+        let refusal = self.post(1, "/v1/jobs", gang("too-large", 128, 8)).await?;
+        let error = &refusal["error"];
+        ensure!(
+            error["verdict"] == json!("not_run"),
+            "unexpected answer: {refusal}"
+        );
+        self.line(&format!("Refused, not run: {}.", text(&error["message"])));
+        Ok(())
+    }
+
+    fn show_costs(&mut self) {
+        self.heading("Calls to the store");
+        let counts = self.site.store.counts();
+        self.line(&format!("{counts:?}"));
+    }
+
+    fn starts_in_first_zone(&self) -> u64 {
+        let zones = SiteSize::default().zones;
+        let inside = self.site.executors.iter().step_by(zones);
+        inside
+            .map(rattanwinch_standins::StandinExecutor::started)
+            .sum()
+    }
+
+    async fn is_closed_everywhere(&self, zone: &str) -> Result<bool> {
+        for entry in 0..self.site.entries.len() {
+            let zones = self.get(entry, "/v1/zones").await?;
+            let mut zones = zones.as_array().into_iter().flatten();
+            let known = zones.find(|known| known["zone"] == json!(zone));
+            if known.is_none_or(|known| known["closed_by"].is_null()) {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
+    async fn wait_for(&self, id: &str) -> Result<Value> {
+        let started = Instant::now();
+        loop {
+            let status = self
+                .get(1, &format!("/v1/jobs/letrafa/{id}?wait_ms=5000"))
+                .await?;
+            if status["state"] == json!("finished") {
+                return Ok(status);
+            }
+            ensure!(
+                started.elapsed() < JOB_LIMIT,
+                "the job hasn't finished: {status}"
+            );
+        }
+    }
+
+    async fn post(&self, entry: usize, path: &str, body: Value) -> Result<Value> {
+        let url = self.site.url(entry, path);
+        Ok(self
+            .client
+            .post(url)
+            .json(&body)
+            .send()
+            .await?
+            .json()
+            .await?)
+    }
+
+    async fn get(&self, entry: usize, path: &str) -> Result<Value> {
+        let url = self.site.url(entry, path);
+        Ok(self.client.get(url).send().await?.json().await?)
+    }
+
+    fn heading(&mut self, text: &str) {
+        let _ = writeln!(self.page, "\n== {text}");
+    }
+
+    fn line(&mut self, text: &str) {
+        let _ = writeln!(self.page, "{text}");
+    }
+}
+
+fn plain(id: &str, payload: &str, idempotent: bool) -> Value {
+    json!({"organisation": "letrafa", "id": id, "payload": payload, "idempotent": idempotent,
+        "deadline_unix_ms": deadline_in(JOB_LIMIT)})
+}
+
+fn gang(id: &str, tasks: u32, accelerators: u32) -> Value {
+    json!({"organisation": "letrafa", "id": id, "tasks": tasks,
+        "accelerators_per_task": accelerators, "adjacency": "zone", "idempotent": true,
+        "urgency": "normal", "deadline_unix_ms": deadline_in(JOB_LIMIT),
+        "declared_run_time_ms": 500, "payload": "work_ms=500"})
+}
+
+fn is_answer_to(answer: &Result<Value>, n: usize) -> bool {
+    let expected = json!(format!("done letrafa/hook-load-{n}#1: work_ms=5"));
+    answer
+        .as_ref()
+        .is_ok_and(|answer| answer["answer"] == expected)
+}
+
+fn text(value: &Value) -> &str {
+    value.as_str().unwrap_or("?")
+}
