Choose zones by headroom and count jobs that were just sent

Cause: an entry that sent two jobs within one ping interval chose the same zone for both, because the zone's summary didn't show the first one yet; a burst would have filled one zone. Change: the choice is a pure decision over offers, which count jobs sent in the last 500 ms and jobs that wait. The test of a closed zone waits until all workers are adopted; before, one of its jobs could queue behind another for these reasons and the zones weren't full as it presumes.

--- a/crates/rattanwinch_decisions/src/lib.rs
+++ b/crates/rattanwinch_decisions/src/lib.rs
@@ -19,6 +19,7 @@
 mod policy;
 mod role;
 mod routing;
+mod zone_choice;
 
 pub use burn::BurnAlert;
 pub use burn::BurnReport;
@@ -100,3 +101,5 @@
 pub use role::rank_entries;
 pub use routing::TargetLoad;
 pub use routing::pick_target;
+pub use zone_choice::ZoneOffer;
+pub use zone_choice::choose_zone;
--- a/crates/rattanwinch_demo/tests/job_calls/mod.rs
+++ b/crates/rattanwinch_demo/tests/job_calls/mod.rs
@@ -36,7 +36,7 @@
     response.json().await.expect("the body is JSON")
 }
 
-/// Starts a site of three targets a zone and waits until each zone has a decider.
+/// Starts a site of three targets a zone and waits until the deciders have all workers.
 pub async fn site(entries: usize, zones: usize) -> Site {
     let size = SiteSize {
         zones,
@@ -46,14 +46,17 @@
     };
     let site = Site::start(size).await.expect("site starts");
     site.wait_until_ready(READY_BOUND).await.expect("ready");
-    let decided = || -> usize {
-        let zones = site.entries.iter().map(|entry| entry.decided_zones().len());
-        zones.sum()
+    let adopted = || {
+        site.entries.iter().all(|entry| {
+            let known: u32 = entry
+                .zone_summaries()
+                .iter()
+                .map(|zone| zone.accelerators)
+                .sum();
+            known as usize == site.agents.len() * 8
+        })
     };
-    until("every zone has a decider", READY_BOUND, || {
-        decided() >= zones
-    })
-    .await;
+    until("every worker is adopted", READY_BOUND, adopted).await;
     site
 }
 
--- a/crates/rattanwinch_entry/src/entry_daemon.rs
+++ b/crates/rattanwinch_entry/src/entry_daemon.rs
@@ -17,6 +17,7 @@
 use rattanwinch_runtime::MetricsText;
 use rattanwinch_runtime::Shutdown;
 use rattanwinch_types::ZoneName;
+use rattanwinch_types::ZoneSummary;
 use slog::Logger;
 use slog::error;
 use slog::info;
@@ -139,6 +140,12 @@
         summaries.into_iter().map(|summary| summary.zone).collect()
     }
 
+    /// What the deciders of all zones last said, as far as this entry has heard.
+    #[must_use]
+    pub fn zone_summaries(&self) -> Vec<ZoneSummary> {
+        self.state.zone_summaries()
+    }
+
     /// Stops without handing anything over, as if the process had died.
     pub async fn stop_abruptly(self) {
         let Serving { rpc, shutdown, .. } = self.stage;
--- a/crates/rattanwinch_entry/src/zones/jobs.rs
+++ b/crates/rattanwinch_entry/src/zones/jobs.rs
@@ -4,6 +4,8 @@
 use metrics::counter;
 use rattanwinch_callers::JobBackend;
 use rattanwinch_callers::Result;
+use rattanwinch_decisions::ZoneOffer;
+use rattanwinch_decisions::choose_zone;
 use rattanwinch_platform::Condition;
 use rattanwinch_platform::Retention;
 use rattanwinch_platform::Store;
@@ -31,7 +33,6 @@
 
 use super::message::ZoneMessage;
 use super::store_calls::pointer_to;
-use super::zone_choice::choose_zone;
 use crate::entry_state::EntryState;
 
 /// The longest wait for the store or for a zone with a decider before a submission is refused.
@@ -99,7 +100,7 @@
 
 impl<S: Store> EntryState<S> {
     /// The summaries of all zones that have a decider.
-    pub(super) fn zone_summaries(&self) -> Vec<ZoneSummary> {
+    pub(crate) fn zone_summaries(&self) -> Vec<ZoneSummary> {
         let mut summaries = self.zones.summaries();
         let peers = self.zones.peers();
         for summary in peers.values().flat_map(|heard| &heard.state.zones) {
@@ -115,6 +116,16 @@
         summaries
     }
 
+    /// The zones that have a decider, for the choice of one.
+    pub(super) fn zone_offers(&self) -> Vec<ZoneOffer> {
+        let now = self.clock.now();
+        let offer = |summary: ZoneSummary| ZoneOffer {
+            sent: self.zones.sent_lately(&summary.zone, now),
+            summary,
+        };
+        self.zone_summaries().into_iter().map(offer).collect()
+    }
+
     async fn submit_job(self: &Arc<Self>, job: JobSpec) -> Result<JobStatus> {
         let now = self.clock.now();
         if now >= job.deadline {
@@ -137,7 +148,12 @@
             reason: None,
         };
         match self.record_job(&record, until).await? {
-            Ok(revision) => self.offer(record, revision).await,
+            Ok(revision) => {
+                let accelerators = record.spec.shape.accelerators();
+                let now = self.clock.now();
+                self.zones.count_sent(&record.zone, accelerators, now);
+                self.offer(record, revision).await
+            }
             Err(existing) => self.known_job(&record, &existing).await,
         }
     }
@@ -145,9 +161,9 @@
     async fn wait_for_zone(&self, job: &JobSpec, until: Timestamp) -> Result<ZoneName> {
         loop {
             let control = self.control.load_full();
-            let summaries = self.zone_summaries();
+            let offers = self.zone_offers();
             let organisation = &job.key.organisation;
-            let zone = choose_zone(&control.config, &summaries, organisation, job.shape);
+            let zone = choose_zone(&control.config, &offers, organisation, job.shape);
             let now = self.clock.now();
             // With a store that doesn't answer, a record that is sent may still arrive later, so
             // the job could no longer be refused as not run.
--- a/crates/rattanwinch_entry/src/zones/mod.rs
+++ b/crates/rattanwinch_entry/src/zones/mod.rs
@@ -17,7 +17,6 @@
 mod roles;
 mod store_calls;
 mod workers;
-mod zone_choice;
 mod zone_table;
 
 pub(crate) use calls::JobCalls;
--- a/crates/rattanwinch_entry/src/zones/moves.rs
+++ b/crates/rattanwinch_entry/src/zones/moves.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use metrics::counter;
+use rattanwinch_decisions::choose_zone;
 use rattanwinch_platform::Condition;
 use rattanwinch_platform::Retention;
 use rattanwinch_platform::Store;
@@ -20,7 +21,6 @@
 use super::decider::ZoneDecider;
 use super::message::Response;
 use super::store_calls::pointer_to;
-use super::zone_choice::choose_zone;
 use crate::entry_state::EntryState;
 
 /// Jobs that are moved at the same time, so that a closing doesn't use up the store's budget.
@@ -33,7 +33,7 @@
         if control.config.zone_closure(&self.zone).is_none() || !control.is_fresh(now) {
             return;
         }
-        let summaries = self.state.zone_summaries();
+        let offers = self.state.zone_offers();
         let waiting = self.gangs.queued_keys();
         let waiting: Vec<_> = waiting.filter(|key| !self.moving.contains(key)).collect();
         let room = MAX_MOVING.saturating_sub(self.moving.len());
@@ -41,12 +41,14 @@
             let (record, revision) = self.gangs.queued(key)?;
             let spec = &record.spec;
             let organisation = &spec.key.organisation;
-            let zone = choose_zone(&control.config, &summaries, organisation, spec.shape)?;
+            let zone = choose_zone(&control.config, &offers, organisation, spec.shape)?;
             Some((record.clone(), revision, zone))
         });
         for (record, revision, zone) in chosen.collect::<Vec<_>>() {
             let (state, epoch) = (Arc::clone(&self.state), self.epoch);
             let key = record.spec.key.clone();
+            let accelerators = record.spec.shape.accelerators();
+            self.state.zones.count_sent(&zone, accelerators, now);
             self.moving.insert(key.clone());
             self.respond(async move {
                 let moved = state.move_record(epoch, record, revision, &zone).await;
--- a/crates/rattanwinch_entry/src/zones/zone_table.rs
+++ b/crates/rattanwinch_entry/src/zones/zone_table.rs
@@ -26,6 +26,9 @@
 /// An entry that is gone from the store and hasn't been heard for this long is forgotten.
 const FORGET_PEER_AFTER: Duration = Duration::from_secs(30);
 
+/// A job shows in the summary of its zone within two pings.
+const SHOWN_AFTER: Duration = Duration::from_millis(500);
+
 /// A zone that this entry decides or takes over.
 #[derive(Clone, Debug)]
 pub(crate) struct ZoneHandle {
@@ -48,6 +51,15 @@
     pub at: Timestamp,
 }
 
+/// Jobs that were sent to a zone lately.
+#[derive(Clone, Copy, Debug)]
+struct SentJobs {
+    /// When the first of them was sent.
+    since: Timestamp,
+    /// Their accelerators.
+    accelerators: u32,
+}
+
 /// The zones that this entry decides, and what other entries said of themselves.
 #[derive(Debug, Default)]
 pub(crate) struct ZoneTable {
@@ -55,6 +67,8 @@
     own: ArcSwap<HashMap<ZoneName, ZoneHandle>>,
     /// The other entries.
     peers: ArcSwap<HashMap<EntryName, HeardPeer>>,
+    /// Jobs that were sent to zones and may not show in their summaries yet.
+    sent: ArcSwap<HashMap<ZoneName, SentJobs>>,
     /// Clients of other entries.
     clients: ArcSwap<HashMap<SocketAddr, EntryClient>>,
 }
@@ -121,6 +135,31 @@
         HashMap::clone(&self.peers.load())
     }
 
+    /// Counts a job that is sent to a zone.
+    pub fn count_sent(&self, zone: &ZoneName, accelerators: u32, now: Timestamp) {
+        self.sent.rcu(|sent| {
+            let add = |known: Option<SentJobs>| {
+                let lately = known.filter(|known| now.since(known.since) < SHOWN_AFTER);
+                let mut jobs = lately.unwrap_or(SentJobs {
+                    since: now,
+                    accelerators: 0,
+                });
+                jobs.accelerators = jobs.accelerators.saturating_add(accelerators);
+                Some(jobs)
+            };
+            sent.alter(add, zone.clone())
+        });
+    }
+
+    /// Accelerators of jobs that were sent to a zone and may not show in its summary yet.
+    pub fn sent_lately(&self, zone: &ZoneName, now: Timestamp) -> u32 {
+        let sent = self.sent.load();
+        let lately = sent.get(zone);
+        lately
+            .filter(|jobs| now.since(jobs.since) < SHOWN_AFTER)
+            .map_or(0, |jobs| jobs.accelerators)
+    }
+
     /// The client of the entry at `address`.
     pub fn client(&self, address: SocketAddr) -> EntryClient {
         if let Some(client) = self.clients.load().get(&address) {
