--- a/crates/rattanwinch_decisions/src/lib.rs
+++ b/crates/rattanwinch_decisions/src/lib.rs
@@ -6,8 +6,8 @@
 //!
 //! Start reading at [`Gate`], which says what an agent may start now, and [`pick_target`], which
 //! routes a plain request. [`Role`] says which entry decides an availability zone, [`ZonePolicy`]
-//! decides which gang job starts where in it, [`GangCoordinator`] starts, watches and ends the
-//! gangs of one, and [`MemberTable`] holds and runs their members at an agent. [`Claim`] is how a
+//! decides which gang job starts where in it, [`GangCoordinator`] starts, watches and ends one
+//! gang, and [`MemberTable`] holds and runs its members at an agent. [`Claim`] is how a
 //! non-idempotent request runs at most once, and [`apply`] changes the configuration.
 
 mod burn;
