Compare the policy with baselines in seeded trials

Cause: the policy has to be measured against first-come first-fit and backfill on the same events. The first runs showed jobs at the head of the queue that evicted each other in turn, and large gangs that were the cheapest victims right after their start. Accelerators are kept for the head of the queue; others are let in while it waits for jobs that started before, and evicted once it waits for nothing else. The cost of an eviction includes the restart of the whole gang.

--- a/crates/rattanwinch_decisions/src/policy/deciding.rs
+++ b/crates/rattanwinch_decisions/src/policy/deciding.rs
@@ -66,6 +66,7 @@
         }
         self.refuse_expired(now, &mut decisions);
         self.update_plan();
+        self.check_head(now);
         self.evict(now, &mut decisions);
         if self.rules.closure.is_some() {
             self.hold_back_all(now);
@@ -137,7 +138,7 @@
     /// borrowers. In one pass a borrower could start where a later job reclaims in the same
     /// decision.
     fn try_queue(&mut self, now: Timestamp, decisions: &mut Vec<Decision>) {
-        self.check_head();
+        self.check_head(now);
         let mut misfits = Misfits::default();
         let mut borrowers = Vec::new();
         for id in self.queue.ids() {
@@ -243,6 +244,7 @@
         decisions: &mut Vec<Decision>,
     ) -> Option<WaitCause> {
         if let Some(slots) = self.find_borrowed(id, spec, now, misfits) {
+            self.note_let_in(id, &slots);
             let blocks = SmallVec::new();
             self.start(id, Allocation { slots, blocks }, now, decisions);
             return None;
--- a/crates/rattanwinch_decisions/src/policy/evictions.rs
+++ b/crates/rattanwinch_decisions/src/policy/evictions.rs
@@ -26,7 +26,7 @@
         if !self.rules.exclusions.is_empty() {
             self.leave_excluded(now, decisions);
         }
-        self.evict_overrun(now, decisions);
+        self.evict_let_in(now, decisions);
     }
 
     /// Orders a checkpoint of a running job; does nothing if the job isn't running.
--- a/crates/rattanwinch_decisions/src/policy/head_of_queue.rs
+++ b/crates/rattanwinch_decisions/src/policy/head_of_queue.rs
@@ -1,6 +1,8 @@
 //! Accelerators that are kept for the first job in the queue that doesn't fit, so that smaller
 //! jobs don't overtake it without end.
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rattanwinch_types::JobSpec;
@@ -10,24 +12,26 @@
 use crate::policy::blocks;
 use crate::policy::decision::Decision;
 use crate::policy::job::JobId;
+use crate::policy::job_history::JobHistory;
 use crate::policy::reasons;
 use crate::policy::solver;
 use crate::policy::solver::Pricing;
 use crate::policy::solver::Slot;
 use crate::policy::solver::Slots;
 use crate::policy::solver::Wanted;
+use crate::policy::worker::Occupant;
 use crate::policy::worker::Worker;
 use crate::policy::worker::WorkerId;
 use crate::policy::worker_pool::Rack;
 use crate::policy::zone_policy::ZonePolicy;
 
-/// From then on no job is let in ahead of the head of the queue, whatever run time it declares,
-/// and jobs that were let in and have overrun are evicted.
-const PATIENCE: Duration = Duration::from_secs(1800);
+/// How often it is looked whether other accelerators are free sooner than the kept ones. The
+/// look reads the whole zone, and run times of hours don't change faster.
+const LOOK_EVERY: Duration = Duration::from_secs(60);
 
-/// A job is let in ahead if so many times its expected run time is over before the kept
-/// accelerators are expected to be free.
-const LET_IN_MARGIN: u32 = 2;
+/// A let-in job that is expected to end within this time isn't evicted for the head any more,
+/// because its checkpoint might take as long.
+const NEARLY_OVER_MS: u64 = 30_000;
 
 /// The job at the head of the queue and what is kept for it.
 #[derive(Clone, Debug)]
@@ -37,9 +41,13 @@
     /// Its key.
     pub key: RequestKey,
     slots: Slots,
-    queued_at: Timestamp,
-    /// When the kept accelerators are expected to be free.
+    /// The borrowers that were let in. They are listed, because a time doesn't tell them from
+    /// jobs that started in the decision that made this job the head.
+    let_in: BTreeSet<JobId>,
+    /// When the accelerators are expected to be free of the jobs that were not let in.
     free_at: Timestamp,
+    /// When others were last considered.
+    looked_at: Timestamp,
 }
 
 /// Prices for the accelerators to keep: the time until their last job is expected to end.
@@ -108,7 +116,8 @@
     }
 
     /// Whether the job may use what is kept for the head of the queue: it is the head, or it is
-    /// expected to be gone in time while the head still has patience.
+    /// expected to be gone in time. If it isn't, it is evicted when the head could start, and not
+    /// let in again: without that limit, jobs were evicted nine times each on the gait profile.
     pub(super) fn may_use_kept(&self, id: JobId, spec: &JobSpec, now: Timestamp) -> bool {
         let Some(head) = &self.head else {
             return true;
@@ -116,36 +125,63 @@
         if head.job == id {
             return true;
         }
-        let has_patience = now.since(head.queued_at) < PATIENCE;
-        has_patience && now + self.run_times.expect(spec) * LET_IN_MARGIN <= head.free_at
+        let was_let_in = |history: &JobHistory| history.was_let_in;
+        let is_refused = self.histories.get(&spec.key).is_some_and(was_let_in);
+        !is_refused && now + self.run_times.expect(spec) <= head.free_at
     }
 
-    /// Keeps accelerators for the job if it is the first one in the queue that doesn't fit.
+    /// Keeps accelerators for the job if it is the first one in the queue that doesn't fit, and
+    /// looks from time to time whether others are free sooner.
     pub(super) fn offer_head(&mut self, id: JobId, spec: &JobSpec, now: Timestamp) {
-        if self.head.is_some() {
+        let is_due = |head: &HeadOfQueue| head.job == id && now.since(head.looked_at) >= LOOK_EVERY;
+        if !self.head.as_ref().is_none_or(is_due) {
             return;
         }
         let wanted = Wanted::of_shape(spec.shape);
         let Some(slots) = solver::solve(&self.pool, wanted, &SoonestFree { now }) else {
             return;
         };
-        let remaining = |slot: &Slot| {
-            let jobs = self.pool.get(slot.worker).started_on(slot.bits);
-            jobs.map(|job| job.remaining(now)).max().unwrap_or(0)
-        };
-        let last = slots.iter().map(remaining).max().unwrap_or(0);
-        for slot in &slots {
-            self.pool.get_mut(slot.worker).shadow |= slot.bits;
-        }
-        let queued_at = self.queue.get(id).map_or(now, |job| job.queued_at);
-        self.wake_at((queued_at + PATIENCE).max(now + Duration::from_secs(1)));
-        self.head = Some(HeadOfQueue {
+        let mut head = HeadOfQueue {
             job: id,
             key: spec.key.clone(),
             slots,
-            queued_at,
-            free_at: now + Duration::from_millis(last),
-        });
+            let_in: BTreeSet::new(),
+            free_at: now,
+            looked_at: now,
+        };
+        head.free_at = self.free_at(&head, now);
+        if let Some(known) = &mut self.head
+            && known.free_at <= head.free_at
+        {
+            known.looked_at = now;
+            return;
+        }
+        self.drop_head();
+        for slot in &head.slots {
+            self.pool.get_mut(slot.worker).shadow |= slot.bits;
+        }
+        self.head = Some(head);
+    }
+
+    /// When the head's accelerators are expected to be free of jobs that were not let in.
+    fn free_at(&self, head: &HeadOfQueue, now: Timestamp) -> Timestamp {
+        let on = |slot: &Slot| self.pool.get(slot.worker).started_on(slot.bits);
+        let others = head.slots.iter().flat_map(on);
+        let others = others.filter(|job| !head.has_let_in(job));
+        let last = others.map(|job| job.remaining(now)).max().unwrap_or(0);
+        now + Duration::from_millis(last)
+    }
+
+    /// Notes that a borrower starts, if it was let in.
+    pub(super) fn note_let_in(&mut self, id: JobId, slots: &Slots) {
+        let is_kept = |slot: &Slot| self.pool.get(slot.worker).shadow & slot.bits != 0;
+        let uses_kept = slots.iter().any(is_kept);
+        if let Some(head) = &mut self.head
+            && head.job != id
+            && uses_kept
+        {
+            head.let_in.insert(id);
+        }
     }
 
     /// Keeps nothing any longer.
@@ -158,7 +194,7 @@
     }
 
     /// Drops what is kept if its job left the queue, or if it can't become free for the job.
-    pub(super) fn check_head(&mut self) {
+    pub(super) fn check_head(&mut self, now: Timestamp) {
         let Some(head) = &self.head else {
             return;
         };
@@ -169,42 +205,48 @@
         let is_queued = self.queue.get(head.job).is_some();
         if !is_queued || head.slots.iter().any(is_lost) {
             self.drop_head();
+            return;
+        }
+        let free_at = self.free_at(head, now);
+        if let Some(head) = &mut self.head {
+            head.free_at = free_at;
         }
     }
 
-    /// Evicts borrowers that were let in ahead of the head of the queue and have run more than
-    /// twice as long as expected, once the head has run out of patience. Without this a job that
-    /// declares too short a time would starve the head.
-    pub(super) fn evict_overrun(&mut self, now: Timestamp, decisions: &mut Vec<Decision>) {
+    /// Evicts the jobs that were let in once they are all that the head of the queue waits for.
+    /// A declared time that is too short therefore delays the head by one eviction at most.
+    pub(super) fn evict_let_in(&mut self, now: Timestamp, decisions: &mut Vec<Decision>) {
         let Some(head) = &self.head else {
             return;
         };
-        let waited = now.since(head.queued_at);
-        if waited < PATIENCE {
+        let on = |slot: &Slot| self.pool.get(slot.worker).started_on(slot.bits);
+        let jobs = || head.slots.iter().flat_map(on);
+        if jobs().any(|job| !head.has_let_in(job)) {
             return;
         }
-        let queued_at = head.queued_at;
-        let reason = reasons::overrun_eviction(&head.key, waited);
-        let mut overrun = Vec::new();
-        let mut next_check = None;
-        for slot in &head.slots {
-            for job in self.pool.get(slot.worker).started_on(slot.bits) {
-                if job.is_guaranteed || job.since < queued_at {
-                    continue;
-                }
-                let limit = job.since + job.expected_end.since(job.since) * LET_IN_MARGIN;
-                if limit < now {
-                    overrun.push(job.job);
-                } else {
-                    next_check = next_check.min(Some(limit)).or(Some(limit));
-                }
+        let reason = reasons::let_in_eviction(&head.key);
+        let mut late = Vec::new();
+        for job in jobs() {
+            if job.remaining(now) > NEARLY_OVER_MS {
+                late.push(job.job);
             }
         }
-        if let Some(limit) = next_check {
-            self.wake_at(limit + Duration::from_millis(1));
+        let soonest = jobs().map(|job| job.expected_end).min();
+        if let Some(end) = soonest.filter(|end| *end > now) {
+            self.wake_at(end + Duration::from_millis(1));
         }
-        for id in overrun {
-            self.begin_eviction(id, std::sync::Arc::clone(&reason), now, decisions);
+        for id in late {
+            if let Some(job) = self.active.get(&id) {
+                let key = job.spec().key.clone();
+                self.histories.change(&key, now).was_let_in = true;
+            }
+            self.begin_eviction(id, Arc::clone(&reason), now, decisions);
         }
     }
 }
+
+impl HeadOfQueue {
+    fn has_let_in(&self, job: &Occupant) -> bool {
+        self.let_in.contains(&job.job)
+    }
+}
--- a/crates/rattanwinch_decisions/src/policy/job_history.rs
+++ b/crates/rattanwinch_decisions/src/policy/job_history.rs
@@ -24,6 +24,8 @@
     pub failed_on: SmallVec<[TargetName; 3]>,
     /// Whether it ever ran.
     pub has_run: bool,
+    /// Whether it was evicted for the head of the queue after it had been let in.
+    pub was_let_in: bool,
     changed_at: Timestamp,
 }
 
@@ -40,6 +42,7 @@
             queued_at: None,
             failed_on: SmallVec::new(),
             has_run: false,
+            was_let_in: false,
             changed_at: Timestamp::ZERO,
         }
     }
--- a/crates/rattanwinch_decisions/src/policy/reasons.rs
+++ b/crates/rattanwinch_decisions/src/policy/reasons.rs
@@ -68,11 +68,10 @@
     ))
 }
 
-pub(super) fn overrun_eviction(head: &RequestKey, waited: Duration) -> Arc<str> {
-    let minutes = waited.as_secs() / 60;
+pub(super) fn let_in_eviction(head: &RequestKey) -> Arc<str> {
     Arc::from(format!(
-        "Evicted, because it was let in ahead of {head} for a short run and has run more than \
-         twice as long as expected, while {head} has waited for {minutes} minutes."
+        "Evicted, because it was let in for a short run on accelerators that are kept for {head}, \
+         which is first in the queue and now waits for nothing else."
     ))
 }
 
--- a/crates/rattanwinch_decisions/src/policy/restoring.rs
+++ b/crates/rattanwinch_decisions/src/policy/restoring.rs
@@ -62,7 +62,6 @@
             }
         }
         self.plan.place_missing(&mut self.pool);
-        self.check_head();
     }
 
     /// Gives a running job the unused blocks of its organisation that can lie around its
--- a/crates/rattanwinch_decisions/src/policy/worker.rs
+++ b/crates/rattanwinch_decisions/src/policy/worker.rs
@@ -25,6 +25,10 @@
     }
 }
 
+/// What an eviction costs besides lost work, for each accelerator of the gang: the checkpoint and
+/// the wait for as many accelerators again. It makes a young large gang dearer than a small job.
+const RESTART_COST_MS: u64 = 60_000;
+
 rattanwinch_types::value! {
     /// What a search needs to know of a job on a worker, so that it looks up no job.
     pub(super) struct Occupant {
@@ -59,15 +63,15 @@
 
 impl Occupant {
     /// Work that an eviction throws away, in accelerator-milliseconds: all since the release,
-    /// because a checkpoint may fail, and a second for the restart, so that of several young
-    /// jobs the fewest accelerators are evicted. Nothing if the eviction has begun.
+    /// because a checkpoint may fail, and [`RESTART_COST_MS`] for the restart. Nothing if the
+    /// eviction has begun.
     pub(super) fn lost_work(&self, now: Timestamp) -> u64 {
         if self.tenure == Tenure::Leaving {
             return 0;
         }
         let elapsed = u64::try_from(now.since(self.since).as_millis()).unwrap_or(u64::MAX);
         elapsed
-            .saturating_add(1000)
+            .saturating_add(RESTART_COST_MS)
             .saturating_mul(u64::from(self.accelerators))
     }
 
--- a/crates/rattanwinch_decisions/tests/policy/queueing.rs
+++ b/crates/rattanwinch_decisions/tests/policy/queueing.rs
@@ -192,3 +192,21 @@
     );
     assert!(policy.cancel(&key("o", "second"), at(301)));
 }
+
+/// Guards against jobs at the head of the queue that evict each other in turn: a job that starts
+/// in the decision that makes the next one the head was taken for a job that was let in.
+#[test]
+fn a_job_that_was_the_head_is_not_evicted_for_the_next_head() {
+    let mut policy = policy(1, Vec::new());
+    for (id, second) in [("a", 100), ("b", 101), ("c", 102)] {
+        submit(&mut policy, id, 8, second);
+        policy.decide(at(second));
+    }
+    policy.started(&key("o", "a"), at(102));
+    policy.ended(&key("o", "a"), JobEnd::Succeeded, at(200));
+    assert_eq!(starts(&policy.decide(at(200))), [key("o", "b")]);
+    policy.started(&key("o", "b"), at(200));
+    for second in [201, 300, 2000] {
+        assert_eq!(policy.decide(at(second)), []);
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_trials/src/accounts.rs
@@ -0,0 +1,95 @@
+use std::time::Duration;
+
+use rattanwinch_types::Timestamp;
+
+use crate::workload::TrialJob;
+use crate::zone_run::ZoneRun;
+
+const HOUR_MS: f64 = 3_600_000.0;
+
+/// What is summed up over time.
+#[derive(Debug, Default)]
+pub(crate) struct Accounts {
+    /// Share of unusable free accelerators, times milliseconds.
+    fragmented_ms: f64,
+    /// Milliseconds in which jobs wait and accelerators are free.
+    waiting_ms: f64,
+    /// Accelerator-milliseconds that ran in the time of the zone change.
+    useful_ms: f64,
+    /// Accelerator-milliseconds that could have run in that time.
+    reachable_ms: f64,
+    /// Accelerator-milliseconds lost to evictions.
+    pub eviction_lost_ms: f64,
+    /// Accelerator-milliseconds lost to failures.
+    pub failure_lost_ms: f64,
+    /// Accelerator-milliseconds of completed work.
+    pub completed_ms: f64,
+    /// Evictions.
+    pub evictions: u64,
+}
+
+impl Accounts {
+    /// Adds the time from `from` to `to`, in which nothing changed.
+    pub(crate) fn pass(
+        &mut self,
+        zones: &mut [ZoneRun],
+        jobs: &[TrialJob],
+        span: (Timestamp, Timestamp),
+        zone_change: Option<(Timestamp, Timestamp)>,
+    ) {
+        let (from, to) = span;
+        let millis = to.since(from).as_secs_f64() * 1000.0;
+        if millis == 0.0 {
+            return;
+        }
+        for zone in zones.iter_mut() {
+            if let Some((free, unusable)) = zone.fragmentation(jobs).filter(|(free, _)| *free > 0) {
+                self.fragmented_ms += millis * f64::from(unusable) / f64::from(free);
+                self.waiting_ms += millis;
+            }
+        }
+        let is_changing = zone_change.is_some_and(|(start, end)| from >= start && to <= end);
+        if is_changing {
+            let running: u32 = zones.iter().map(|zone| zone.running).sum();
+            let asked: u32 = zones.iter().map(|zone| zone.asked(jobs)).sum();
+            let capacity: u32 = zones.iter().map(ZoneRun::open_capacity).sum();
+            self.useful_ms += millis * f64::from(running);
+            self.reachable_ms += millis * f64::from(capacity.min(running + asked));
+        }
+    }
+
+    /// Work that was done and has to be done again.
+    pub(crate) fn lose(&mut self, accelerators: u32, lost: Duration, to_eviction: bool) {
+        let lost_ms = f64::from(accelerators) * lost.as_secs_f64() * 1000.0;
+        if to_eviction {
+            self.eviction_lost_ms += lost_ms;
+        } else {
+            self.failure_lost_ms += lost_ms;
+        }
+    }
+
+    /// Work lost in the time of the zone change was not useful.
+    pub(crate) fn discount(&mut self, accelerators: u32, lost: Duration) {
+        self.useful_ms -= f64::from(accelerators) * lost.as_secs_f64() * 1000.0;
+    }
+
+    pub(crate) fn fragmentation(&self) -> f64 {
+        share(self.fragmented_ms, self.waiting_ms)
+    }
+
+    pub(crate) fn zone_change_useful(&self) -> f64 {
+        share(self.useful_ms, self.reachable_ms)
+    }
+
+    pub(crate) fn eviction_lost_h(&self) -> f64 {
+        self.eviction_lost_ms / HOUR_MS
+    }
+
+    pub(crate) fn failure_lost_h(&self) -> f64 {
+        self.failure_lost_ms / HOUR_MS
+    }
+}
+
+fn share(part: f64, whole: f64) -> f64 {
+    if whole > 0.0 { part / whole } else { 0.0 }
+}
--- /dev/null
+++ b/crates/rattanwinch_trials/src/bin/rattanwinch-trials.rs
@@ -0,0 +1,72 @@
+//! Compares the scheduling policy with baselines, and measures the speed of its decisions.
+
+use clap::Parser;
+use clap::Subcommand;
+use rattanwinch_trials::Profile;
+use rattanwinch_trials::compare;
+use rattanwinch_trials::measure_speed;
+use serde::Serialize;
+
+/// Trials of the scheduling policy.
+#[derive(Debug, Parser)]
+#[command(name = "rattanwinch-trials", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs the policy and the baselines on the same seeded events.
+    Compare {
+        /// The fleet and its work.
+        #[arg(value_enum)]
+        profile: Profile,
+        /// How many seeds, counted from 0.
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
+        /// Threads; each runs whole seeds.
+        #[arg(long, default_value_t = 3)]
+        threads: u64,
+        /// Prints JSON instead of a table.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Measures how long decisions take against the size of the fleet.
+    Speed {
+        /// Workers in the zone; repeatable.
+        #[arg(long, value_delimiter = ',', default_values_t = [712, 1425, 2850, 5700])]
+        workers: Vec<u32>,
+        /// Starts that each figure is taken from.
+        #[arg(long, default_value_t = 1000)]
+        rounds: u32,
+        /// Prints JSON instead of a table.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+fn print(report: &(impl Serialize + std::fmt::Display), json: bool) -> serde_json::Result<()> {
+    if json {
+        println!("{}", serde_json::to_string_pretty(report)?);
+    } else {
+        print!("{report}");
+    }
+    Ok(())
+}
+
+fn main() -> serde_json::Result<()> {
+    match Arguments::parse().command {
+        Command::Compare {
+            profile,
+            seeds,
+            threads,
+            json,
+        } => print(&compare(profile, seeds, threads), json),
+        Command::Speed {
+            workers,
+            rounds,
+            json,
+        } => print(&measure_speed(&workers, rounds), json),
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_trials/src/job_run.rs
@@ -0,0 +1,62 @@
+use std::time::Duration;
+
+use rattanwinch_decisions::Placement;
+use rattanwinch_types::Timestamp;
+
+/// Where a job stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// It hasn't arrived, or has ended.
+    Absent,
+    /// It is queued.
+    Queued,
+    /// Its tasks run.
+    Running,
+    /// Its tasks are being checkpointed or stopped.
+    Leaving,
+}
+
+/// The course of one job.
+#[derive(Clone, Debug)]
+pub(crate) struct JobRun {
+    /// Where it stands.
+    pub stage: Stage,
+    /// The zone it was submitted to.
+    pub zone: usize,
+    /// Counts starts, so that events of earlier ones are recognised.
+    pub attempt: u32,
+    /// What it has completed and saved.
+    pub saved: Duration,
+    /// When it was last queued.
+    pub queued_at: Timestamp,
+    /// When it last started.
+    pub started_at: Timestamp,
+    /// Whether it ever started.
+    pub has_started: bool,
+    /// Whether it fits the unused part of its owner's guarantee.
+    pub is_entitled: bool,
+    /// How often its task failed.
+    pub failures: u32,
+    /// Where it runs.
+    pub placement: Placement,
+    /// When it ended, and whether it succeeded.
+    pub ended: Option<(Timestamp, bool)>,
+}
+
+impl JobRun {
+    pub(crate) fn new() -> Self {
+        Self {
+            stage: Stage::Absent,
+            zone: 0,
+            attempt: 0,
+            saved: Duration::ZERO,
+            queued_at: Timestamp::ZERO,
+            started_at: Timestamp::ZERO,
+            has_started: false,
+            is_entitled: false,
+            failures: 0,
+            placement: Placement { tasks: Vec::new() },
+            ended: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_trials/src/measures.rs
@@ -0,0 +1,86 @@
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// A distribution of times or ratios.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Percentiles {
+    /// The median.
+    pub p50: f64,
+    /// Exceeded by one in twenty.
+    pub p95: f64,
+    /// Exceeded by one in a hundred.
+    pub p99: f64,
+}
+
+/// What one scheduler did with one seed's events.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Measures {
+    /// Jobs that succeeded.
+    pub succeeded: u64,
+    /// Jobs that were refused, cancelled or given up.
+    pub not_completed: u64,
+    /// Jobs that had not ended a day after the last arrival.
+    pub unfinished: u64,
+    /// From submission to success, in seconds; jobs without an end count until the trial's.
+    pub completion_s: Percentiles,
+    /// Completion time divided by the undisturbed run time.
+    pub slowdown: Percentiles,
+    /// Share of free accelerators that the largest waiting shape can't use, over the time in
+    /// which jobs wait and accelerators are free.
+    pub fragmentation: f64,
+    /// Useful accelerator-hours through the zone's leaving and return, divided by what the
+    /// remaining capacity and the waiting jobs allow.
+    pub zone_change_useful: f64,
+    /// The wait of jobs that fit the unused part of their owner's guarantee, in seconds.
+    pub guarantee_wait_s: Percentiles,
+    /// The longest such wait, in seconds.
+    pub guarantee_wait_max_s: f64,
+    /// The wait of urgent jobs, in seconds.
+    pub urgent_wait_s: Percentiles,
+    /// Accelerator-hours lost or spent in evictions.
+    pub eviction_lost_h: f64,
+    /// Evictions.
+    pub evictions: u64,
+    /// Accelerator-hours lost to failed workers and failed tasks.
+    pub failure_lost_h: f64,
+    /// Accelerator-hours of completed work divided by the capacity until the last success.
+    pub utilisation: f64,
+    /// Invariants found broken.
+    pub violations: u64,
+}
+
+/// Collects durations, in milliseconds.
+#[derive(Debug)]
+pub(crate) struct Times(Histogram<u64>);
+
+impl Times {
+    pub(crate) fn new() -> Self {
+        let days_ms = 30 * 86_400_000;
+        Self(Histogram::new_with_max(days_ms, 3).expect("3 digits are a valid precision"))
+    }
+
+    pub(crate) fn record(&mut self, span: Duration) {
+        let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        self.0.saturating_record(millis);
+    }
+
+    /// Records a ratio as thousandths.
+    pub(crate) fn record_ratio(&mut self, ratio: f64) {
+        self.record(Duration::from_secs_f64(ratio));
+    }
+
+    pub(crate) fn percentiles(&self) -> Percentiles {
+        let at = |quantile| self.0.value_at_quantile(quantile) as f64 / 1000.0;
+        Percentiles {
+            p50: at(0.50),
+            p95: at(0.95),
+            p99: at(0.99),
+        }
+    }
+
+    pub(crate) fn max(&self) -> f64 {
+        self.0.max() as f64 / 1000.0
+    }
+}
