Speed up placement and let longer jobs in on kept accelerators

Cause: a burst of 10,000 jobs at 5,700 workers took 3.1 s, over the goal of 2.8 s. A retry of guaranteed work waited up to 13,861 s because its home lay on the worker it had failed on. Accelerators kept for the head of the queue idled while its last long job ran. Change: small gangs are placed with a heap that skips workers that can't do better; own blocks are told by a number. Homes move off workers that a retry avoids. While the kept accelerators stay in use for at least 5 min, longer jobs are let in, each evicted at most once.

--- a/crates/rattanwinch_decisions/src/policy/guarantee_plan.rs
+++ b/crates/rattanwinch_decisions/src/policy/guarantee_plan.rs
@@ -15,8 +15,13 @@
 use crate::policy::worker_pool::WorkerPool;
 
 rattanwinch_types::value! { copy
-    /// Number of a guaranteed block.
-    pub(super) struct BlockId(pub u32);
+    /// Number of a guaranteed block, with the number of its owner, so that a search over many
+    /// workers tells an organisation's own blocks without a look-up.
+    pub(super) struct BlockId {
+        /// Number of the owner.
+        pub owner: u32,
+        number: u32,
+    }
 }
 
 /// One block of a guarantee.
@@ -43,6 +48,8 @@
     blocks: BTreeMap<BlockId, Block>,
     by_organisation: BTreeMap<Organisation, Vec<BlockId>>,
     next: u32,
+    /// The number of each organisation that ever had a guarantee here.
+    owners: BTreeMap<Organisation, u32>,
     /// Blocks without a home.
     unplaced: Vec<BlockId>,
 }
@@ -130,10 +137,24 @@
             home: Slots::new(),
             users: SmallVec::new(),
         };
-        self.blocks.insert(BlockId(self.next), block);
+        let id = BlockId {
+            owner: self.owner_number(organisation),
+            number: self.next,
+        };
+        self.blocks.insert(id, block);
         self.next += 1;
     }
 
+    fn owner_number(&mut self, organisation: &Organisation) -> u32 {
+        let next = u32::try_from(self.owners.len()).expect("fewer than 2^32 organisations");
+        *self.owners.entry(organisation.clone()).or_insert(next)
+    }
+
+    /// The number of an organisation with a guarantee.
+    pub(super) fn owner(&self, organisation: &Organisation) -> Option<u32> {
+        self.owners.get(organisation).copied()
+    }
+
     fn index(&mut self) {
         self.by_organisation.clear();
         self.unplaced.clear();
--- a/crates/rattanwinch_decisions/src/policy/head_of_queue.rs
+++ b/crates/rattanwinch_decisions/src/policy/head_of_queue.rs
@@ -29,6 +29,10 @@
 /// look reads the whole zone, and run times of hours don't change faster.
 const LOOK_EVERY: Duration = Duration::from_secs(60);
 
+/// While the kept accelerators are expected to be in use for this long, longer jobs are let in, too:
+/// what they do meanwhile outweighs their checkpoint of at most 30 s.
+const WORTH_LETTING_IN: Duration = Duration::from_secs(300);
+
 /// A let-in job that is expected to end within this time isn't evicted for the head any more,
 /// because its checkpoint might take as long.
 const NEARLY_OVER_MS: u64 = 30_000;
@@ -95,6 +99,15 @@
         };
         (is_home << 32) | (split << 16) | whole
     }
+
+    /// All blocks of a wholly free worker without homes cost the same; homes only add to it.
+    fn floor(&self, worker: &Worker, size: u8) -> u64 {
+        if worker.free() != u8::MAX {
+            return 0;
+        }
+        let split = u64::from((u8::MAX.count_ones() / u32::from(size)).trailing_zeros());
+        (split << 16) | self.whole[worker.rack]
+    }
 }
 
 impl ZonePolicy {
@@ -117,7 +130,7 @@
 
     /// Whether the job may use what is kept for the head of the queue: it is the head, or it is
     /// expected to be gone in time. If it isn't, it is evicted when the head could start, and not
-    /// let in again: without that limit, jobs were evicted nine times each on the gait profile.
+    /// let in again, so that a job is evicted for this reason at most once.
     pub(super) fn may_use_kept(&self, id: JobId, spec: &JobSpec, now: Timestamp) -> bool {
         let Some(head) = &self.head else {
             return true;
@@ -127,7 +140,8 @@
         }
         let was_let_in = |history: &JobHistory| history.was_let_in;
         let is_refused = self.histories.get(&spec.key).is_some_and(was_let_in);
-        !is_refused && now + self.run_times.expect(spec) <= head.free_at
+        let gone_by = now + self.run_times.expect(spec).min(WORTH_LETTING_IN);
+        !is_refused && gone_by <= head.free_at
     }
 
     /// Keeps accelerators for the job if it is the first one in the queue that doesn't fit, and
--- a/crates/rattanwinch_decisions/src/policy/reclaim.rs
+++ b/crates/rattanwinch_decisions/src/policy/reclaim.rs
@@ -34,7 +34,7 @@
 /// Prices for work within a guarantee: inside the owner's homes.
 struct OwnHomes<'a> {
     plan: &'a GuaranteePlan,
-    organisation: &'a Organisation,
+    owner: u32,
     avoided: &'a [WorkerId],
     /// `None` if only free accelerators may be used, else the time for pricing evictions.
     evicting_at: Option<Timestamp>,
@@ -44,10 +44,7 @@
 
 impl OwnHomes<'_> {
     fn own(&self, worker: &Worker) -> u8 {
-        let own = |(id, bits): &(BlockId, u8)| {
-            let is_own = self.plan.block(*id).organisation == *self.organisation;
-            if is_own { *bits } else { 0 }
-        };
+        let own = |(id, bits): &(BlockId, u8)| if id.owner == self.owner { *bits } else { 0 };
         worker
             .blocks
             .iter()
@@ -88,13 +85,17 @@
 }
 
 /// Prices for another home of an unused block: outside all homes.
-struct NewHome {
+struct NewHome<'a> {
+    avoided: &'a [WorkerId],
     /// `None` if only free accelerators may be used, else the time for pricing evictions.
     evicting_at: Option<Timestamp>,
 }
 
-impl Pricing for NewHome {
-    fn allowed(&self, _id: WorkerId, worker: &Worker) -> u8 {
+impl Pricing for NewHome<'_> {
+    fn allowed(&self, id: WorkerId, worker: &Worker) -> u8 {
+        if self.avoided.contains(&id) {
+            return 0;
+        }
         let available = worker.usable() & !worker.homes & !worker.guaranteed;
         match self.evicting_at {
             Some(_) => available,
@@ -134,7 +135,10 @@
             return None;
         }
         let avoided = self.avoided_workers(spec);
-        let cheapest = self.cheapest_own(spec, &avoided, Some(now));
+        let mut cheapest = self.cheapest_own(spec, &avoided, Some(now));
+        if cheapest.is_none() && self.move_homes_away(organisation, &avoided, now) {
+            cheapest = self.cheapest_own(spec, &avoided, Some(now));
+        }
         if cheapest.is_none() && avoided.is_empty() {
             misfits.guaranteed.insert(query);
         }
@@ -161,10 +165,11 @@
         evicting_at: Option<Timestamp>,
     ) -> Option<Slots> {
         let mut victims = BTreeSet::new();
+        let owner = self.plan.owner(&spec.key.organisation)?;
         let search = |victims: &BTreeSet<JobId>| {
             let pricing = OwnHomes {
                 plan: &self.plan,
-                organisation: &spec.key.organisation,
+                owner,
                 avoided,
                 evicting_at,
                 victims,
@@ -233,7 +238,10 @@
             let Some(wanted) = Wanted::of_guarantee(size) else {
                 continue;
             };
-            let free = NewHome { evicting_at: None };
+            let free = NewHome {
+                avoided: &[],
+                evicting_at: None,
+            };
             let mut found = None;
             if is_full != Some(size) {
                 found = solver::solve(&self.pool, wanted, &free);
@@ -242,6 +250,7 @@
             if found.is_none() && costly_moves < MOST_COSTLY_MOVES {
                 costly_moves += 1;
                 let costly = NewHome {
+                    avoided: &[],
                     evicting_at: Some(now),
                 };
                 found = solver::solve(&self.pool, wanted, &costly)
@@ -257,6 +266,35 @@
         }
     }
 
+    /// Moves unused homes of the organisation off the workers that a job failed on, so that its
+    /// retry doesn't wait for the guarantee elsewhere. True if one moved.
+    fn move_homes_away(
+        &mut self,
+        organisation: &Organisation,
+        avoided: &[WorkerId],
+        now: Timestamp,
+    ) -> bool {
+        let mut has_moved = false;
+        for id in self.plan.of(organisation).to_vec() {
+            let block = self.plan.block(id);
+            let is_avoided = |slot: &Slot| avoided.contains(&slot.worker);
+            if !block.users.is_empty() || !block.home.iter().any(is_avoided) {
+                continue;
+            }
+            let pricing = NewHome {
+                avoided,
+                evicting_at: Some(now),
+            };
+            let wanted = Wanted::of_guarantee(block.accelerators);
+            let found = wanted.and_then(|wanted| solver::solve(&self.pool, wanted, &pricing));
+            if let Some(home) = found {
+                self.plan.move_home(id, home, &mut self.pool);
+                has_moved = true;
+            }
+        }
+        has_moved
+    }
+
     /// Keeps the accelerators for the job and evicts the borrowers from them.
     pub(super) fn begin_reclaim(
         &mut self,
--- a/crates/rattanwinch_decisions/src/policy/solver.rs
+++ b/crates/rattanwinch_decisions/src/policy/solver.rs
@@ -1,5 +1,6 @@
 //! Finds aligned blocks for the tasks of a gang at the lowest total cost.
 
+use std::collections::BinaryHeap;
 use std::ops::Range;
 
 use rattanwinch_types::Adjacency;
@@ -89,6 +90,11 @@
 
     /// The cost of the block `bits` of the worker.
     fn cost(&self, worker: &Worker, bits: u8) -> u64;
+
+    /// A cost that no block of `size` of the worker goes below.
+    fn floor(&self, _worker: &Worker, _size: u8) -> u64 {
+        0
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -111,8 +117,9 @@
 /// racks while there are at most [`EXACT_RUN_WORK`] blocks to compare; above that the runs are
 /// ranked by the mean cost of the blocks in the shortest run that holds the gang.
 pub(super) fn solve(pool: &WorkerPool, wanted: Wanted, pricing: &impl Pricing) -> Option<Slots> {
-    if wanted.count == 1 {
-        return cheapest_block(pool, wanted.size, pricing);
+    let is_anywhere = wanted.count == 1 || wanted.adjacency == Adjacency::Zone;
+    if is_anywhere && wanted.count <= SMALL_GANG {
+        return cheapest_anywhere(pool, wanted, pricing);
     }
     let candidates = collect(pool, wanted, pricing);
     let all = &candidates.all;
@@ -139,25 +146,47 @@
     }
 }
 
+/// Gangs of up to so many tasks are placed in the zone with a heap. For a gang of 128 a selection
+/// among all blocks is faster: 0.8 ms instead of 1.3 ms at p50 on 5,700 workers.
+const SMALL_GANG: u32 = 16;
+
 /// The most blocks that are compared in an exact search over runs of racks; about 1 ms.
 const EXACT_RUN_WORK: usize = 50_000;
 
-fn cheapest_block(pool: &WorkerPool, size: u8, pricing: &impl Pricing) -> Option<Slots> {
-    let mut best: Option<Candidate> = None;
-    for rack in pool.racks() {
-        for id in &rack.workers {
-            let worker = pool.get(*id);
-            let allowed = pricing.allowed(*id, worker);
-            for bits in blocks::each_block(allowed, size) {
-                let cost = pricing.cost(worker, bits);
-                if best.is_none_or(|known| cost < known.cost) {
-                    let slot = Slot { worker: *id, bits };
-                    best = Some(Candidate { cost, slot });
-                }
+/// The cheapest blocks of the zone, in the order of the row. Keeps only as many as are wanted and
+/// stops when all of them cost nothing, which a burst of 10,000 small jobs needs.
+fn cheapest_anywhere(pool: &WorkerPool, wanted: Wanted, pricing: &impl Pricing) -> Option<Slots> {
+    let count = wanted.count as usize;
+    let mut best: BinaryHeap<(u64, u32, Slot)> = BinaryHeap::with_capacity(count + 1);
+    let mut position = 0;
+    for (id, worker) in pool.iter() {
+        let allowed = pricing.allowed(id, worker);
+        let is_full = best.len() == count;
+        let worst = best.peek().map_or(u64::MAX, |(cost, ..)| *cost);
+        if allowed == 0 || (is_full && pricing.floor(worker, wanted.size) >= worst) {
+            continue;
+        }
+        for bits in blocks::each_block(allowed, wanted.size) {
+            let cost = pricing.cost(worker, bits);
+            position += 1;
+            if best.len() < count {
+                best.push((cost, position, Slot { worker: id, bits }));
+            } else if let Some(mut worst) = best.peek_mut()
+                && cost < worst.0
+            {
+                *worst = (cost, position, Slot { worker: id, bits });
             }
         }
+        if best.len() == count && best.peek().is_some_and(|(cost, ..)| *cost == 0) {
+            break;
+        }
+    }
+    if best.len() < count {
+        return None;
     }
-    best.map(|candidate| Slots::from_elem(candidate.slot, 1))
+    let mut chosen = best.into_vec();
+    chosen.sort_unstable_by_key(|(_, position, _)| *position);
+    Some(chosen.into_iter().map(|(_, _, slot)| slot).collect())
 }
 
 fn collect(pool: &WorkerPool, wanted: Wanted, pricing: &impl Pricing) -> Candidates {
