Measure what control costs an entry and an agent

Cause: docs/CAPACITY.md needs slopes against the number of agents. Change: an example that runs an entry and an agent as processes, all other agents in one process, and reads processor time, memory, bytes and calls.

--- /dev/null
+++ b/crates/rattanwinch_demo/examples/measure_control.rs
@@ -0,0 +1,206 @@
+//! Measures what control costs an entry and an agent, as processes, against the number of agents.
+//!
+//! `cargo run --release -p rattanwinch_demo --example measure_control -- --agents 20,60,180`
+//!
+//! The entry and one agent are processes of their own and are measured through `/proc`; the
+//! other agents run in this process and send the same heartbeats. Bytes are those of the loopback
+//! interface, so nothing else should use it during a run.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use std::time::Instant;
+
+use clap::Parser;
+use eyre::ContextCompat as _;
+use eyre::Result;
+use rattanwinch_agent::AgentDaemon;
+use rattanwinch_agent::AgentSettings;
+use rattanwinch_demo::testing::Process;
+use rattanwinch_demo::testing::deadline_in;
+use rattanwinch_demo::testing::post;
+use rattanwinch_demo::testing::write_site_config;
+use rattanwinch_runtime::discard_logger;
+use rattanwinch_standins::StandinExecutor;
+use rattanwinch_standins::StandinStore;
+use rattanwinch_standins::StoreLimits;
+use rattanwinch_targets::HttpExecutor;
+use rattanwinch_types::RackName;
+use rattanwinch_types::TargetName;
+use rattanwinch_types::ZoneName;
+use serde_json::json;
+
+const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Clock ticks a second in `/proc/<pid>/stat`, fixed on Linux for user space.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Measures what control costs an entry and an agent.
+#[derive(Debug, Parser)]
+struct Arguments {
+    /// Numbers of agents, one run each.
+    #[arg(long, value_delimiter = ',', default_value = "20,60,180")]
+    agents: Vec<usize>,
+    /// Availability zones that the agents are spread over.
+    #[arg(long, default_value_t = 3)]
+    zones: usize,
+    /// How long each run measures, in seconds.
+    #[arg(long, default_value_t = 20)]
+    seconds: u64,
+    /// Plain requests a second, for the measured agent alone (other agents take none).
+    #[arg(long, default_value_t = 0)]
+    rate: u32,
+}
+
+/// What a process has used so far.
+#[derive(Clone, Copy, Debug)]
+struct Usage {
+    cpu_seconds: f64,
+    resident_mb: f64,
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let arguments = Arguments::parse();
+    println!(
+        "control cost over {} s, {} requests/s",
+        arguments.seconds, arguments.rate
+    );
+    println!(
+        "{:>7} {:>11} {:>10} {:>11} {:>10} {:>14} {:>9} {:>9}",
+        "agents",
+        "entry cpu%",
+        "entry MB",
+        "agent cpu%",
+        "agent MB",
+        "bytes/s/agent",
+        "writes/s",
+        "reads/s"
+    );
+    for agents in &arguments.agents {
+        measure(&arguments, *agents).await?;
+    }
+    Ok(())
+}
+
+async fn measure(arguments: &Arguments, agents: usize) -> Result<()> {
+    let folder = std::env::temp_dir().join(format!("rattanwinch-control-{}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    let store = StandinStore::start(ANY_PORT, StoreLimits::default()).await?;
+    write_site_config(store.address(), arguments.zones).await?;
+    let text = format!(
+        "[entry]\nentry = entry-1\nzone = az-1\nhttp_listen = 127.0.0.1:0\n\
+         rpc_listen = 127.0.0.1:0\n[store]\nendpoints = {}\n",
+        store.address()
+    );
+    let entry = start(&folder, "rattanwinch-entry", &text)?;
+    let rpc = entry.address("rpc")?;
+    let executor = StandinExecutor::start(ANY_PORT, 8).await?;
+    let text = format!(
+        "[agent]\ntarget = measured\nzone = az-1\nrack = rack-0\nlisten = 127.0.0.1:0\n\
+         executor = {}\nentries = {rpc}\n",
+        executor.address()
+    );
+    let measured = start(&folder, "rattanwinch-agent", &text)?;
+    let mut others = Vec::new();
+    for n in 1..agents {
+        let settings = AgentSettings::builder()
+            .target(TargetName::new(format!("target-{n}"))?)
+            .zone(ZoneName::new(format!("az-{}", n % arguments.zones + 1))?)
+            .rack(RackName::new(format!("rack-{}", n / 3))?)
+            .listen(ANY_PORT)
+            .executor(executor.address())
+            .entries(vec![rpc])
+            // With requests, only the measured agent is to take them.
+            .slots(if arguments.rate > 0 { 0 } else { 8 })
+            .queue(if arguments.rate > 0 { 0 } else { 60 })
+            .build();
+        let http = HttpExecutor::new(executor.address());
+        others.push(
+            AgentDaemon::new(settings, http, discard_logger())
+                .serve()
+                .await?,
+        );
+    }
+    // Connections, adoption and the first heartbeats are not part of the steady state.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let load = tokio::spawn(requests(
+        entry.address("http")?,
+        arguments.rate,
+        arguments.seconds,
+    ));
+    store.reset_counts();
+    let (entry_before, agent_before) = (usage(entry.id())?, usage(measured.id())?);
+    let (bytes_before, started) = (loopback_bytes()?, Instant::now());
+    tokio::time::sleep(Duration::from_secs(arguments.seconds)).await;
+    let (entry_after, agent_after) = (usage(entry.id())?, usage(measured.id())?);
+    let (bytes, took) = (
+        loopback_bytes()? - bytes_before,
+        started.elapsed().as_secs_f64(),
+    );
+    let counts = store.counts();
+    let writes: u64 = counts.of("txn_write") + counts.of("lease_keepalive");
+    let reads: u64 = counts.of("txn_read") + counts.of("range");
+    let share =
+        |before: Usage, after: Usage| 100.0 * (after.cpu_seconds - before.cpu_seconds) / took;
+    println!(
+        "{agents:>7} {:>11.2} {:>10.1} {:>11.2} {:>10.1} {:>14.0} {:>9.2} {:>9.2}",
+        share(entry_before, entry_after),
+        entry_after.resident_mb,
+        share(agent_before, agent_after),
+        agent_after.resident_mb,
+        bytes as f64 / took / agents as f64,
+        writes as f64 / took,
+        reads as f64 / took
+    );
+    load.abort();
+    std::fs::remove_dir_all(&folder)?;
+    Ok(())
+}
+
+/// Sends idempotent requests at a fixed rate.
+async fn requests(http: SocketAddr, rate: u32, seconds: u64) {
+    let started = Instant::now();
+    for n in 0..u64::from(rate) * seconds {
+        let due = started + Duration::from_secs_f64(n as f64 / f64::from(rate));
+        tokio::time::sleep_until(due.into()).await;
+        let body = json!({"organisation": "letrafa", "id": format!("m-{n}"), "payload": "work_ms=2",
+            "deadline_unix_ms": deadline_in(Duration::from_secs(10))});
+        tokio::spawn(post(format!("http://{http}/v1/requests"), body));
+    }
+}
+
+fn start(folder: &Path, binary: &str, text: &str) -> Result<Process> {
+    let settings = folder.join(format!("{binary}.ini"));
+    std::fs::write(&settings, text)?;
+    Process::start(binary, &settings)
+}
+
+fn usage(process: u32) -> Result<Usage> {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat"))?;
+    // The fields after the command's name, which may have spaces, begin with the third one.
+    let fields = stat.rsplit_once(')').wrap_err("stat has a command name")?.1;
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    let ticks: f64 = fields[11].parse::<f64>()? + fields[12].parse::<f64>()?;
+    let status = std::fs::read_to_string(format!("/proc/{process}/status"))?;
+    let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = resident.and_then(|text| text.split_whitespace().next());
+    let kilobytes: f64 = kilobytes.wrap_err("status has a resident size")?.parse()?;
+    Ok(Usage {
+        cpu_seconds: ticks / TICKS_PER_SECOND,
+        resident_mb: kilobytes / 1024.0,
+    })
+}
+
+/// Bytes received on the loopback interface so far.
+fn loopback_bytes() -> Result<u64> {
+    let text = std::fs::read_to_string("/proc/net/dev")?;
+    let line = text
+        .lines()
+        .find_map(|line| line.trim().strip_prefix("lo:"));
+    let received = line.and_then(|line| line.split_whitespace().next());
+    Ok(received
+        .wrap_err("there is a loopback interface")?
+        .parse()?)
+}
--- a/crates/rattanwinch_demo/src/testing/mod.rs
+++ b/crates/rattanwinch_demo/src/testing/mod.rs
@@ -13,3 +13,4 @@
 pub use process::Process;
 pub use process::Signal;
 pub use process_site::ProcessSite;
+pub use process_site::write_site_config;
--- a/crates/rattanwinch_demo/src/testing/process_site.rs
+++ b/crates/rattanwinch_demo/src/testing/process_site.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -166,6 +167,19 @@
     }
 }
 
+/// Writes the configuration of a site with `zones` availability zones and its organisations.
+///
+/// # Errors
+///
+/// If the store refuses.
+pub async fn write_site_config(store: SocketAddr, zones: usize) -> Result<()> {
+    let size = SiteSize {
+        zones,
+        ..SiteSize::default()
+    };
+    write_config(store, &site_config(size)?).await
+}
+
 fn start(settings: &Path, binary: &str, text: &str) -> Result<Process> {
     std::fs::write(settings, text)?;
     Process::start(binary, settings)
