End a running member by the executor's list alone

Reading the table showed one way to it: "no such task" in answer to a stop that was sent before the member was held.

--- a/crates/rattanwinch_agent/src/member_actions.rs
+++ b/crates/rattanwinch_agent/src/member_actions.rs
@@ -65,14 +65,8 @@
     }
 
     async fn load(&self, order: &HoldOrder, lease_until: Timestamp) -> Result<()> {
-        let task = TaskOrder::builder()
-            .member(order.member.clone())
-            .epoch(order.epoch)
-            .accelerators(order.accelerators)
-            .gang_tasks(order.gang_tasks)
-            .payload(Arc::clone(&order.payload))
-            .lease(self.clock.now().until(lease_until))
-            .build();
+        let lease = self.clock.now().until(lease_until);
+        let task = TaskOrder::for_hold(order, lease);
         self.executor.load_task(&task).await
     }
 
--- a/crates/rattanwinch_agent/src/member_owner.rs
+++ b/crates/rattanwinch_agent/src/member_owner.rs
@@ -221,7 +221,7 @@
             Step::Load => self.table.loaded(member, result, now),
             Step::Run => self.table.ran(member, result, now),
             Step::Stop(mode) => {
-                self.table.stopped(member, mode, result, now);
+                self.table.stopped(member, mode, result);
                 Actions::new()
             }
         };
--- a/crates/rattanwinch_decisions/src/members/table_results.rs
+++ b/crates/rattanwinch_decisions/src/members/table_results.rs
@@ -86,15 +86,17 @@
         };
         let (member, actions) = match result {
             Ok(()) => {
-                let lease_until = member.lease_until();
-                let ending = member.is_ending();
-                let member = MemberState::Running(member.with_start_confirmed());
                 let renew = Action::Renew {
                     members: smallvec![key.clone()],
-                    lease_until,
+                    lease_until: member.lease_until(),
+                };
+                let ending = member.is_ending();
+                let member = MemberState::Running(member.with_start_confirmed());
+                let actions = if ending {
+                    Actions::new()
+                } else {
+                    smallvec![renew]
                 };
-                // A stop that was sent before the run was answered may have arrived first.
-                let actions = if ending { stop(key) } else { smallvec![renew] };
                 (member, actions)
             }
             Err(error) if error.is_not_run() => {
@@ -117,13 +119,7 @@
 
     /// Takes in the result of [`Action::Stop`]; the executor answers [`ErrorKind::NotFound`] if
     /// it has no such task.
-    pub fn stopped(
-        &mut self,
-        key: &MemberKey,
-        mode: StopMode,
-        result: &Result<(), RequestError>,
-        now: Timestamp,
-    ) {
+    pub fn stopped(&mut self, key: &MemberKey, mode: StopMode, result: &Result<(), RequestError>) {
         self.next_step();
         let absent = matches!(result, Err(error) if error.kind == ErrorKind::NotFound);
         let Some(member) = self.by_key.remove(key) else {
@@ -135,11 +131,9 @@
                 if let Some(stopping) = stopping.filter(|it| it.mode <= mode) {
                     stopping.accepted = result.is_ok();
                 }
-                if absent && mode == StopMode::Stop {
-                    MemberState::Ended(member.end(MemberEnd::Stopped, now))
-                } else {
-                    MemberState::Running(member)
-                }
+                // The answer may be to a call that was made before this member was held, so an
+                // absent task ends it only by the next list.
+                MemberState::Running(member)
             }
             MemberState::Ended(member) if result.is_ok() || absent => {
                 MemberState::Ended(match member.state.left {
--- a/crates/rattanwinch_standins/src/executor/mod.rs
+++ b/crates/rattanwinch_standins/src/executor/mod.rs
@@ -6,4 +6,7 @@
 mod work_order;
 
 pub use standin_executor::StandinExecutor;
+pub use standin_tasks::Refusal;
+pub use standin_tasks::Result;
+pub use standin_tasks::StandinTasks;
 pub use work_order::WorkOrder;
--- a/crates/rattanwinch_standins/src/executor/standin_executor.rs
+++ b/crates/rattanwinch_standins/src/executor/standin_executor.rs
@@ -73,7 +73,7 @@
             started: AtomicU64::new(0),
             runs: Mutex::new(Vec::new()),
         });
-        let tasks = Arc::new(TaskService::default());
+        let tasks = Arc::new(TaskService::new());
         let acceptor = TcpListener::bind(address).into_acceptor().await?;
         let local = acceptor.local_addr();
         let address = local
--- a/crates/rattanwinch_standins/src/executor/task_routes.rs
+++ b/crates/rattanwinch_standins/src/executor/task_routes.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::Instant;
 
 use poem::IntoResponse;
 use poem::Response;
@@ -18,24 +17,31 @@
 use poem::web::Data;
 use poem::web::Json;
 use poem::web::Path;
+use rattanwinch_runtime::Clock;
+use rattanwinch_targets::TaskOrder;
+use rattanwinch_targets::WireResponse;
 use rattanwinch_targets::WireTaskList;
 use rattanwinch_targets::WireTaskOrder;
 use rattanwinch_targets::WireTaskStop;
 use rattanwinch_targets::WireTasksLease;
+use rattanwinch_types::AcceleratorSet;
 use rattanwinch_types::AttemptKey;
+use rattanwinch_types::Epoch;
 use rattanwinch_types::MemberKey;
 use rattanwinch_types::Organisation;
 use rattanwinch_types::RequestId;
 use rattanwinch_types::RequestKey;
 use rattanwinch_types::StopMode;
+use rattanwinch_types::Timestamp;
 
 use super::standin_tasks::Refusal;
 use super::standin_tasks::Result;
 use super::standin_tasks::StandinTasks;
 
 /// What the task routes share with the stand-in that a test holds.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct TaskService {
+    clock: Clock,
     tasks: Mutex<StandinTasks>,
     calls: AtomicU64,
     delay_ms: AtomicU64,
@@ -43,6 +49,17 @@
 }
 
 impl TaskService {
+    /// A service without tasks.
+    pub fn new() -> Self {
+        Self {
+            clock: Clock::start(),
+            tasks: Mutex::default(),
+            calls: AtomicU64::new(0),
+            delay_ms: AtomicU64::new(0),
+            fails_everything: AtomicBool::new(false),
+        }
+    }
+
     /// The tasks.
     pub fn tasks(&self) -> MutexGuard<'_, StandinTasks> {
         self.tasks.lock().expect("no call about tasks panics")
@@ -68,7 +85,7 @@
     /// that is slow still does what it was asked.
     async fn call<T: Send + 'static>(
         self: &Arc<Self>,
-        call: impl FnOnce(&mut StandinTasks, Instant) -> T + Send + 'static,
+        call: impl FnOnce(&mut StandinTasks, Timestamp) -> T + Send + 'static,
     ) -> T {
         self.calls.fetch_add(1, Ordering::AcqRel);
         let service = Arc::clone(self);
@@ -78,7 +95,7 @@
                 tokio::time::sleep(delay).await;
             }
             let mut tasks = service.tasks();
-            call(&mut tasks, Instant::now())
+            call(&mut tasks, service.clock.now())
         });
         task.await.expect("no call about tasks panics")
     }
@@ -108,6 +125,17 @@
     Ok(MemberKey { attempt, index })
 }
 
+fn task_order(member: MemberKey, wire: WireTaskOrder) -> TaskOrder {
+    TaskOrder::builder()
+        .member(member)
+        .epoch(Epoch(wire.epoch))
+        .accelerators(AcceleratorSet::from_bits(wire.accelerators))
+        .gang_tasks(wire.gang_tasks)
+        .payload(Arc::from(wire.payload))
+        .lease(Duration::from_millis(wire.lease_ms))
+        .build()
+}
+
 fn parse_path(path: &str) -> Result<MemberKey> {
     const BAD: Refusal = (StatusCode::BAD_REQUEST, "a task's path is wrong");
     let mut parts = path.split('/').map(str::to_owned);
@@ -130,14 +158,14 @@
     Path(path): TaskPath,
     Json(order): Json<WireTaskOrder>,
 ) -> Response {
-    let call = service.call(|tasks, now| tasks.load(member(path)?, order, now));
+    let call = service.call(|tasks, now| tasks.load(&task_order(member(path)?, order), now));
     answer(call.await)
 }
 
 #[handler]
 async fn run(Data(service): Data<&Arc<TaskService>>, Path(path): TaskPath) -> Response {
     let fails = service.fails_everything.load(Ordering::Acquire);
-    let call = service.call(move |tasks, now| tasks.run(&member(path)?, fails, now));
+    let call = service.call(move |tasks, now| tasks.run(&member(path)?, fails, now).map(drop));
     answer(call.await)
 }
 
@@ -164,7 +192,7 @@
 async fn output(Data(service): Data<&Arc<TaskService>>, Path(path): TaskPath) -> Response {
     let call = service.call(|tasks, now| tasks.output(&member(path)?, now));
     match call.await {
-        Ok(output) => Json(output).into_response(),
+        Ok(output) => Json(WireResponse::from(output)).into_response(),
         Err(refusal) => refusal.into_response(),
     }
 }
--- a/crates/rattanwinch_standins/src/lib.rs
+++ b/crates/rattanwinch_standins/src/lib.rs
@@ -5,5 +5,8 @@
 
 mod executor;
 
+pub use executor::Refusal;
+pub use executor::Result;
 pub use executor::StandinExecutor;
+pub use executor::StandinTasks;
 pub use executor::WorkOrder;
--- a/crates/rattanwinch_targets/src/task.rs
+++ b/crates/rattanwinch_targets/src/task.rs
@@ -4,6 +4,7 @@
 use bon::Builder;
 use rattanwinch_types::AcceleratorSet;
 use rattanwinch_types::Epoch;
+use rattanwinch_types::HoldOrder;
 use rattanwinch_types::MemberKey;
 
 /// A task for an executor to load.
@@ -23,6 +24,21 @@
     pub lease: Duration,
 }
 
+impl TaskOrder {
+    /// The task of a member that a decider orders to hold.
+    #[must_use]
+    pub fn for_hold(order: &HoldOrder, lease: Duration) -> Self {
+        Self {
+            member: order.member.clone(),
+            epoch: order.epoch,
+            accelerators: order.accelerators,
+            gang_tasks: order.gang_tasks,
+            payload: Arc::clone(&order.payload),
+            lease,
+        }
+    }
+}
+
 rattanwinch_types::value! {
     /// Where a task stands.
     pub enum TaskState {
