Keep a gone worker while accelerators of it are kept for a job

An urgent job waited behind a normal head of the queue. Gangs of 128 were placed by a selection among all free blocks. Change: a worker is forgotten only if nothing names it; the case has a test of its own. Urgent jobs take what is kept for a normal head, or its place. The heap serves gangs of all sizes. All homes are placed anew only if there is space for a block without one. The trials also report unusable accelerators as a share of capacity, and the time to take in all workers.

--- a/crates/rattanwinch_decisions/src/policy/guarantee_plan.rs
+++ b/crates/rattanwinch_decisions/src/policy/guarantee_plan.rs
@@ -173,7 +173,7 @@
     /// Gives homes to blocks that have none. If that fails, all unused homes are placed anew,
     /// largest first, and the outcome with more guaranteed accelerators in place is kept.
     pub(super) fn place_missing(&mut self, pool: &mut WorkerPool) {
-        if self.place_unplaced(pool) {
+        if self.place_unplaced(pool) || !self.has_space_for_unplaced(pool) {
             return;
         }
         let movable = |block: &Block| block.users.is_empty() && !block.home.is_empty();
@@ -203,6 +203,16 @@
         }
     }
 
+    /// Whether the accelerators outside all homes are enough for the smallest block without one.
+    /// While workers report one by one after a takeover they hardly ever are, and placing all
+    /// homes anew for each worker would be wasted.
+    fn has_space_for_unplaced(&self, pool: &WorkerPool) -> bool {
+        let sizes = self.unplaced.iter().map(|id| self.blocks[id].accelerators);
+        let space = pool.iter().map(|(_, worker)| HomePricing::space(worker));
+        let space: u32 = space.map(u8::count_ones).sum();
+        sizes.min().is_some_and(|smallest| smallest <= space)
+    }
+
     fn placed_accelerators(&self) -> u32 {
         let placed = self.blocks.values().filter(|block| !block.home.is_empty());
         placed.map(|block| block.accelerators).sum()
--- a/crates/rattanwinch_decisions/src/policy/head_of_queue.rs
+++ b/crates/rattanwinch_decisions/src/policy/head_of_queue.rs
@@ -8,6 +8,7 @@
 use rattanwinch_types::JobSpec;
 use rattanwinch_types::RequestKey;
 use rattanwinch_types::Timestamp;
+use rattanwinch_types::Urgency;
 
 use crate::policy::blocks;
 use crate::policy::decision::Decision;
@@ -135,7 +136,7 @@
         let Some(head) = &self.head else {
             return true;
         };
-        if head.job == id {
+        if head.job == id || self.is_urgent_before_head(id, spec) {
             return true;
         }
         let was_let_in = |history: &JobHistory| history.was_let_in;
@@ -144,10 +145,24 @@
         !is_refused && gone_by <= head.free_at
     }
 
+    /// Whether the job is urgent and comes before a head of the queue that isn't: it takes what is
+    /// kept, or the head's place.
+    fn is_urgent_before_head(&self, id: JobId, spec: &JobSpec) -> bool {
+        let Some(head) = &self.head else {
+            return false;
+        };
+        let head_job = self.queue.get(head.job);
+        let is_normal = head_job.is_some_and(|job| job.spec.urgency == Urgency::Normal);
+        spec.urgency == Urgency::Urgent && is_normal && self.queue.comes_before(id, head.job)
+    }
+
     /// Keeps accelerators for the job if it is the first one in the queue that doesn't fit, and
     /// looks from time to time whether others are free sooner.
     pub(super) fn offer_head(&mut self, id: JobId, spec: &JobSpec, now: Timestamp) {
-        let is_due = |head: &HeadOfQueue| head.job == id && now.since(head.looked_at) >= LOOK_EVERY;
+        let is_urgent = self.is_urgent_before_head(id, spec);
+        let is_due = |head: &HeadOfQueue| {
+            is_urgent || head.job == id && now.since(head.looked_at) >= LOOK_EVERY
+        };
         if !self.head.as_ref().is_none_or(is_due) {
             return;
         }
@@ -165,6 +180,7 @@
         };
         head.free_at = self.free_at(&head, now);
         if let Some(known) = &mut self.head
+            && known.job == id
             && known.free_at <= head.free_at
         {
             known.looked_at = now;
--- a/crates/rattanwinch_decisions/src/policy/job_queue.rs
+++ b/crates/rattanwinch_decisions/src/policy/job_queue.rs
@@ -73,6 +73,12 @@
         self.jobs.get_mut(self.keys.get(&id)?)
     }
 
+    /// Whether the first job is tried before the second; both are queued.
+    pub(super) fn comes_before(&self, first: JobId, second: JobId) -> bool {
+        let keys = (self.keys.get(&first), self.keys.get(&second));
+        matches!(keys, (Some(first), Some(second)) if first < second)
+    }
+
     pub(super) fn len(&self) -> usize {
         self.jobs.len()
     }
--- a/crates/rattanwinch_decisions/src/policy/solver.rs
+++ b/crates/rattanwinch_decisions/src/policy/solver.rs
@@ -117,15 +117,13 @@
 /// racks while there are at most [`EXACT_RUN_WORK`] blocks to compare; above that the runs are
 /// ranked by the mean cost of the blocks in the shortest run that holds the gang.
 pub(super) fn solve(pool: &WorkerPool, wanted: Wanted, pricing: &impl Pricing) -> Option<Slots> {
-    let is_anywhere = wanted.count == 1 || wanted.adjacency == Adjacency::Zone;
-    if is_anywhere && wanted.count <= SMALL_GANG {
+    if wanted.count == 1 || wanted.adjacency == Adjacency::Zone {
         return cheapest_anywhere(pool, wanted, pricing);
     }
     let candidates = collect(pool, wanted, pricing);
     let all = &candidates.all;
     let range = match wanted.adjacency {
-        Adjacency::Zone => 0..all.len(),
-        Adjacency::Worker => best_worker(all, wanted.count as usize)?,
+        Adjacency::Zone | Adjacency::Worker => best_worker(all, wanted.count as usize)?,
         Adjacency::Rack => best_run(&candidates, wanted.count as usize, 1)?,
         Adjacency::Racks => best_run(&candidates, wanted.count as usize, wanted.longest_run())?,
     };
@@ -146,10 +144,6 @@
     }
 }
 
-/// Gangs of up to so many tasks are placed in the zone with a heap. For a gang of 128 a selection
-/// among all blocks is faster: 0.8 ms instead of 1.3 ms at p50 on 5,700 workers.
-const SMALL_GANG: u32 = 16;
-
 /// The most blocks that are compared in an exact search over runs of racks; about 1 ms.
 const EXACT_RUN_WORK: usize = 50_000;
 
@@ -260,6 +254,13 @@
     let (all, ends) = (&candidates.all, &candidates.rack_ends);
     let is_exact = all.len().saturating_mul(longest) <= EXACT_RUN_WORK;
     let mut costs = Vec::new();
+    let mut sums = vec![0];
+    if !is_exact {
+        sums.extend(all.iter().scan(0_u64, |sum, candidate| {
+            *sum = sum.saturating_add(candidate.cost);
+            Some(*sum)
+        }));
+    }
     let mut best: Option<((u64, usize), Range<usize>)> = None;
     let mut shortest = 0;
     for first in 0..ends.len() {
@@ -278,9 +279,8 @@
             let end = ends[(first + longest).min(ends.len()) - 1];
             (least_cost(&all[start..end], count, &mut costs)?, end)
         } else {
-            let run = &all[start..ends[shortest]];
-            let total: u64 = run.iter().map(|candidate| candidate.cost).sum();
-            (total / run.len() as u64, ends[shortest])
+            let end = ends[shortest];
+            ((sums[end] - sums[start]) / (end - start) as u64, end)
         };
         let key = (cost, shortest - first);
         if best.as_ref().is_none_or(|(least, _)| key < *least) {
--- a/crates/rattanwinch_decisions/src/policy/worker_pool.rs
+++ b/crates/rattanwinch_decisions/src/policy/worker_pool.rs
@@ -145,7 +145,7 @@
         id
     }
 
-    /// Forgets workers that have been gone for long and have nothing on them.
+    /// Forgets workers that have been gone for long and that no job, block or reservation names.
     pub(super) fn forget_gone(&mut self, now: Timestamp) {
         let expired = |worker: &Worker| {
             let WorkerState::Gone(since) = worker.state else {
@@ -154,6 +154,7 @@
             now.since(since) >= CAPACITY_MEMORY
                 && worker.occupants.is_empty()
                 && worker.blocks.is_empty()
+                && worker.shadow == 0
         };
         let old: Vec<WorkerId> = self
             .iter()
--- a/crates/rattanwinch_decisions/tests/policy/random.rs
+++ b/crates/rattanwinch_decisions/tests/policy/random.rs
@@ -295,6 +295,7 @@
         .size_max(16_384)
         .budget(Duration::from_secs(20))
         .run();
+    println!("{steps} steps");
     assert!(
         steps > 10_000 && started > 0,
         "only {steps} steps and {started} jobs"
--- a/crates/rattanwinch_decisions/tests/policy/workers.rs
+++ b/crates/rattanwinch_decisions/tests/policy/workers.rs
@@ -173,3 +173,16 @@
         if error.message.contains("failed on 3 different workers") && !error.is_not_run()));
     assert_eq!(policy.summary().accelerators, 32);
 }
+
+/// Guards against forgetting a worker whose accelerators are still kept for the head of the
+/// queue, when no decision falls between the worker's loss and the end of its memory.
+#[test]
+fn a_gone_worker_is_not_forgotten_while_it_is_kept_for_the_head() {
+    let mut policy = policy(1, Vec::new());
+    fill(&mut policy, "o", 2, 100);
+    policy.worker_gone(&worker(0).target, at(200));
+    policy.ended(&key("o", "0"), JobEnd::WorkerLost, at(200));
+    policy.decide(at(900));
+    assert_eq!(policy.summary().waiting, 1);
+    policy.check().expect("the invariants hold");
+}
--- a/crates/rattanwinch_trials/src/accounts.rs
+++ b/crates/rattanwinch_trials/src/accounts.rs
@@ -12,6 +12,10 @@
 pub(crate) struct Accounts {
     /// Share of unusable free accelerators, times milliseconds.
     fragmented_ms: f64,
+    /// Unusable free accelerators, times milliseconds.
+    unusable_ms: f64,
+    /// Accelerators of open zones, times milliseconds.
+    capacity_ms: f64,
     /// Milliseconds in which jobs wait and accelerators are free.
     waiting_ms: f64,
     /// Accelerator-milliseconds that ran in the time of the zone change.
@@ -43,8 +47,10 @@
             return;
         }
         for zone in zones.iter_mut() {
+            self.capacity_ms += millis * f64::from(zone.open_capacity());
             if let Some((free, unusable)) = zone.fragmentation(jobs).filter(|(free, _)| *free > 0) {
                 self.fragmented_ms += millis * f64::from(unusable) / f64::from(free);
+                self.unusable_ms += millis * f64::from(unusable);
                 self.waiting_ms += millis;
             }
         }
@@ -77,6 +83,10 @@
         share(self.fragmented_ms, self.waiting_ms)
     }
 
+    pub(crate) fn unusable(&self) -> f64 {
+        share(self.unusable_ms, self.capacity_ms)
+    }
+
     pub(crate) fn zone_change_useful(&self) -> f64 {
         share(self.useful_ms, self.reachable_ms)
     }
--- a/crates/rattanwinch_trials/src/driver.rs
+++ b/crates/rattanwinch_trials/src/driver.rs
@@ -497,6 +497,7 @@
             completion_s: completion.percentiles(),
             slowdown: slowdown.percentiles(),
             fragmentation: self.accounts.fragmentation(),
+            unusable_of_capacity: self.accounts.unusable(),
             zone_change_useful: self.accounts.zone_change_useful(),
             guarantee_wait_s: self.guarantee_waits.percentiles(),
             guarantee_wait_max_s: self.guarantee_waits.max(),
--- a/crates/rattanwinch_trials/src/measures.rs
+++ b/crates/rattanwinch_trials/src/measures.rs
@@ -30,6 +30,9 @@
     /// Share of free accelerators that the largest waiting shape can't use, over the time in
     /// which jobs wait and accelerators are free.
     pub fragmentation: f64,
+    /// The same unusable accelerators as a share of the open capacity, over all time until the
+    /// last event. A scheduler that leaves more accelerators free has a lower share of free ones.
+    pub unusable_of_capacity: f64,
     /// Useful accelerator-hours through the zone's leaving and return, divided by what the
     /// remaining capacity and the waiting jobs allow.
     pub zone_change_useful: f64,
--- a/crates/rattanwinch_trials/src/report.rs
+++ b/crates/rattanwinch_trials/src/report.rs
@@ -57,7 +57,7 @@
 
 type Figure = (&'static str, fn(&Measures) -> f64);
 
-const FIGURES: [Figure; 22] = [
+const FIGURES: [Figure; 23] = [
     ("completion p50 (s)", |m| m.completion_s.p50),
     ("completion p95 (s)", |m| m.completion_s.p95),
     ("completion p99 (s)", |m| m.completion_s.p99),
@@ -65,6 +65,7 @@
     ("slowdown p95", |m| m.slowdown.p95),
     ("slowdown p99", |m| m.slowdown.p99),
     ("fragmentation (share)", |m| m.fragmentation),
+    ("unusable of capacity (share)", |m| m.unusable_of_capacity),
     ("zone change, useful (share)", |m| m.zone_change_useful),
     ("guarantee wait p50 (s)", |m| m.guarantee_wait_s.p50),
     ("guarantee wait p95 (s)", |m| m.guarantee_wait_s.p95),
@@ -126,14 +127,14 @@
             f,
             "profile {profile}, {seeds} seeds; median [min .. max] over the seeds"
         )?;
-        write!(f, "{:<28}", "")?;
+        write!(f, "{:<30}", "")?;
         for scheduler in &self.schedulers {
             write!(f, "{scheduler:>30}")?;
         }
         let first = self.schedulers[0];
         writeln!(f, "{:>30}", format!("policy / {first}"))?;
         for row in &self.rows {
-            write!(f, "{:<28}", row.figure)?;
+            write!(f, "{:<30}", row.figure)?;
             for spread in row.values.iter().chain(row.ratios.last()) {
                 let (median, min, max) = (
                     number(spread.median),
--- a/crates/rattanwinch_trials/src/speed.rs
+++ b/crates/rattanwinch_trials/src/speed.rs
@@ -39,6 +39,8 @@
     pub idle_ms: Percentiles,
     /// One full check of the invariants, in milliseconds.
     pub check_ms: Percentiles,
+    /// Taking in all workers with a decision after each, in seconds.
+    pub adoption_s: f64,
     /// Submitting and deciding 10,000 small jobs, in seconds.
     pub burst_s: f64,
     /// How many of them started; the others found no room.
@@ -91,6 +93,7 @@
         gang_racks_ms: gang_racks.percentiles(),
         idle_ms: idle.percentiles(),
         check_ms: check.percentiles(),
+        adoption_s: fleet.adoption.as_secs_f64(),
         burst_s,
         burst_started,
     }
@@ -146,13 +149,14 @@
         )?;
         writeln!(
             f,
-            "{:>8}{:>8}{:>24}{:>24}{:>24}{:>24}{:>10}{:>9}",
+            "{:>8}{:>8}{:>24}{:>24}{:>24}{:>24}{:>14}{:>10}{:>9}",
             "workers",
             "tasks",
             "gang 128, zone",
             "gang 128, racks",
             "idle decision",
             "full check",
+            "adoption (s)",
             "burst (s)",
             "started"
         )?;
@@ -160,13 +164,14 @@
             let text = |p: &Percentiles| format!("{:.3}/{:.3}/{:.3}", p.p50, p.p95, p.p99);
             writeln!(
                 f,
-                "{:>8}{:>8}{:>24}{:>24}{:>24}{:>24}{:>10.3}{:>9}",
+                "{:>8}{:>8}{:>24}{:>24}{:>24}{:>24}{:>14.3}{:>10.3}{:>9}",
                 row.workers,
                 row.tasks,
                 text(&row.gang_zone_ms),
                 text(&row.gang_racks_ms),
                 text(&row.idle_ms),
                 text(&row.check_ms),
+                row.adoption_s,
                 row.burst_s,
                 row.burst_started
             )?;
--- a/crates/rattanwinch_trials/src/speed_fleet.rs
+++ b/crates/rattanwinch_trials/src/speed_fleet.rs
@@ -1,4 +1,5 @@
 use std::time::Duration;
+use std::time::Instant;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -32,6 +33,8 @@
     pub now: Timestamp,
     /// The tasks that run.
     pub tasks: usize,
+    /// How long it took to take in all workers, with a decision after each.
+    pub adoption: Duration,
     rng: ChaCha8Rng,
     next_job: u64,
 }
@@ -42,18 +45,17 @@
         let zone: ZoneName = name("zone-1");
         let mut policy = ZonePolicy::new(zone.clone());
         policy.set_config(&config(&zone, workers), Timestamp::ZERO);
+        let start = Instant::now();
         for index in 0..workers {
-            let worker = WorkerInfo {
-                target: name(&format!("w{index}")),
-                rack: name(&format!("r{}", index / 3)),
-                accelerators: 8,
-            };
-            policy.worker_ready(worker, Timestamp::ZERO);
+            policy.worker_ready(worker(index), Timestamp::ZERO);
+            policy.decide(Timestamp::ZERO);
         }
+        let adoption = start.elapsed();
         let mut fleet = Self {
             policy,
             now: Timestamp::from_millis(60_000),
             tasks: 0,
+            adoption,
             rng: ChaCha8Rng::seed_from_u64(1),
             next_job: 0,
         };
@@ -116,6 +118,14 @@
     }
 }
 
+fn worker(index: u32) -> WorkerInfo {
+    WorkerInfo {
+        target: name(&format!("w{index}")),
+        rack: name(&format!("r{}", index / 3)),
+        accelerators: 8,
+    }
+}
+
 /// Guarantees of a sixth of the zone, spread over the teams in blocks of 8.
 fn config(zone: &ZoneName, workers: u32) -> FleetConfig {
     let blocks = (workers / 6 / TEAMS).max(1);
