Keep work out of closed zones for frozen agents and cut-off entries

Change: the gate takes plain requests only within 2 s of an answered heartbeat. Entries pass the configuration on to each other when a ping shows a newer revision, and remember revisions that peers and agents act on, so that a store that is read later and is behind them counts as regressed. Agents learn of all entries from a heartbeat's answer. Metrics for the revisions of entries and targets.

--- a/crates/rattanwinch_decisions/src/gate.rs
+++ b/crates/rattanwinch_decisions/src/gate.rs
@@ -9,6 +9,11 @@
 /// What a call that asks the gate returns.
 pub type Result<T> = std::result::Result<T, RequestError>;
 
+/// How long an answered heartbeat lets plain requests start. An agent that was frozen across a
+/// closing goes on later than this and first has to hear an entry again; the 2 s leave 3 s of the
+/// bound on closings for the closing's way to the entries.
+const HEARD_FOR: Duration = Duration::from_secs(2);
+
 rattanwinch_types::value! {
     /// What an agent may start now, from its latest view of the configuration.
     ///
@@ -23,7 +28,9 @@
         pub leaving: bool,
         /// Until when the view is known to be fresh.
         pub fresh_until: Timestamp,
-        /// How long after that plain requests are still taken.
+        /// When the last answered heartbeat was sent whose answer wasn't from an older view.
+        pub heard_at: Timestamp,
+        /// How long after `fresh_until` plain requests are still taken.
         pub plain_when_stale: Duration,
     }
 }
@@ -36,6 +43,7 @@
             zone_closed: false,
             leaving: false,
             fresh_until: Timestamp::ZERO,
+            heard_at: Timestamp::ZERO,
             plain_when_stale: Duration::ZERO,
         }
     }
@@ -56,6 +64,7 @@
             zone_closed: response.zone_closed,
             leaving: self.leaving,
             fresh_until: self.fresh_until.max(sent_at + response.freshness),
+            heard_at: self.heard_at.max(sent_at),
             plain_when_stale: response.plain_when_stale,
         }
     }
@@ -87,9 +96,14 @@
     ///
     /// # Errors
     ///
-    /// As [`Self::check_start`], but an outdated view is accepted for `plain_when_stale`.
+    /// As [`Self::check_start`], but a view that entries confirm without the store is accepted
+    /// for `plain_when_stale`. An agent that hears no entry takes nothing: without that, one that
+    /// was frozen would start what it has queued in a zone that was closed in the meantime.
     pub fn check_plain(&self, now: Timestamp) -> Result<()> {
         self.check_open()?;
+        if now >= self.fresh_until.max(self.heard_at + HEARD_FOR) {
+            return refuse("the target has heard no entry for too long");
+        }
         if now >= self.fresh_until + self.plain_when_stale {
             return refuse("the view of closed availability zones has been out of date too long");
         }
--- a/crates/rattanwinch_demo/src/testing/http_calls.rs
+++ b/crates/rattanwinch_demo/src/testing/http_calls.rs
@@ -64,6 +64,14 @@
     }
 }
 
+/// The value of the metric that a line of `/metrics` begins with, labels included; `None` if the
+/// entry at `url` doesn't answer or has no such metric.
+pub async fn metric(url: String, name: &str) -> Option<f64> {
+    let text = reqwest::get(url).await.ok()?.text().await.ok()?;
+    let mut values = text.lines().filter_map(|line| line.strip_prefix(name));
+    values.find_map(|value| value.strip_prefix(' ')?.trim().parse().ok())
+}
+
 /// How often the executors started any attempt at the request `organisation/id`.
 #[must_use]
 pub fn count_runs(executors: &[StandinExecutor], request: &str) -> usize {
--- a/crates/rattanwinch_entry/src/control_reads.rs
+++ b/crates/rattanwinch_entry/src/control_reads.rs
@@ -10,7 +10,9 @@
 use rand::Rng as _;
 use rattanwinch_platform::ControlRead;
 use rattanwinch_platform::Store;
+use rattanwinch_platform::Versioned;
 use rattanwinch_platform::records::ConfigDocument;
+use rattanwinch_platform::records::InvalidConfig;
 use rattanwinch_runtime::Shutdown;
 use rattanwinch_types::ExceptionEffect;
 use rattanwinch_types::FleetConfig;
@@ -63,44 +65,59 @@
     }
 
     fn apply_control(&self, sent_at: Timestamp, read: ControlRead) {
-        let before = self.control.load_full();
-        let mut view = ControlView::clone(&before);
-        if is_regressed(&before, &read) {
-            error!(self.logger, "the store has gone back; nothing is decided until an operator \
-                restarts the entries"; "known_revision" => before.revision.0,
-                "store_revision" => read.revision.0);
-            gauge!("store_regressed").set(1.0);
-            view.regressed = true;
-            self.control.store(Arc::new(view));
+        let config = match read.config.as_ref().map(parse).transpose() {
+            Ok(config) => config,
+            // The old configuration isn't confirmed by this read, so freshness runs out.
+            Err(error) => {
+                error!(self.logger, "stored configuration can't be read"; "error" => %error);
+                return;
+            }
+        };
+        let known = **self.known_elsewhere.load();
+        if read.revision < known.revision && sent_at < known.at {
+            // The read was on its way when the revision became known, so it proves nothing.
             return;
         }
-        view.cluster = Some(read.cluster);
-        if let Some(document) = &read.config {
-            match ConfigDocument::from_json(&document.value) {
-                Ok(ConfigDocument { config, .. }) => {
-                    view.revision = document.revision;
-                    view.config = Arc::new(config);
-                    info!(self.logger, "configuration in force"; "revision" => view.revision.0);
-                }
-                // The old configuration isn't confirmed by this read, so freshness runs out.
-                Err(error) => {
-                    error!(self.logger, "stored configuration can't be read"; "error" => %error);
-                    return;
-                }
+        let before = self.control.rcu(|before| {
+            let mut view = ControlView::clone(before);
+            view.regressed |= read.revision < known.revision || is_regressed(before, &read);
+            if view.regressed {
+                return view;
             }
+            if let Some((revision, config)) = config.as_ref().filter(|new| new.0 > view.revision) {
+                view.revision = *revision;
+                view.config = Arc::clone(config);
+            }
+            view.cluster = Some(read.cluster);
+            view.deciders = Arc::from(read.deciders.as_slice());
+            view.entries = Arc::from(read.entries.as_slice());
+            view.confirmed_at = before.confirmed_at.max(Some(sent_at));
+            view
+        });
+        let after = self.control.load_full();
+        if after.regressed {
+            error!(self.logger, "the store has gone back; nothing is decided until an operator \
+                restarts the entries"; "store_revision" => read.revision.0,
+                "known_revision" => before.revision.max(known.revision).0);
+            gauge!("store_regressed").set(1.0);
+            return;
         }
-        view.deciders = Arc::from(read.deciders);
-        view.entries = Arc::from(read.entries);
-        view.confirmed_at = before.confirmed_at.max(Some(sent_at));
-        if view.revision != before.revision {
-            self.apply_closures(&view.config);
-        }
-        self.control.store(Arc::new(view));
+        self.config_changed(&before);
         self.ready
             .store(!self.draining.load(Ordering::Acquire), Ordering::Release);
     }
 
-    fn apply_closures(&self, config: &FleetConfig) {
+    /// Brings in force what follows from the configuration if it isn't the one of `before`.
+    pub(crate) fn config_changed(&self, before: &ControlView) {
+        let after = self.control.load_full();
+        if after.revision > before.revision {
+            info!(self.logger, "configuration in force"; "revision" => after.revision.0);
+            gauge!("config_revision").set(after.revision.0 as f64);
+            self.apply_closures(after.revision, &after.config);
+        }
+    }
+
+    fn apply_closures(&self, revision: Revision, config: &FleetConfig) {
         let (mut zones, mut targets) = (HashSet::new(), HashSet::new());
         for exception in &config.exceptions {
             match &exception.effect {
@@ -109,10 +126,16 @@
                 ExceptionEffect::LimitOrganisation { .. } => {}
             }
         }
-        self.fleet.set_closed(&zones, &targets);
+        self.fleet.set_closed(revision, &zones, &targets);
     }
 }
 
+/// The configuration of a stored document, with its revision.
+fn parse(document: &Versioned) -> Result<(Revision, Arc<FleetConfig>), InvalidConfig> {
+    let parsed = ConfigDocument::from_json(&document.value)?;
+    Ok((document.revision, Arc::new(parsed.config)))
+}
+
 /// Whether the store that was read can't be a later state of the one known before.
 fn is_regressed(before: &ControlView, read: &ControlRead) -> bool {
     let other_store = before
--- a/crates/rattanwinch_entry/src/control_view.rs
+++ b/crates/rattanwinch_entry/src/control_view.rs
@@ -13,6 +13,32 @@
 /// The longest that one heartbeat extends an agent's freshness.
 const AGENT_FRESH_FOR: Duration = Duration::from_secs(2);
 
+/// A revision of the configuration that this entry knows of, and since when.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KnownRevision {
+    /// The revision.
+    pub revision: Revision,
+    /// When it became known. Only a control read that was sent later has to show it.
+    pub at: Timestamp,
+}
+
+impl KnownRevision {
+    /// What is known before anyone told of a revision.
+    pub const NONE: Self = Self {
+        revision: Revision(0),
+        at: Timestamp::ZERO,
+    };
+
+    /// The higher one of this and a revision that became known at `now`.
+    pub fn or_higher(self, revision: Revision, now: Timestamp) -> Self {
+        if revision > self.revision {
+            Self { revision, at: now }
+        } else {
+            self
+        }
+    }
+}
+
 /// What an entry last read of the store's control keys.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ControlView {
--- a/crates/rattanwinch_entry/src/entry_state.rs
+++ b/crates/rattanwinch_entry/src/entry_state.rs
@@ -12,6 +12,7 @@
 
 use crate::EntrySettings;
 use crate::control_view::ControlView;
+use crate::control_view::KnownRevision;
 use crate::fleet::Fleet;
 use crate::in_flight::InFlight;
 use crate::retry_budget::RetryBudget;
@@ -30,6 +31,10 @@
     pub rpc_address: OnceLock<SocketAddr>,
     /// What was last read of the configuration.
     pub control: ArcSwap<ControlView>,
+    /// The highest revision that another process told of.
+    pub known_elsewhere: ArcSwap<KnownRevision>,
+    /// Whether the configuration is being fetched from another entry.
+    pub fetching_config: AtomicBool,
     /// The targets.
     pub fleet: Fleet,
     /// The availability zones that this entry decides, and the other entries.
@@ -58,6 +63,8 @@
             incarnation: Incarnation(rand::random()),
             rpc_address: OnceLock::new(),
             control: ArcSwap::from_pointee(ControlView::default()),
+            known_elsewhere: ArcSwap::from_pointee(KnownRevision::NONE),
+            fetching_config: AtomicBool::new(false),
             fleet: Fleet::default(),
             zones: ZoneTable::default(),
             retries: RetryBudget::default(),
--- a/crates/rattanwinch_entry/src/fleet.rs
+++ b/crates/rattanwinch_entry/src/fleet.rs
@@ -6,6 +6,7 @@
 use imbl::HashSet;
 use rattanwinch_decisions::pick_target;
 use rattanwinch_types::Heartbeat;
+use rattanwinch_types::Revision;
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
 use rattanwinch_types::ZoneName;
@@ -36,6 +37,8 @@
     by_zone: HashMap<ZoneName, Arc<[Arc<Target>]>>,
     /// The zones that operators have closed.
     closed: HashSet<ZoneName>,
+    /// The revision of the configuration that says so.
+    closed_revision: Revision,
     /// The targets that operators have excluded.
     excluded: HashSet<TargetName>,
 }
@@ -81,12 +84,22 @@
         }
     }
 
-    /// Replaces the sets of closed zones and of excluded targets.
-    pub fn set_closed(&self, zones: &HashSet<ZoneName>, targets: &HashSet<TargetName>) {
-        self.view.rcu(|view| FleetView {
-            closed: zones.clone(),
-            excluded: targets.clone(),
-            ..FleetView::clone(view)
+    /// Replaces the sets of closed zones and of excluded targets, unless they are from an older
+    /// revision of the configuration.
+    pub fn set_closed(
+        &self,
+        revision: Revision,
+        zones: &HashSet<ZoneName>,
+        targets: &HashSet<TargetName>,
+    ) {
+        self.view.rcu(|view| {
+            let mut view = FleetView::clone(view);
+            if revision > view.closed_revision {
+                view.closed = zones.clone();
+                view.excluded = targets.clone();
+                view.closed_revision = revision;
+            }
+            view
         });
     }
 
@@ -99,6 +112,17 @@
             .count()
     }
 
+    /// The lowest and the highest configuration revision that a target which is heard acts on.
+    pub fn config_revisions(&self, now: Timestamp) -> Option<(Revision, Revision)> {
+        let view = self.view.load();
+        let heard = view.targets.values().filter(|target| is_heard(target, now));
+        let revisions = heard.map(|target| target.config_revision());
+        revisions.fold(None, |range, revision| {
+            let (lowest, highest) = range.unwrap_or((revision, revision));
+            Some((revision.min(lowest), revision.max(highest)))
+        })
+    }
+
     /// The targets of a zone.
     pub fn targets_of(&self, zone: &ZoneName) -> Option<Arc<[Arc<Target>]>> {
         self.view.load().by_zone.get(zone).map(Arc::clone)
--- a/crates/rattanwinch_entry/src/heartbeats.rs
+++ b/crates/rattanwinch_entry/src/heartbeats.rs
@@ -57,6 +57,7 @@
             Heard::Duplicate => warn!(self.logger, "second agent for a target refused";
                 "target" => %heartbeat.target, "address" => %heartbeat.address),
         }
+        self.note_revision(heartbeat.config_revision, now);
         let control = self.control.load();
         HeartbeatResponse {
             entries: self.entry_addresses(),
@@ -71,11 +72,15 @@
         }
     }
 
+    /// This entry and the others that it knows. Agents learn from it of an entry that was
+    /// replaced and listens at another address than the one in their settings.
     fn entry_addresses(&self) -> Vec<EntryAddress> {
         let own = self.rpc_address.get().map(|address| EntryAddress {
             entry: self.settings.entry.clone(),
             address: *address,
         });
-        own.into_iter().collect()
+        let others = self.peer_addresses().into_iter();
+        let others = others.map(|(entry, address)| EntryAddress { entry, address });
+        own.into_iter().chain(others).collect()
     }
 }
--- a/crates/rattanwinch_entry/src/http.rs
+++ b/crates/rattanwinch_entry/src/http.rs
@@ -28,6 +28,11 @@
     let metrics_state = Arc::clone(state);
     let metrics_text = make_sync(move |_| {
         gauge!("targets_connected").set(metrics_state.fleet.connected() as f64);
+        let now = metrics_state.clock.now();
+        if let Some((lowest, highest)) = metrics_state.fleet.config_revisions(now) {
+            gauge!("targets_config_revision_lowest").set(lowest.0 as f64);
+            gauge!("targets_config_revision_highest").set(highest.0 as f64);
+        }
         metrics.render()
     });
     Route::new()
--- a/crates/rattanwinch_entry/src/lib.rs
+++ b/crates/rattanwinch_entry/src/lib.rs
@@ -7,6 +7,7 @@
 //! availability zones and callers' jobs are in `zones/`.
 
 mod claims;
+mod config_copies;
 mod control_reads;
 mod control_view;
 mod entry_daemon;
--- a/crates/rattanwinch_entry/src/target.rs
+++ b/crates/rattanwinch_entry/src/target.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicI64;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -9,6 +10,7 @@
 use rattanwinch_peers::AgentConnection;
 use rattanwinch_types::Heartbeat;
 use rattanwinch_types::Incarnation;
+use rattanwinch_types::Revision;
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
 use rattanwinch_types::ZoneName;
@@ -36,6 +38,8 @@
     others: AtomicU32,
     /// The time of the last heartbeat, in milliseconds.
     heard_at: AtomicU64,
+    /// The configuration revision that the agent acts on.
+    config_revision: AtomicI64,
     /// Whether the target takes no new work.
     leaving: AtomicBool,
 }
@@ -62,6 +66,7 @@
             sent: AtomicU32::new(0),
             others: AtomicU32::new(0),
             heard_at: AtomicU64::new(now.as_millis()),
+            config_revision: AtomicI64::new(heartbeat.config_revision.0),
             leaving: AtomicBool::new(heartbeat.leaving),
         }
     }
@@ -72,6 +77,8 @@
         self.others
             .store(heartbeat.in_flight.saturating_sub(sent), Ordering::Release);
         self.heard_at.fetch_max(now.as_millis(), Ordering::AcqRel);
+        self.config_revision
+            .store(heartbeat.config_revision.0, Ordering::Release);
         if heartbeat.leaving {
             self.leaving.store(true, Ordering::Release);
         }
@@ -82,6 +89,11 @@
         Timestamp::from_millis(self.heard_at.load(Ordering::Acquire))
     }
 
+    /// The configuration revision that its agent acts on.
+    pub fn config_revision(&self) -> Revision {
+        Revision(self.config_revision.load(Ordering::Acquire))
+    }
+
     /// Its load for routing.
     pub fn load(&self, now: Timestamp) -> TargetLoad {
         let silent = now.since(self.heard_at()) >= SILENT_AFTER;
--- a/crates/rattanwinch_entry/src/zones/calls.rs
+++ b/crates/rattanwinch_entry/src/zones/calls.rs
@@ -6,6 +6,7 @@
 use rattanwinch_peers::InvalidWire;
 use rattanwinch_peers::JobRpcServer;
 use rattanwinch_peers::PeerRpcServer;
+use rattanwinch_peers::WireConfigCopy;
 use rattanwinch_peers::WireExplanation;
 use rattanwinch_peers::WireJobSpec;
 use rattanwinch_peers::WireJobStatus;
@@ -46,11 +47,18 @@
 impl<S: Store> PeerRpcServer for PeerCalls<S> {
     async fn ping(&self, wire: WirePeerState) -> RpcResult<WirePeerState> {
         let peer: PeerState = read(wire)?;
-        self.0.zones.hear(&peer, self.0.clock.now());
+        self.0.hear_peer(&peer);
         let own = self.0.peer_state();
         let own = own.ok_or_else(|| rpc_error(unavailable("the entry doesn't listen yet")))?;
         Ok(own.into())
     }
+
+    async fn config(&self) -> RpcResult<WireConfigCopy> {
+        let copy = self.0.config_copy();
+        let message = "the entry hasn't read the configuration yet";
+        let copy = copy.ok_or_else(|| rpc_error(unavailable(message)))?;
+        Ok(copy.into())
+    }
 }
 
 #[async_trait]
--- a/crates/rattanwinch_entry/src/zones/pings.rs
+++ b/crates/rattanwinch_entry/src/zones/pings.rs
@@ -52,7 +52,7 @@
                 let client = state.zones.client(address);
                 // Silence is what suspicion counts, so an error needs nothing more.
                 if let Ok(peer) = client.ping(own, PING_INTERVAL * 2).await {
-                    state.zones.hear(&peer, state.clock.now());
+                    state.hear_peer(&peer);
                 }
             });
         }
--- a/crates/rattanwinch_peers/src/entry_client.rs
+++ b/crates/rattanwinch_peers/src/entry_client.rs
@@ -5,6 +5,7 @@
 use jsonrpsee::core::client::Error as ClientError;
 use jsonrpsee::http_client::HttpClient;
 use jsonrpsee::http_client::HttpClientBuilder;
+use rattanwinch_types::ConfigCopy;
 use rattanwinch_types::ErrorKind;
 use rattanwinch_types::Explanation;
 use rattanwinch_types::Heartbeat;
@@ -90,6 +91,16 @@
         PeerState::try_from(answer).map_err(|error| invalid_answer(&error))
     }
 
+    /// Asks for the configuration that the entry acts on.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Unavailable`] if no answer came within `limit`, or if the entry has none.
+    pub async fn config(&self, limit: Duration) -> Result<ConfigCopy> {
+        let answer = within("a configuration", limit, self.client.config()).await?;
+        Ok(answer.into())
+    }
+
     /// Hands a job to the decider of `zone`.
     ///
     /// # Errors
--- a/crates/rattanwinch_peers/src/lib.rs
+++ b/crates/rattanwinch_peers/src/lib.rs
@@ -41,6 +41,7 @@
 pub use wire::WireAnswer;
 pub use wire::WireAttemptKey;
 pub use wire::WireAttemptOutcome;
+pub use wire::WireConfigCopy;
 pub use wire::WireExplanation;
 pub use wire::WireHeartbeat;
 pub use wire::WireHeartbeatResponse;
--- a/crates/rattanwinch_peers/src/wire/mod.rs
+++ b/crates/rattanwinch_peers/src/wire/mod.rs
@@ -1,5 +1,6 @@
 //! The messages. Each type converts to and from one plain type; reading one checks it.
 
+mod config_copy;
 mod heartbeat;
 mod invalid_wire;
 mod job;
@@ -8,6 +9,7 @@
 mod plain;
 mod request_error;
 
+pub use config_copy::WireConfigCopy;
 pub use heartbeat::WireHeartbeat;
 pub use heartbeat::WireHeartbeatResponse;
 pub use invalid_wire::InvalidWire;
--- a/crates/rattanwinch_types/src/lib.rs
+++ b/crates/rattanwinch_types/src/lib.rs
@@ -11,6 +11,7 @@
 mod accelerator_set;
 mod answer;
 mod claim_record;
+mod config_copy;
 mod digest;
 mod fleet_config;
 mod gang_shape;
@@ -33,6 +34,7 @@
 pub use answer::Answer;
 pub use claim_record::ClaimOutcome;
 pub use claim_record::ClaimRecord;
+pub use config_copy::ConfigCopy;
 pub use digest::Digest;
 pub use fleet_config::Exception;
 pub use fleet_config::ExceptionEffect;
