--- a/crates/rattanwinch_entry/src/lib.rs
+++ b/crates/rattanwinch_entry/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod burn;
 mod claims;
+mod config_copies;
 mod control_reads;
 mod control_view;
 mod entry_daemon;
--- a/crates/rattanwinch_entry/src/target.rs
+++ b/crates/rattanwinch_entry/src/target.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicI64;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
@@ -13,6 +14,7 @@
 use rattanwinch_types::Incarnation;
 use rattanwinch_types::MemberPhase;
 use rattanwinch_types::RackName;
+use rattanwinch_types::Revision;
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
 use rattanwinch_types::ZoneName;
@@ -48,6 +50,8 @@
     running_tasks: AtomicU32,
     /// The time of the last heartbeat, in milliseconds.
     heard_at: AtomicU64,
+    /// The configuration revision that the agent acts on.
+    config_revision: AtomicI64,
     /// Whether the target takes no new work.
     leaving: AtomicBool,
 }
@@ -78,6 +82,7 @@
             accelerators_used: AtomicU8::new(accelerators_used(heartbeat)),
             running_tasks: AtomicU32::new(running_tasks(heartbeat)),
             heard_at: AtomicU64::new(now.as_millis()),
+            config_revision: AtomicI64::new(heartbeat.config_revision.0),
             leaving: AtomicBool::new(heartbeat.leaving),
         }
     }
@@ -92,6 +97,8 @@
         let running = running_tasks(heartbeat);
         self.running_tasks.store(running, Ordering::Release);
         self.heard_at.fetch_max(now.as_millis(), Ordering::AcqRel);
+        self.config_revision
+            .store(heartbeat.config_revision.0, Ordering::Release);
         if heartbeat.leaving {
             self.leaving.store(true, Ordering::Release);
         }
@@ -122,6 +129,11 @@
         self.running_tasks.load(Ordering::Acquire)
     }
 
+    /// The configuration revision that its agent acts on.
+    pub fn config_revision(&self) -> Revision {
+        Revision(self.config_revision.load(Ordering::Acquire))
+    }
+
     /// Its load for routing.
     pub fn load(&self, now: Timestamp) -> TargetLoad {
         TargetLoad {
