Test gangs under faults of processes, as the executors record them

The executors' stand-in keeps each run with its start and end, and the processes' logs are searched for violated invariants and panics.

--- a/crates/rattanwinch_demo/src/site.rs
+++ b/crates/rattanwinch_demo/src/site.rs
@@ -213,7 +213,7 @@
     })
 }
 
-fn client(store: SocketAddr, name: &str) -> EtcdStore {
+pub(crate) fn client(store: SocketAddr, name: &str) -> EtcdStore {
     let settings = StoreSettings::builder().endpoints(vec![store]).build();
     EtcdStore::builder()
         .settings(settings)
--- a/crates/rattanwinch_demo/src/testing/process.rs
+++ b/crates/rattanwinch_demo/src/testing/process.rs
@@ -6,7 +6,10 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::OnceLock;
+use std::sync::PoisonError;
 use std::sync::mpsc;
 use std::time::Duration;
 
@@ -37,6 +40,7 @@
 pub struct Process {
     child: Child,
     addresses: Value,
+    faults: Arc<Mutex<Vec<String>>>,
 }
 
 impl Process {
@@ -55,12 +59,20 @@
             .wrap_err_with(|| format!("can't start {binary}"))?;
         let stderr = child.stderr.take().wrap_err("standard error is piped")?;
         let (tx, rx) = mpsc::channel();
+        let faults = Arc::default();
+        let found: Arc<Mutex<Vec<String>>> = Arc::clone(&faults);
         std::thread::spawn(move || {
             // The pipe is read to its end, or the daemon would block on a full one.
             for line in BufReader::new(stderr)
                 .lines()
                 .map_while(std::result::Result::ok)
             {
+                if line.contains("invariant violated") || line.contains("panicked at") {
+                    found
+                        .lock()
+                        .unwrap_or_else(PoisonError::into_inner)
+                        .push(line.clone());
+                }
                 let event: Value = serde_json::from_str(&line).unwrap_or(Value::Null);
                 let serves = event["msg"]
                     .as_str()
@@ -73,7 +85,11 @@
         let addresses = rx.recv_timeout(START_LIMIT);
         let addresses =
             addresses.wrap_err_with(|| format!("{binary} didn't say that it serves"))?;
-        Ok(Self { child, addresses })
+        Ok(Self {
+            child,
+            addresses,
+            faults,
+        })
     }
 
     /// An address that the daemon logged under the given field.
@@ -88,6 +104,13 @@
         Ok(text.parse()?)
     }
 
+    /// The lines that say that an invariant was violated or that a task panicked.
+    #[must_use]
+    pub fn faults(&self) -> Vec<String> {
+        let faults = self.faults.lock();
+        faults.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// The process's id.
     #[must_use]
     pub fn id(&self) -> u32 {
--- a/crates/rattanwinch_demo/src/testing/process_site.rs
+++ b/crates/rattanwinch_demo/src/testing/process_site.rs
@@ -2,15 +2,23 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use eyre::ContextCompat as _;
 use eyre::Result;
+use rattanwinch_decisions::rank_entries;
+use rattanwinch_platform::Store as _;
+use rattanwinch_platform::keys;
+use rattanwinch_platform::records::DeciderRecord;
 use rattanwinch_standins::StandinExecutor;
 use rattanwinch_standins::StandinStore;
 use rattanwinch_standins::StoreLimits;
+use rattanwinch_types::EntryName;
+use rattanwinch_types::ZoneName;
 
 use super::Process;
 use crate::SiteSize;
 use crate::site::ANY_PORT;
 use crate::site::WORKERS_PER_RACK;
+use crate::site::client;
 use crate::site::site_config;
 use crate::site::write_config;
 
@@ -129,6 +137,47 @@
         format!("http://{http}{path}")
     }
 
+    /// The number of the entry that the store names as the decider of a zone.
+    ///
+    /// # Errors
+    ///
+    /// If the store can't be read or names none of the entries.
+    pub async fn decider(&self, zone: &str) -> Result<usize> {
+        let key = keys::decider(&ZoneName::new(zone)?);
+        let stored = client(self.store.address(), "test").read(&key).await?;
+        let stored = stored.wrap_err("the zone has no decider")?;
+        let record = DeciderRecord::decode(&stored.value)?;
+        let name = record.entry.to_string();
+        let number = name.strip_prefix("entry-").wrap_err("unknown entry")?;
+        Ok(number.parse::<usize>()? - 1)
+    }
+
+    /// The number of the entry that takes a zone over first once the entry `decider` is dead.
+    ///
+    /// # Errors
+    ///
+    /// If there is no other entry.
+    pub fn successor(&self, zone: &str, decider: usize) -> Result<usize> {
+        let others = (0..self.entries.len()).filter(|index| *index != decider);
+        let names = others.map(|index| EntryName::new(format!("entry-{}", index + 1)));
+        let names = names.collect::<std::result::Result<Vec<_>, _>>()?;
+        let ranked = rank_entries(&ZoneName::new(zone)?, names);
+        let first = ranked.first().wrap_err("there is no other entry")?;
+        let number = first.as_str().strip_prefix("entry-");
+        Ok(number.wrap_err("unknown entry")?.parse::<usize>()? - 1)
+    }
+
+    /// Checks that no process has violated an invariant or panicked.
+    ///
+    /// # Panics
+    ///
+    /// If one has.
+    pub fn check_faults(&self) {
+        let processes = self.entries.iter().chain(&self.agents);
+        let faults: Vec<String> = processes.flat_map(Process::faults).collect();
+        assert!(faults.is_empty(), "faults in daemons: {faults:#?}");
+    }
+
     /// Waits until each entry is ready and connected to every target.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/rattanwinch_demo/tests/bad_jobs.rs
@@ -0,0 +1,152 @@
+//! Workers that fail everything, jobs that can never run, and waves of cancellations.
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use rattanwinch_demo::SiteSize;
+use rattanwinch_demo::testing::AttemptLog;
+use rattanwinch_demo::testing::ProcessSite;
+use rattanwinch_demo::testing::gang_body;
+use rattanwinch_demo::testing::until;
+use rattanwinch_standins::StoreFaults;
+use rattanwinch_types::AcceleratorSet;
+use serde_json::json;
+
+/// The time in which the short jobs of these tests come to their end.
+const END_BOUND: Duration = Duration::from_secs(30);
+
+/// The time in which every accelerator is free after a wave of cancellations.
+const FREE_BOUND: Duration = Duration::from_secs(10);
+
+/// A worker is quarantined after failures of this many different jobs.
+const WORKER_FAILURES: usize = 3;
+
+/// An idempotent job has this many attempts by default.
+const MAX_ATTEMPTS: usize = 3;
+
+async fn site(name: &str, targets: usize) -> ProcessSite {
+    let size = SiteSize {
+        zones: 1,
+        targets,
+        slots: 2,
+        entries: 2,
+    };
+    ProcessSite::start(name, size).await.expect("site starts")
+}
+
+/// Guards against a worker that fails everything and takes every job because it is always free.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_that_fails_everything_is_left_out() {
+    let site = site("failing-worker", 4).await;
+    site.executors[0].set_fails_everything(true);
+    let ids: Vec<String> = (0..16).map(|n| format!("job-{n}")).collect();
+    for (n, id) in ids.iter().enumerate() {
+        let body = gang_body(id, 1, "work_ms=100");
+        let accepted = site.submit_job(n % 2, &body);
+        assert_eq!(accepted.await.status, 202);
+    }
+    for id in &ids {
+        let done = site.finished_job(1, id, END_BOUND).await;
+        let answers = done["answers"].as_array().map(Vec::len);
+        assert_eq!(answers, Some(1), "{done}");
+    }
+    let failed = site.executors[0].task_runs().len();
+    println!(
+        "the failing worker started {failed} tasks of {} jobs",
+        ids.len()
+    );
+    assert!(failed <= WORKER_FAILURES, "{failed} starts");
+    site.check_faults();
+}
+
+/// Guards against a job that fails everywhere and is started without end or has healthy workers
+/// quarantined, and against one that is too large and waits for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_that_can_never_run_end_with_their_reason() {
+    let site = site("bad-jobs", 4).await;
+    for n in 0..4 {
+        let id = format!("bad-{n}");
+        let body = gang_body(&id, 2, "work_ms=50 fail");
+        let accepted = site.submit_job(0, &body);
+        assert_eq!(accepted.await.status, 202);
+    }
+    for n in 0..4 {
+        let id = format!("bad-{n}");
+        let done = site.finished_job(1, &id, END_BOUND).await;
+        assert_eq!(done["error"]["verdict"], json!("ran"), "{done}");
+        assert_eq!(done["error"]["kind"], json!("failed"), "{done}");
+        let log = AttemptLog::read(&site.executors);
+        log.check(&id, 2, Duration::ZERO);
+        assert!(log.starts(&id) <= 2 * MAX_ATTEMPTS, "{}", log.starts(&id));
+    }
+    let large = site
+        .submit_job(0, &gang_body("large", 5, "work_ms=1"))
+        .await;
+    let done = match large.status {
+        202 => site.finished_job(1, "large", END_BOUND).await,
+        _ => large.body.clone(),
+    };
+    println!("too large: {done}");
+    assert_eq!(done["error"]["verdict"], json!("not_run"), "{done}");
+    assert_eq!(AttemptLog::read(&site.executors).starts("large"), 0);
+    // The jobs were at fault, so every worker still takes work.
+    let whole = site
+        .submit_job(0, &gang_body("whole", 4, "work_ms=1"))
+        .await;
+    assert_eq!(whole.status, 202, "{whole:?}");
+    let done = site.finished_job(1, "whole", END_BOUND).await;
+    assert_eq!(done["answers"].as_array().map(Vec::len), Some(4), "{done}");
+    site.check_faults();
+}
+
+/// Guards against accelerators that stay held or taken by jobs that were cancelled while they
+/// were queued, held or running.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_wave_of_cancellations_frees_every_accelerator() {
+    let site = site("cancellations", 4).await;
+    let ids: Vec<String> = (0..24).map(|n| format!("job-{n}")).collect();
+    let submit = |range: std::ops::Range<usize>| {
+        join_all(range.map(|n| {
+            let body = gang_body(&ids[n], 1, "work_ms=120000");
+            let site = &site;
+            async move { site.submit_job(n % 2, &body).await.status }
+        }))
+    };
+    assert!(submit(0..2).await.iter().all(|status| *status == 202));
+    let running = || {
+        let log = AttemptLog::read(&site.executors);
+        ids[..2].iter().all(|id| log.starts(id) == 1)
+    };
+    until(END_BOUND, "the first jobs run", running).await;
+    // Slow commits keep the next jobs held while they are cancelled.
+    site.store.set_faults(StoreFaults {
+        delay_ms: 400,
+        ..StoreFaults::default()
+    });
+    assert!(submit(2..24).await.iter().all(|status| *status == 202));
+    let cancelled = ids.iter().enumerate();
+    let cancelled = cancelled.map(|(n, id)| site.cancel_job(n % 2, id));
+    let accepted = join_all(cancelled).await;
+    assert!(accepted.iter().all(|accepted| *accepted), "{accepted:?}");
+    let taken = |executor: &rattanwinch_standins::StandinExecutor| {
+        executor.taken_accelerators() != AcceleratorSet::EMPTY
+    };
+    let free = || !site.executors.iter().any(taken);
+    until(FREE_BOUND, "every accelerator is free", free).await;
+    site.store.set_faults(StoreFaults::default());
+    for id in &ids {
+        let done = site.finished_job(0, id, END_BOUND).await;
+        assert_eq!(done["error"]["kind"], json!("cancelled"), "{done}");
+        let starts = AttemptLog::read(&site.executors).starts(id);
+        let not_run = done["error"]["verdict"] == json!("not_run");
+        assert!(!(not_run && starts > 0), "{starts} starts: {done}");
+    }
+    // The decider, too, counts all accelerators as free.
+    let whole = site
+        .submit_job(1, &gang_body("whole", 4, "work_ms=1"))
+        .await;
+    assert_eq!(whole.status, 202, "{whole:?}");
+    let done = site.finished_job(0, "whole", FREE_BOUND).await;
+    assert_eq!(done["answers"].as_array().map(Vec::len), Some(4), "{done}");
+    site.check_faults();
+}
--- a/crates/rattanwinch_standins/src/executor/mod.rs
+++ b/crates/rattanwinch_standins/src/executor/mod.rs
@@ -3,7 +3,9 @@
 mod standin_executor;
 mod standin_tasks;
 mod task_routes;
+mod task_run;
 mod work_order;
 
 pub use standin_executor::StandinExecutor;
+pub use task_run::TaskRun;
 pub use work_order::WorkOrder;
--- a/crates/rattanwinch_standins/src/executor/standin_executor.rs
+++ b/crates/rattanwinch_standins/src/executor/standin_executor.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use poem::EndpointExt as _;
 use poem::IntoResponse as _;
@@ -24,9 +25,11 @@
 use rattanwinch_runtime::Shutdown;
 use rattanwinch_targets::WireRequest;
 use rattanwinch_targets::WireResponse;
+use rattanwinch_types::AcceleratorSet;
 use rattanwinch_types::Answer;
 use tokio::sync::Semaphore;
 
+use super::TaskRun;
 use super::WorkOrder;
 use super::task_routes::TaskService;
 use super::task_routes::task_routes;
@@ -130,7 +133,28 @@
     /// If a call about tasks panicked.
     #[must_use]
     pub fn task_starts(&self) -> Vec<String> {
-        self.tasks.tasks().starts().to_vec()
+        let runs = self.task_runs();
+        runs.iter().map(|run| run.member.to_string()).collect()
+    }
+
+    /// Every run of a gang task, in the order of the starts.
+    ///
+    /// # Panics
+    ///
+    /// If a call about tasks panicked.
+    #[must_use]
+    pub fn task_runs(&self) -> Vec<TaskRun> {
+        self.tasks.tasks().runs(Instant::now()).to_vec()
+    }
+
+    /// The accelerators that loaded and running gang tasks use.
+    ///
+    /// # Panics
+    ///
+    /// If a call about tasks panicked.
+    #[must_use]
+    pub fn taken_accelerators(&self) -> AcceleratorSet {
+        self.tasks.tasks().taken(Instant::now())
     }
 
     /// The requests that were started so far.
--- a/crates/rattanwinch_standins/src/executor/standin_tasks.rs
+++ b/crates/rattanwinch_standins/src/executor/standin_tasks.rs
@@ -13,6 +13,7 @@
 use rattanwinch_types::MemberKey;
 use rattanwinch_types::StopMode;
 
+use super::TaskRun;
 use super::WorkOrder;
 
 /// A refusal: the status and what was wrong.
@@ -37,6 +38,8 @@
     /// Whether the work fails at its end.
     fails: bool,
     throttled: bool,
+    /// When it ended, once it has.
+    ended_at: Option<Instant>,
 }
 
 impl Task {
@@ -56,8 +59,10 @@
             } else {
                 TaskState::Succeeded
             };
+            self.ended_at = Some(self.done_at);
         } else if self.lease_until <= now {
             self.state = TaskState::Expired;
+            self.ended_at = Some(self.lease_until);
         }
     }
 }
@@ -68,7 +73,7 @@
 #[derive(Debug, Default)]
 pub(super) struct StandinTasks {
     tasks: BTreeMap<MemberKey, Task>,
-    starts: Vec<String>,
+    runs: Vec<TaskRun>,
 }
 
 impl StandinTasks {
@@ -98,6 +103,7 @@
             done_at: now,
             fails: false,
             throttled: false,
+            ended_at: None,
             order,
         };
         self.tasks.insert(member, task);
@@ -116,7 +122,11 @@
         task.state = TaskState::Running;
         task.done_at = now + work.work;
         task.fails = fails || work.fail;
-        self.starts.push(member.to_string());
+        self.runs.push(TaskRun {
+            member: member.clone(),
+            started_at: now,
+            ended_at: None,
+        });
         Ok(())
     }
 
@@ -133,6 +143,7 @@
             }
         } else {
             task.state = TaskState::Stopped;
+            task.ended_at = Some(now);
         }
         Ok(())
     }
@@ -178,13 +189,31 @@
         if self.find(member, now)?.is_live() {
             return Err((StatusCode::CONFLICT, "the task hasn't ended"));
         }
+        self.record_ends();
         self.tasks.remove(member);
         Ok(())
     }
 
-    /// Every start in order, as `organisation/id#attempt.index`.
-    pub fn starts(&self) -> &[String] {
-        &self.starts
+    /// Every run in the order of the starts.
+    pub fn runs(&mut self, now: Instant) -> &[TaskRun] {
+        self.advance(now);
+        self.record_ends();
+        &self.runs
+    }
+
+    /// The accelerators that loaded and running tasks use.
+    pub fn taken(&mut self, now: Instant) -> AcceleratorSet {
+        self.advance(now);
+        let live = self.tasks.values().filter(|task| task.is_live());
+        let taken = live.map(|task| AcceleratorSet::from_bits(task.order.accelerators));
+        taken.fold(AcceleratorSet::EMPTY, AcceleratorSet::union)
+    }
+
+    fn record_ends(&mut self) {
+        for run in self.runs.iter_mut().filter(|run| run.ended_at.is_none()) {
+            let task = self.tasks.get(&run.member);
+            run.ended_at = task.and_then(|task| task.ended_at);
+        }
     }
 
     fn advance(&mut self, now: Instant) {
--- a/crates/rattanwinch_standins/src/lib.rs
+++ b/crates/rattanwinch_standins/src/lib.rs
@@ -10,6 +10,7 @@
 mod store;
 
 pub use executor::StandinExecutor;
+pub use executor::TaskRun;
 pub use executor::WorkOrder;
 pub use store::KvRefusal;
 pub use store::KvResult;
