--- a/crates/rattanwinch_standins/src/executor/mod.rs
+++ b/crates/rattanwinch_standins/src/executor/mod.rs
@@ -3,10 +3,12 @@
 mod standin_executor;
 mod standin_tasks;
 mod task_routes;
+mod task_run;
 mod work_order;
 
 pub use standin_executor::StandinExecutor;
 pub use standin_tasks::Refusal;
 pub use standin_tasks::Result;
 pub use standin_tasks::StandinTasks;
+pub use task_run::TaskRun;
 pub use work_order::WorkOrder;
--- a/crates/rattanwinch_standins/src/executor/standin_tasks.rs
+++ b/crates/rattanwinch_standins/src/executor/standin_tasks.rs
@@ -5,6 +5,7 @@
 use rattanwinch_targets::TaskOrder;
 use rattanwinch_targets::TaskReport;
 use rattanwinch_targets::TaskState;
+use rattanwinch_types::AcceleratorSet;
 use rattanwinch_types::Answer;
 use rattanwinch_types::MemberKey;
 use rattanwinch_types::StopMode;
@@ -34,6 +35,8 @@
     /// Whether the work fails at its end.
     fails: bool,
     throttled: bool,
+    /// When it ended, once it has.
+    ended_at: Option<Timestamp>,
 }
 
 impl Task {
@@ -53,12 +56,26 @@
             } else {
                 TaskState::Succeeded
             };
+            self.ended_at = Some(self.done_at);
         } else if self.lease_until <= now {
             self.state = TaskState::Expired;
+            self.ended_at = Some(self.lease_until);
         }
     }
 }
 
+rattanwinch_types::value! {
+    /// One run of a task, kept also after the task was forgotten.
+    pub struct RecordedRun {
+        /// The member that ran.
+        pub member: MemberKey,
+        /// When it was told to run.
+        pub started_at: Timestamp,
+        /// When it ended, for whatever reason; `None` while it runs.
+        pub ended_at: Option<Timestamp>,
+    }
+}
+
 /// The gang tasks of the stand-in for an executor, with the accelerators that they use.
 ///
 /// Work and leases are followed by comparing times whenever a task is asked about, so that random
@@ -66,7 +83,7 @@
 #[derive(Debug, Default)]
 pub struct StandinTasks {
     tasks: BTreeMap<MemberKey, Task>,
-    starts: Vec<String>,
+    runs: Vec<RecordedRun>,
 }
 
 impl StandinTasks {
@@ -98,6 +115,7 @@
             done_at: now,
             fails: false,
             throttled: false,
+            ended_at: None,
             order: order.clone(),
         };
         self.tasks.insert(order.member.clone(), task);
@@ -120,7 +138,11 @@
         task.state = TaskState::Running;
         task.done_at = now + work.work;
         task.fails = fails || work.fail;
-        self.starts.push(member.to_string());
+        self.runs.push(RecordedRun {
+            member: member.clone(),
+            started_at: now,
+            ended_at: None,
+        });
         Ok(true)
     }
 
@@ -141,6 +163,7 @@
             }
         } else {
             task.state = TaskState::Stopped;
+            task.ended_at = Some(now);
         }
         Ok(())
     }
@@ -194,13 +217,32 @@
         if self.find(member, now)?.is_live() {
             return Err((StatusCode::CONFLICT, "the task hasn't ended"));
         }
+        self.record_ends();
         self.tasks.remove(member);
         Ok(())
     }
 
-    /// Every start in order, as `organisation/id#attempt.index`.
-    pub fn starts(&self) -> &[String] {
-        &self.starts
+    /// Every run in the order of the starts.
+    pub fn runs(&mut self, now: Timestamp) -> &[RecordedRun] {
+        self.advance(now);
+        self.record_ends();
+        &self.runs
+    }
+
+    /// The accelerators that loaded and running tasks use.
+    pub fn taken(&mut self, now: Timestamp) -> AcceleratorSet {
+        self.advance(now);
+        let live = self.tasks.values().filter(|task| task.is_live());
+        live.fold(AcceleratorSet::EMPTY, |taken, task| {
+            taken.union(task.order.accelerators)
+        })
+    }
+
+    fn record_ends(&mut self) {
+        for run in self.runs.iter_mut().filter(|run| run.ended_at.is_none()) {
+            let task = self.tasks.get(&run.member);
+            run.ended_at = task.and_then(|task| task.ended_at);
+        }
     }
 
     fn advance(&mut self, now: Timestamp) {
--- a/crates/rattanwinch_standins/src/executor/task_routes.rs
+++ b/crates/rattanwinch_standins/src/executor/task_routes.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use poem::IntoResponse;
 use poem::Response;
@@ -34,6 +35,8 @@
 use rattanwinch_types::StopMode;
 use rattanwinch_types::Timestamp;
 
+use super::TaskRun;
+use super::standin_tasks::RecordedRun;
 use super::standin_tasks::Refusal;
 use super::standin_tasks::Result;
 use super::standin_tasks::StandinTasks;
@@ -42,6 +45,8 @@
 #[derive(Debug)]
 pub(super) struct TaskService {
     clock: Clock,
+    /// The same moment on the clock and as an instant.
+    origin: (Timestamp, Instant),
     tasks: Mutex<StandinTasks>,
     calls: AtomicU64,
     delay_ms: AtomicU64,
@@ -51,8 +56,10 @@
 impl TaskService {
     /// A service without tasks.
     pub fn new() -> Self {
+        let clock = Clock::start();
         Self {
-            clock: Clock::start(),
+            clock,
+            origin: (clock.now(), Instant::now()),
             tasks: Mutex::default(),
             calls: AtomicU64::new(0),
             delay_ms: AtomicU64::new(0),
@@ -65,6 +72,28 @@
         self.tasks.lock().expect("no call about tasks panics")
     }
 
+    /// Every run in the order of the starts.
+    pub fn runs(&self) -> Vec<TaskRun> {
+        let mut tasks = self.tasks();
+        let runs = tasks.runs(self.clock.now()).iter();
+        let convert = |recorded: &RecordedRun| TaskRun {
+            member: recorded.member.clone(),
+            started_at: self.instant(recorded.started_at),
+            ended_at: recorded.ended_at.map(|at| self.instant(at)),
+        };
+        runs.map(convert).collect()
+    }
+
+    /// The accelerators that loaded and running tasks use.
+    pub fn taken(&self) -> AcceleratorSet {
+        self.tasks().taken(self.clock.now())
+    }
+
+    fn instant(&self, at: Timestamp) -> Instant {
+        let (timestamp, instant) = self.origin;
+        instant + at.since(timestamp)
+    }
+
     /// The calls so far.
     pub fn calls(&self) -> u64 {
         self.calls.load(Ordering::Acquire)
--- a/crates/rattanwinch_standins/src/lib.rs
+++ b/crates/rattanwinch_standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub use executor::Result;
 pub use executor::StandinExecutor;
 pub use executor::StandinTasks;
+pub use executor::TaskRun;
 pub use executor::WorkOrder;
 pub use store::KvRefusal;
 pub use store::KvResult;
