--- a/crates/rattanwinch_decisions/src/policy/guarantee_plan.rs
+++ b/crates/rattanwinch_decisions/src/policy/guarantee_plan.rs
@@ -15,8 +15,13 @@
 use crate::policy::worker_pool::WorkerPool;
 
 rattanwinch_types::value! { copy
-    /// Number of a guaranteed block.
-    pub(super) struct BlockId(pub u32);
+    /// Number of a guaranteed block, with the number of its owner, so that a search over many
+    /// workers tells an organisation's own blocks without a look-up.
+    pub(super) struct BlockId {
+        /// Number of the owner.
+        pub owner: u32,
+        number: u32,
+    }
 }
 
 /// One block of a guarantee.
@@ -43,6 +48,8 @@
     blocks: BTreeMap<BlockId, Block>,
     by_organisation: BTreeMap<Organisation, Vec<BlockId>>,
     next: u32,
+    /// The number of each organisation that ever had a guarantee here.
+    owners: BTreeMap<Organisation, u32>,
     /// Blocks without a home.
     unplaced: Vec<BlockId>,
 }
@@ -130,10 +137,24 @@
             home: Slots::new(),
             users: SmallVec::new(),
         };
-        self.blocks.insert(BlockId(self.next), block);
+        let id = BlockId {
+            owner: self.owner_number(organisation),
+            number: self.next,
+        };
+        self.blocks.insert(id, block);
         self.next += 1;
     }
 
+    fn owner_number(&mut self, organisation: &Organisation) -> u32 {
+        let next = u32::try_from(self.owners.len()).expect("fewer than 2^32 organisations");
+        *self.owners.entry(organisation.clone()).or_insert(next)
+    }
+
+    /// The number of an organisation with a guarantee.
+    pub(super) fn owner(&self, organisation: &Organisation) -> Option<u32> {
+        self.owners.get(organisation).copied()
+    }
+
     fn index(&mut self) {
         self.by_organisation.clear();
         self.unplaced.clear();
@@ -152,7 +173,7 @@
     /// Gives homes to blocks that have none. If that fails, all unused homes are placed anew,
     /// largest first, and the outcome with more guaranteed accelerators in place is kept.
     pub(super) fn place_missing(&mut self, pool: &mut WorkerPool) {
-        if self.place_unplaced(pool) {
+        if self.place_unplaced(pool) || !self.has_space_for_unplaced(pool) {
             return;
         }
         let movable = |block: &Block| block.users.is_empty() && !block.home.is_empty();
@@ -182,6 +203,16 @@
         }
     }
 
+    /// Whether the accelerators outside all homes are enough for the smallest block without one.
+    /// While workers report one by one after a takeover they hardly ever are, and placing all
+    /// homes anew for each worker would be wasted.
+    fn has_space_for_unplaced(&self, pool: &WorkerPool) -> bool {
+        let sizes = self.unplaced.iter().map(|id| self.blocks[id].accelerators);
+        let space = pool.iter().map(|(_, worker)| HomePricing::space(worker));
+        let space: u32 = space.map(u8::count_ones).sum();
+        sizes.min().is_some_and(|smallest| smallest <= space)
+    }
+
     fn placed_accelerators(&self) -> u32 {
         let placed = self.blocks.values().filter(|block| !block.home.is_empty());
         placed.map(|block| block.accelerators).sum()
