--- a/crates/rattanwinch_decisions/tests/zone_choice.rs
+++ b/crates/rattanwinch_decisions/tests/zone_choice.rs
@@ -30,6 +30,7 @@
         free_blocks: [0, 0, 0, free_workers],
         accelerators: 32,
         waiting,
+        guarantees: Vec::new(),
     };
     ZoneOffer { summary, sent }
 }
