--- a/crates/rattanwinch_decisions/src/policy/deciding.rs
+++ b/crates/rattanwinch_decisions/src/policy/deciding.rs
@@ -243,7 +243,7 @@
         decisions: &mut Vec<Decision>,
     ) -> Option<WaitCause> {
         if let Some(slots) = self.find_borrowed(id, spec, now, misfits) {
-            self.note_let_in(id, &slots);
+            self.note_let_in(id, spec, &slots);
             let blocks = SmallVec::new();
             self.start(id, Allocation { slots, blocks }, now, decisions);
             return None;
--- a/crates/rattanwinch_decisions/src/policy/head_of_queue.rs
+++ b/crates/rattanwinch_decisions/src/policy/head_of_queue.rs
@@ -211,8 +211,12 @@
         now + Duration::from_millis(last)
     }
 
-    /// Notes that a borrower starts, if it was let in.
-    pub(super) fn note_let_in(&mut self, id: JobId, slots: &Slots) {
+    /// Notes that a borrower starts, if it was let in. An urgent job that comes before the head was
+    /// not: if it were evicted for the head, it would start in its place again and again.
+    pub(super) fn note_let_in(&mut self, id: JobId, spec: &JobSpec, slots: &Slots) {
+        if self.is_urgent_before_head(id, spec) {
+            return;
+        }
         let is_kept = |slot: &Slot| self.pool.get(slot.worker).shadow & slot.bits != 0;
         let uses_kept = slots.iter().any(is_kept);
         if let Some(head) = &mut self.head
--- a/crates/rattanwinch_decisions/tests/policy/queueing.rs
+++ b/crates/rattanwinch_decisions/tests/policy/queueing.rs
@@ -210,3 +210,24 @@
         assert_eq!(policy.decide(at(second)), []);
     }
 }
+
+/// Guards against an urgent job that takes the accelerators kept for a normal one, is evicted for
+/// it, and takes them again without end.
+#[test]
+fn an_urgent_job_on_kept_accelerators_is_not_evicted_for_the_head() {
+    let mut policy = policy(1, Vec::new());
+    submit(&mut policy, "running", 4, 100);
+    policy.decide(at(100));
+    policy.started(&key("o", "running"), at(100));
+    submit(&mut policy, "head", 8, 101);
+    policy.decide(at(101));
+    let mut spec = job(key("o", "urgent"), shape(1, 4, Adjacency::Zone));
+    spec.urgency = Urgency::Urgent;
+    policy.submit(spec, at(102)).expect("it fits the zone");
+    assert_eq!(starts(&policy.decide(at(102))), [key("o", "urgent")]);
+    policy.started(&key("o", "urgent"), at(102));
+    policy.ended(&key("o", "running"), JobEnd::Succeeded, at(110));
+    for second in [110, 200, 1000] {
+        assert_eq!(policy.decide(at(second)), []);
+    }
+}
