--- a/crates/rattanwinch_decisions/src/policy/head_of_queue.rs
+++ b/crates/rattanwinch_decisions/src/policy/head_of_queue.rs
@@ -56,12 +56,16 @@
 }
 
 /// Prices for the accelerators to keep: the time until their last job is expected to end.
-struct SoonestFree {
+struct SoonestFree<'a> {
     now: Timestamp,
+    avoided: &'a [WorkerId],
 }
 
-impl Pricing for SoonestFree {
-    fn allowed(&self, _id: WorkerId, worker: &Worker) -> u8 {
+impl Pricing for SoonestFree<'_> {
+    fn allowed(&self, id: WorkerId, worker: &Worker) -> u8 {
+        if self.avoided.contains(&id) {
+            return 0;
+        }
         worker.usable() & !worker.reserved
     }
 
@@ -167,7 +171,12 @@
             return;
         }
         let wanted = Wanted::of_shape(spec.shape);
-        let Some(slots) = solver::solve(&self.pool, wanted, &SoonestFree { now }) else {
+        let avoided = self.avoided_workers(spec);
+        let pricing = SoonestFree {
+            now,
+            avoided: &avoided,
+        };
+        let Some(slots) = solver::solve(&self.pool, wanted, &pricing) else {
             return;
         };
         let mut head = HeadOfQueue {
@@ -202,8 +211,12 @@
         now + Duration::from_millis(last)
     }
 
-    /// Notes that a borrower starts, if it was let in.
-    pub(super) fn note_let_in(&mut self, id: JobId, slots: &Slots) {
+    /// Notes that a borrower starts, if it was let in. An urgent job that comes before the head was
+    /// not: if it were evicted for the head, it would start in its place again and again.
+    pub(super) fn note_let_in(&mut self, id: JobId, spec: &JobSpec, slots: &Slots) {
+        if self.is_urgent_before_head(id, spec) {
+            return;
+        }
         let is_kept = |slot: &Slot| self.pool.get(slot.worker).shadow & slot.bits != 0;
         let uses_kept = slots.iter().any(is_kept);
         if let Some(head) = &mut self.head
