Let refused requests run after their target's agent was replaced

Cause: shown by demo/tests/planned_replacements.rs, 15 of 7,917 requests ended as "may have run" while every process was replaced in turn under load. A non-idempotent request whose attempt was refused, and for which no other target took requests, was answered "not run"; the claim kept the attempt without an outcome. When the caller sent it again, the entry asked the target, whose agent had been replaced. A second window: a claim waits up to 2 s for the store, and was then sent to a target that had begun to leave and whose connection closes about 1 s after it has told so.

Ruled out: the other 246 cut requests of that run ("no target takes requests now", "may have run") came from the test, which didn't set first_submission on requests that had only been refused as "not run".

Change: a refusal is recorded in the claim of the attempt that never runs, before the caller is answered, and a later submission goes on from it. A claim isn't dispatched to a target that is known to leave.

--- a/crates/rattanwinch_decisions/src/claims/claim.rs
+++ b/crates/rattanwinch_decisions/src/claims/claim.rs
@@ -44,6 +44,8 @@
         attempt: u32,
         /// The revision of the claim that the next one replaces; `None` if there is none.
         expected: Option<Revision>,
+        /// That claim, of an attempt which is known never to run.
+        refused: Option<ClaimRecord>,
     }
 }
 
@@ -107,6 +109,7 @@
                 earlier,
                 attempt: 1,
                 expected: None,
+                refused: None,
             },
         }
     }
@@ -118,6 +121,7 @@
             earlier,
             attempt,
             expected,
+            refused: _,
         } = self.stage;
         let digest = self.digest;
         let record = ClaimRecord {
@@ -140,9 +144,11 @@
     /// Ends the request because it can't be attempted now.
     #[must_use]
     pub fn give_up(self, error: RequestError) -> ClaimStep {
-        done(Err(
-            error.with_verdict_at_least(self.stage.earlier.verdict())
-        ))
+        let error = error.with_verdict_at_least(self.stage.earlier.verdict());
+        match (self.stage.refused, self.stage.expected) {
+            (Some(record), Some(revision)) => refuse(record, revision, error),
+            _ => done(Err(error)),
+        }
     }
 }
 
@@ -289,33 +295,51 @@
     fn next_attempt(self) -> ClaimStep {
         let Dispatched { record, revision } = self.stage;
         if record.attempt >= MAX_ATTEMPTS {
-            return done(Err(RequestError::not_run(
-                ErrorKind::Busy,
-                "every target that was tried refused the request",
-            )));
+            let message = "every target that was tried refused the request";
+            let error = RequestError::not_run(ErrorKind::Busy, message);
+            return refuse(record, revision, error);
         }
-        let stage = Unclaimed {
-            earlier: Earlier::NeverRan,
-            attempt: record.attempt + 1,
-            expected: Some(revision),
-        };
-        ClaimStep::Pick(Claim {
-            digest: self.digest,
-            stage,
-        })
+        after_refused(self.digest, record, revision)
+    }
+}
+
+/// The attempt that follows one which is known never to run.
+const fn after_refused(digest: Digest, record: ClaimRecord, revision: Revision) -> ClaimStep {
+    let stage = Unclaimed {
+        earlier: Earlier::NeverRan,
+        attempt: record.attempt + 1,
+        expected: Some(revision),
+        refused: Some(record),
+    };
+    ClaimStep::Pick(Claim { digest, stage })
+}
+
+/// Refuses the request and records that its last attempt never runs. Without the record, a later
+/// submission would ask the target, whose agent may have been replaced by then, and a request
+/// that was refused as "not run" would end as "may have run".
+fn refuse(mut record: ClaimRecord, revision: Revision, error: RequestError) -> ClaimStep {
+    record.outcome = Some(Err(error.clone()));
+    ClaimStep::Done {
+        outcome: Err(error),
+        record: Some((record, revision)),
     }
 }
 
 /// Decides what to do about a claim that someone else wrote.
-fn judge_found(digest: Digest, record: ClaimRecord, revision: Revision) -> ClaimStep {
+fn judge_found(digest: Digest, mut record: ClaimRecord, revision: Revision) -> ClaimStep {
     if record.digest != digest {
         return done(Err(RequestError::not_run(
             ErrorKind::Conflict,
             "the id was used before with another body: expected the same body or a new id",
         )));
     }
-    if let Some(outcome) = record.outcome {
-        return done(outcome);
+    match record.outcome {
+        Some(Err(error)) if error.verdict == Verdict::NotRun => {
+            record.outcome = None;
+            return after_refused(digest, record, revision);
+        }
+        Some(outcome) => return done(outcome),
+        None => {}
     }
     ClaimStep::Ask(Claim {
         digest,
--- a/crates/rattanwinch_entry/src/claims.rs
+++ b/crates/rattanwinch_entry/src/claims.rs
@@ -33,6 +33,7 @@
 use rattanwinch_types::TargetName;
 use slog::warn;
 use smallvec::SmallVec;
+use tokio::task::JoinHandle;
 
 use crate::entry_state::EntryState;
 use crate::target::Target;
@@ -62,7 +63,11 @@
                 ClaimStep::Ask(claim) => self.ask(req, claim).await,
                 ClaimStep::Done { outcome, record } => {
                     if let Some((record, revision)) = record {
-                        self.record_outcome(req, record, revision);
+                        let recording = self.record_outcome(req, record, revision);
+                        // A refused caller may send again at once, and has to find the record.
+                        if outcome.is_err() {
+                            let _ = recording.await;
+                        }
                     }
                     return outcome;
                 }
@@ -133,6 +138,11 @@
         let Some(target) = target else {
             return claim.sent(Err(agent_replaced()));
         };
+        // The claim may have waited seconds for the store, and the agent stops soon after it has
+        // told that it leaves: a request sent then could lose its answer.
+        if target.is_leaving() {
+            return claim.sent(Err(agent_leaving()));
+        }
         claim.sent(self.run_at(&target, req, attempt).await)
     }
 
@@ -172,7 +182,7 @@
         req: &PlainRequest,
         record: ClaimRecord,
         revision: Revision,
-    ) {
+    ) -> JoinHandle<()> {
         let key = keys::id(&req.key);
         let bytes = WireClaimRecord::from(record).to_bytes();
         let transaction = Transaction::new()
@@ -186,7 +196,7 @@
                 counter!("claim_outcomes_unrecorded_total").increment(1);
                 warn!(state.logger, "outcome wasn't recorded"; "error" => %error);
             }
-        });
+        })
     }
 }
 
@@ -212,6 +222,12 @@
     }
 }
 
+/// The target has begun to leave since it was picked, so nothing is sent.
+fn agent_leaving() -> RequestError {
+    let message = "the target began to leave before the request was sent";
+    RequestError::not_run(ErrorKind::Unavailable, message)
+}
+
 /// The agent that the attempt was claimed for has been replaced, so nothing is sent.
 fn agent_replaced() -> RequestError {
     let message = "the target's agent was replaced before the request was sent";
--- a/crates/rattanwinch_entry/src/target.rs
+++ b/crates/rattanwinch_entry/src/target.rs
@@ -89,6 +89,11 @@
         Timestamp::from_millis(self.heard_at.load(Ordering::Acquire))
     }
 
+    /// Whether it takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
     /// The configuration revision that its agent acts on.
     pub fn config_revision(&self) -> Revision {
         Revision(self.config_revision.load(Ordering::Acquire))
