Assert at the agent that nothing starts in a closed zone

Counts invariant_violations_total{rule} and stops a debug build when a plain request or a gang task gets past the checks of the gate: a closed zone, or for tasks an expired view.

--- a/crates/rattanwinch_agent/src/agent_state.rs
+++ b/crates/rattanwinch_agent/src/agent_state.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use metrics::counter;
 use rattanwinch_decisions::Gate;
 use rattanwinch_runtime::Clock;
 use rattanwinch_types::Epoch;
@@ -11,6 +12,7 @@
 use rattanwinch_types::Incarnation;
 use rattanwinch_types::Timestamp;
 use slog::Logger;
+use slog::error;
 use tokio::sync::Semaphore;
 
 use crate::AgentSettings;
@@ -79,6 +81,22 @@
             .rcu(|gate| gate.after_heartbeat(sent_at, response));
     }
 
+    /// Counts a start at the executor that the gate forbids. The checks before it refuse such
+    /// work, so that a violation means that a start got past them.
+    pub fn assert_may_start(&self, gate: &Gate, fresh: bool, now: Timestamp) {
+        let rules = [
+            ("start_in_closed_zone", gate.zone_closed),
+            ("start_under_expired_gate", fresh && now >= gate.fresh_until),
+        ];
+        for (rule, broken) in rules {
+            if broken {
+                counter!("invariant_violations_total", "rule" => rule).increment(1);
+                error!(self.logger, "invariant violated"; "rule" => rule);
+            }
+            debug_assert!(!broken, "{rule}");
+        }
+    }
+
     /// Refuses new work from now on.
     pub fn set_leaving(&self) {
         self.gate.rcu(|gate| gate.with_leaving());
--- a/crates/rattanwinch_agent/src/member_actions.rs
+++ b/crates/rattanwinch_agent/src/member_actions.rs
@@ -21,7 +21,8 @@
 impl<E: Executor> AgentState<E> {
     /// Carries out an action at the executor and tells the owner of the member table the result.
     pub(crate) async fn perform(self: Arc<Self>, action: Action) {
-        let due = action.check_still_due(&self.gate.load(), self.clock.now());
+        let (gate, now) = (self.gate.load_full(), self.clock.now());
+        let due = action.check_still_due(&gate, now);
         let (member, step, result) = match action {
             Action::Load { order, lease_until } => {
                 let result = match due {
@@ -32,7 +33,10 @@
             }
             Action::Run { member, .. } => {
                 let result = match due {
-                    Ok(()) => self.executor.run_task(&member).await,
+                    Ok(()) => {
+                        self.assert_may_start(&gate, true, now);
+                        self.executor.run_task(&member).await
+                    }
                     Err(error) => Err(error),
                 };
                 (member, Step::Run, result)
--- a/crates/rattanwinch_agent/src/plain_requests.rs
+++ b/crates/rattanwinch_agent/src/plain_requests.rs
@@ -84,7 +84,9 @@
         };
         // The zone may have been closed while the request waited.
         let now = self.clock.now();
-        self.gate.load().check_plain(now)?;
+        let gate = self.gate.load_full();
+        gate.check_plain(now)?;
+        self.assert_may_start(&gate, false, now);
         self.executor
             .run_request(attempt, &req.payload, now.until(req.deadline))
             .await
--- a/crates/rattanwinch_entry/src/control_reads.rs
+++ b/crates/rattanwinch_entry/src/control_reads.rs
@@ -52,7 +52,7 @@
         let known = self.control.load().revision;
         let read = tokio::time::timeout(READ_TIMEOUT, self.store.read_control(known)).await;
         match read {
-            Ok(Ok(read)) => self.apply_control(sent_at, read),
+            Ok(Ok(read)) => self.apply_control(sent_at, &read),
             Ok(Err(error)) => {
                 counter!("control_reads_failed_total").increment(1);
                 warn!(self.logger, "control read failed"; "error" => %error);
@@ -64,7 +64,7 @@
         }
     }
 
-    fn apply_control(&self, sent_at: Timestamp, read: ControlRead) {
+    fn apply_control(&self, sent_at: Timestamp, read: &ControlRead) {
         let config = match read.config.as_ref().map(parse).transpose() {
             Ok(config) => config,
             // The old configuration isn't confirmed by this read, so freshness runs out.
@@ -80,7 +80,7 @@
         }
         let before = self.control.rcu(|before| {
             let mut view = ControlView::clone(before);
-            view.regressed |= read.revision < known.revision || is_regressed(before, &read);
+            view.regressed |= read.revision < known.revision || is_regressed(before, read);
             if view.regressed {
                 return view;
             }
