--- a/crates/rattanwinch_agent/src/heartbeats.rs
+++ b/crates/rattanwinch_agent/src/heartbeats.rs
@@ -42,13 +42,18 @@
     loop {
         let entries: Vec<EntryAddress> = tokio::select! {
             Some(entries) = rx.recv() => entries,
-            () = shutdown.requested() => return,
+            () = shutdown.requested() => break,
         };
         known.retain(|_, task: &mut tokio::task::JoinHandle<()>| !task.is_finished());
         for entry in entries {
             start(&state, address, entry.address, &tx, &shutdown, &mut known);
         }
     }
+    // Each sender ends with a heartbeat that says that the target is leaving.
+    for sender in known.into_values() {
+        // A sender that panicked has nothing left to send.
+        let _ = sender.await;
+    }
 }
 
 fn start<E: Executor>(
