Keep holds' refusals and bursts of bad jobs from quarantining healthy workers

With a slow store every agent's view expires, each refused hold counted as the worker's failure, and after three jobs all workers were in quarantine for 10 minutes: after a wave of cancellations a gang on all workers wasn't placed within 10 s. Four bad jobs on four workers had the same effect, and the jobs never came to their last attempt. Only a failure of the executor counts against a worker now, at most half of the workers are quarantined, and a job avoids workers only while the others are enough for it. A worker that doesn't answer a hold gets no task until its next heartbeat: urgent work ran 3663 ms after the death of two agents before. Agents learn all registered entries, so that one that was replaced at another address hears the workers of the zone that it decides; before, it refused jobs as impossible.

--- a/crates/rattanwinch_agent/src/member_owner.rs
+++ b/crates/rattanwinch_agent/src/member_owner.rs
@@ -232,6 +232,10 @@
         }
         let answer = match (step, result) {
             (Step::Load, Ok(())) => self.check_still_held(member),
+            // The decider counts failures of the executor against the worker, but no late calls.
+            (Step::Load, Err(error)) if error.kind != ErrorKind::Deadline => Err(
+                RequestError::new(error.verdict, ErrorKind::Failed, Arc::clone(&error.message)),
+            ),
             // An abort is recorded, whatever the executor answers; heartbeats tell the end.
             (Step::Stop(_), _) => Ok(()),
             (_, result) => result.clone(),
--- a/crates/rattanwinch_decisions/src/gang/action.rs
+++ b/crates/rattanwinch_decisions/src/gang/action.rs
@@ -82,7 +82,7 @@
     StartFailed {
         /// The job.
         key: RequestKey,
-        /// The workers that refused or didn't answer.
+        /// The workers whose executors failed to load a task.
         blamed: SmallVec<[TargetName; 4]>,
     },
     /// Tell the policy that no member of a committed attempt uses its accelerators any longer.
--- a/crates/rattanwinch_decisions/src/gang/inputs.rs
+++ b/crates/rattanwinch_decisions/src/gang/inputs.rs
@@ -75,7 +75,15 @@
     }
 
     /// Takes in the response to a hold, or that there was none.
-    pub fn hold_answered(&mut self, member: &MemberKey, held: bool, now: Timestamp) {
+    ///
+    /// Only [`ErrorKind::Failed`] is the worker's own fault. An agent also refuses when its view
+    /// is out of date, which a slow store brings about at all workers at once.
+    pub fn hold_answered(
+        &mut self,
+        member: &MemberKey,
+        held: Result<(), RequestError>,
+        now: Timestamp,
+    ) {
         let key = &member.attempt.key;
         let Some(AnyJob::Holding(job)) = self.jobs.get_mut(key) else {
             return;
@@ -85,16 +93,19 @@
             return;
         }
         if let Some(task) = job.stage.tasks.get_mut(usize::from(member.index)) {
-            task.answer = if held {
-                HoldAnswer::Held
-            } else {
-                HoldAnswer::Refused
+            task.answer = match &held {
+                Ok(()) => HoldAnswer::Held,
+                Err(error) if error.kind == ErrorKind::Failed => HoldAnswer::Failed,
+                Err(_) => HoldAnswer::Refused,
             };
         }
-        if !held {
-            self.give_up_holds(key, "a worker refused the hold", now);
-        } else if job.is_held() {
-            self.commit(key, now);
+        match held {
+            Err(error) => {
+                let reason = format!("a worker refused the hold: {error}");
+                self.give_up_holds(key, &reason, now);
+            }
+            Ok(()) if job.is_held() => self.commit(key, now),
+            Ok(()) => {}
         }
     }
 
--- a/crates/rattanwinch_decisions/src/gang/settle.rs
+++ b/crates/rattanwinch_decisions/src/gang/settle.rs
@@ -100,7 +100,7 @@
         let asking = job.stage.step == HoldStep::Asking && job.stage.stop.is_none();
         for (index, task) in job.stage.tasks.iter().enumerate() {
             let target = task.placed.target.clone();
-            if asking && task.answer != HoldAnswer::Held {
+            if asking && task.answer == HoldAnswer::Failed {
                 blamed.push(target.clone());
             }
             if sent {
--- a/crates/rattanwinch_decisions/src/gang/tasks.rs
+++ b/crates/rattanwinch_decisions/src/gang/tasks.rs
@@ -13,8 +13,10 @@
     Pending,
     /// It holds the member.
     Held,
-    /// It doesn't, or the call failed.
+    /// It doesn't, or it didn't answer.
     Refused,
+    /// Its executor failed to load the task.
+    Failed,
 }
 
 /// One task of an attempt that is being held.
--- a/crates/rattanwinch_decisions/src/policy/deciding.rs
+++ b/crates/rattanwinch_decisions/src/policy/deciding.rs
@@ -282,15 +282,23 @@
         found
     }
 
-    /// The workers that the job failed on; a retry goes elsewhere.
+    /// The workers that the job failed on; a retry goes elsewhere, unless the other workers are
+    /// too few: the job would wait for ever and never come to its last attempt.
     pub(super) fn avoided_workers(&self, spec: &JobSpec) -> Vec<WorkerId> {
         let Some(history) = self.histories.get(&spec.key) else {
             return Vec::new();
         };
         let failed_on = history.failed_on.iter();
-        failed_on
+        let avoided: Vec<WorkerId> = failed_on
             .filter_map(|target| self.pool.find(target))
-            .collect()
+            .collect();
+        let others = self.pool.iter().filter(|(id, _)| !avoided.contains(id));
+        let usable = others.filter(|(_, worker)| worker.is_usable());
+        let left: u32 = usable.map(|(_, worker)| worker.all().count_ones()).sum();
+        if left < spec.shape.accelerators() {
+            return Vec::new();
+        }
+        avoided
     }
 
     /// Whether nothing is left on the slots.
--- a/crates/rattanwinch_decisions/src/policy/worker_events.rs
+++ b/crates/rattanwinch_decisions/src/policy/worker_events.rs
@@ -99,6 +99,10 @@
         if worker.failed_jobs.len() < WORKER_FAILURES || worker.quarantined_until.is_some() {
             return;
         }
+        if self.is_quarantine_full() {
+            return;
+        }
+        let worker = self.pool.get_mut(id);
         let until = now + QUARANTINE;
         worker.quarantined_until = Some(until);
         self.wake_at(until);
@@ -106,6 +110,19 @@
         self.histories.acquit(target);
     }
 
+    /// Whether one more quarantine would leave less than half of the workers: failures on so many
+    /// of them are the jobs' fault, and a burst of bad jobs must not stop the availability zone.
+    fn is_quarantine_full(&self) -> bool {
+        let ready = self.pool.iter().map(|(_, worker)| worker);
+        let ready = ready.filter(|worker| worker.state == WorkerState::Ready);
+        let (mut all, mut quarantined) = (0, 0);
+        for worker in ready {
+            all += 1;
+            quarantined += usize::from(worker.quarantined_until.is_some());
+        }
+        all > 1 && (quarantined + 1) * 2 > all
+    }
+
     /// Takes the job off all workers' lists of failures: the job was at fault.
     pub(super) fn acquit_workers(&mut self, targets: &[TargetName], job: &RequestKey) {
         for target in targets {
--- a/crates/rattanwinch_decisions/tests/gang_model/mod.rs
+++ b/crates/rattanwinch_decisions/tests/gang_model/mod.rs
@@ -305,6 +305,8 @@
         match action {
             GangAction::Hold { target, order } => {
                 let held = self.agents.get_mut(target).expect("known").hold(order, now);
+                let refused = || RequestError::not_run(ErrorKind::Unavailable, "refused");
+                let held = held.then_some(()).ok_or_else(refused);
                 if answered {
                     self.coordinator.hold_answered(&order.member, held, now);
                 }
--- a/crates/rattanwinch_entry/src/heartbeats.rs
+++ b/crates/rattanwinch_entry/src/heartbeats.rs
@@ -71,11 +71,19 @@
         }
     }
 
+    /// This entry and all registered ones: an agent has to find an entry that was replaced at
+    /// another address, or that entry would decide a zone whose workers it never hears.
     fn entry_addresses(&self) -> Vec<EntryAddress> {
         let own = self.rpc_address.get().map(|address| EntryAddress {
             entry: self.settings.entry.clone(),
             address: *address,
         });
-        own.into_iter().collect()
+        let registered = self.control.load_full();
+        let registered = registered.entry_records().map(|record| EntryAddress {
+            entry: record.entry,
+            address: record.address,
+        });
+        let others = registered.filter(|known| known.entry != self.settings.entry);
+        own.into_iter().chain(others).collect()
     }
 }
--- a/crates/rattanwinch_entry/src/zones/actions.rs
+++ b/crates/rattanwinch_entry/src/zones/actions.rs
@@ -106,12 +106,12 @@
 
     fn hold(&self, target: &TargetName, order: HoldOrder) {
         let agent = self.state.fleet.target(target);
-        let member = order.member.clone();
+        let (target, member) = (target.clone(), order.member.clone());
         self.respond(async move {
             let held = call_agent(agent, HOLD_TIMEOUT, async |client| {
                 client.hold(order.into()).await
             });
-            Response::Held(member, held.await.is_ok())
+            Response::Held(target, member, held.await)
         });
     }
 
--- a/crates/rattanwinch_entry/src/zones/decider.rs
+++ b/crates/rattanwinch_entry/src/zones/decider.rs
@@ -13,12 +13,14 @@
 use rattanwinch_decisions::ZonePolicy;
 use rattanwinch_platform::Store;
 use rattanwinch_types::Epoch;
+use rattanwinch_types::ErrorKind;
 use rattanwinch_types::Explanation;
 use rattanwinch_types::Heartbeat;
 use rattanwinch_types::JobStatus;
 use rattanwinch_types::PlacedTask;
 use rattanwinch_types::RequestKey;
 use rattanwinch_types::Revision;
+use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
 use rattanwinch_types::ZoneName;
 use rattanwinch_types::ZoneSummary;
@@ -169,7 +171,15 @@
             Response::Adopted(target, incarnation, reports) => {
                 self.adopted(&target, incarnation, reports, now);
             }
-            Response::Held(member, held) => self.gangs.hold_answered(&member, held, now),
+            Response::Held(target, member, held) => {
+                let unanswered = held.as_ref().is_err_and(|error| {
+                    !error.is_not_run() && error.kind == ErrorKind::Unavailable
+                });
+                if unanswered {
+                    self.doubt_worker(&target, now);
+                }
+                self.gangs.hold_answered(&member, held, now);
+            }
             Response::Released(member, response) => {
                 self.gangs.release_answered(&member, response, now);
             }
@@ -259,6 +269,15 @@
             .set_limits(GangLimits::from(&control.config.defaults));
     }
 
+    /// Places nothing on a worker that didn't answer a hold until its next heartbeat: waiting for
+    /// 3 s of silence would send the next attempts there too, and urgent work has 2.8 s.
+    fn doubt_worker(&mut self, target: &TargetName, now: Timestamp) {
+        if let Some(worker) = self.workers.0.get_mut(target) {
+            worker.silent = true;
+            self.policy.worker_unknown(target, now);
+        }
+    }
+
     fn look_for_silence(&mut self, now: Timestamp) {
         let doubt = self.workers.doubts_itself(now);
         self.gangs.suspend_losses(doubt);
--- a/crates/rattanwinch_entry/src/zones/message.rs
+++ b/crates/rattanwinch_entry/src/zones/message.rs
@@ -42,8 +42,8 @@
 pub(crate) enum Response {
     /// Of an adoption; `None` if the agent didn't answer or refused.
     Adopted(TargetName, Incarnation, Option<Vec<MemberReport>>),
-    /// Of a hold.
-    Held(MemberKey, bool),
+    /// Of a hold at a worker.
+    Held(TargetName, MemberKey, Result<(), RequestError>),
     /// Of a release.
     Released(MemberKey, Result<(), RequestError>),
     /// Of an abort that was accepted.
