Answer an abort only once the executor has nothing of the member

The agent answered as soon as the executor had taken the call, or had been told before, also when the stop failed. The decider then counted the member as ended and could start the next attempt beside a task that still ran. With an executor that takes 1.5 s for each call, a cancelled job was finished while its task ran; the new test failed before and passes now. After a stop the agent lists the tasks at once, so that the answer comes without the wait for the next list.

--- a/crates/rattanwinch_agent/src/member_owner.rs
+++ b/crates/rattanwinch_agent/src/member_owner.rs
@@ -54,6 +54,9 @@
     Load,
     Run,
     Stop,
+    /// That the executor has nothing of the member: a decider that has the answer starts the next
+    /// attempt.
+    End,
 }
 
 impl From<Step> for Awaits {
@@ -126,6 +129,11 @@
     fn tick(&mut self) {
         let actions = self.table.tick(self.state.clock.now());
         self.perform(actions);
+        self.list();
+    }
+
+    /// Asks for the executor's tasks if there are active members and no list is on its way.
+    fn list(&mut self) {
         if self.table.is_active() && !self.listing {
             self.listing = true;
             let request = self.table.list_request();
@@ -150,7 +158,7 @@
             }
             MemberMessage::Abort(member, epoch, answer) => {
                 let aborted = self.table.abort(&member, epoch, now);
-                self.answer_stop(member, aborted, answer);
+                self.answer_abort(member, aborted, answer);
             }
             MemberMessage::Stop(order, epoch, answer) => {
                 let stopped = self.table.stop(&order, epoch, now);
@@ -199,6 +207,17 @@
         }
     }
 
+    fn answer_abort(&mut self, member: MemberKey, aborted: Result<Actions>, answer: AnswerTo<()>) {
+        match aborted {
+            Ok(actions) => {
+                self.perform(actions);
+                // Answered by `settle` once the member has ended.
+                self.wait(member, Awaits::End, answer);
+            }
+            Err(error) => self.refuse("abort", error, answer),
+        }
+    }
+
     fn answer_stop(&mut self, member: MemberKey, stopped: Result<Actions>, answer: AnswerTo<()>) {
         match stopped {
             Ok(actions) => {
@@ -211,7 +230,7 @@
                 // Answered by `settle` if the executor has nothing of the member.
                 self.wait(member, Awaits::Stop, answer);
             }
-            Err(error) => self.refuse("abort or stop", error, answer),
+            Err(error) => self.refuse("stop", error, answer),
         }
     }
 
@@ -226,6 +245,10 @@
             }
         };
         self.perform(actions);
+        if matches!(step, Step::Stop(_)) {
+            // The end shows in the list, and the decider waits for it.
+            self.list();
+        }
         if let Err(error) = result {
             warn!(self.state.logger, "the executor refused or didn't answer"; "member" => %member,
                 "step" => ?step, "error" => %error);
@@ -236,7 +259,7 @@
             (Step::Load, Err(error)) if error.kind != ErrorKind::Deadline => Err(
                 RequestError::new(error.verdict, ErrorKind::Failed, Arc::clone(&error.message)),
             ),
-            // An abort is recorded, whatever the executor answers; heartbeats tell the end.
+            // A stop is recorded, whatever the executor answers; heartbeats tell the end.
             (Step::Stop(_), _) => Ok(()),
             (_, result) => result.clone(),
         };
@@ -292,8 +315,8 @@
         let table = &self.table;
         let settled = |waiter: &mut Waiter| {
             let member = table.member(&waiter.member);
-            let stopped =
-                waiter.awaits == Awaits::Stop && !member.is_some_and(MemberState::is_active);
+            let awaits_end = matches!(waiter.awaits, Awaits::Stop | Awaits::End);
+            let stopped = awaits_end && !member.is_some_and(MemberState::is_active);
             stopped || waiter.answer.is_closed()
         };
         for waiter in self.waiters.extract_if(.., settled) {
