Count violated invariants by rule, at the effect too

The metric is invariant_violations_total{rule=..} at entries and agents. A release is checked against the confirmed commit right before it is sent, the policy's violations are counted, and debug builds fail.

--- a/crates/rattanwinch_agent/src/member_owner.rs
+++ b/crates/rattanwinch_agent/src/member_owner.rs
@@ -324,10 +324,9 @@
         }
         for violation in self.table.check_invariants() {
             let invariant = violation.invariant.as_str();
-            error!(self.state.logger, "invariant violated"; "invariant" => invariant,
+            error!(self.state.logger, "invariant violated"; "rule" => invariant,
                 "member" => %violation.member);
-            counter!("rattanwinch_invariant_violations_total", "invariant" => invariant)
-                .increment(1);
+            counter!("invariant_violations_total", "rule" => invariant).increment(1);
         }
         self.state
             .epoch
--- a/crates/rattanwinch_decisions/src/gang/coordinator.rs
+++ b/crates/rattanwinch_decisions/src/gang/coordinator.rs
@@ -59,6 +59,16 @@
     }
 }
 
+rattanwinch_types::value! {
+    /// A rule about gangs that a job breaks.
+    pub struct BrokenRule {
+        /// The stable name of the rule, for logs and metric labels.
+        pub rule: &'static str,
+        /// The job.
+        pub job: RequestKey,
+    }
+}
+
 /// Starts, watches and ends the gangs of one availability zone.
 ///
 /// It does no I/O: each input changes the state and may add actions, which
@@ -246,42 +256,63 @@
         now + Duration::from_millis(wait)
     }
 
+    /// Whether a member belongs to an attempt whose commit the store has confirmed, so that it may
+    /// be released; asked right before the release is sent.
+    #[must_use]
+    pub fn is_committed(&self, member: &MemberKey) -> bool {
+        match self.jobs.get(&member.attempt.key) {
+            Some(AnyJob::Committed(job)) => {
+                let record = &job.core.record;
+                let committed = matches!(record.state, RecordedState::Committed { .. });
+                committed && record.attempt == member.attempt.attempt
+            }
+            // The attempt ended after its release was decided.
+            Some(AnyJob::Queued(job)) => job.core.record.attempt >= member.attempt.attempt,
+            Some(AnyJob::Finished(job)) => job.core.record.runs > 0,
+            Some(AnyJob::Holding(_)) | None => false,
+        }
+    }
+
     /// Checks what must hold at any time.
     ///
     /// # Errors
     ///
-    /// A sentence that names the job and the rule that it breaks.
-    pub fn check_invariants(&self) -> Result<(), String> {
-        self.jobs
-            .iter()
-            .try_for_each(|(key, job)| check(job).map_err(|rule| format!("job {key}: {rule}")))
+    /// The first rule that is broken, and the job that breaks it.
+    pub fn check_invariants(&self) -> Result<(), BrokenRule> {
+        self.jobs.iter().try_for_each(|(key, job)| {
+            check(job).map_err(|rule| BrokenRule {
+                rule,
+                job: key.clone(),
+            })
+        })
     }
 }
 
+/// The stable name of the first rule that a job breaks.
 fn check(job: &AnyJob) -> Result<(), &'static str> {
     let core = job.core();
     if core.attempt < core.record.attempt {
-        return Err("the attempt number went back");
+        return Err("attempts_only_rise");
     }
     if core.record.runs > core.attempt {
-        return Err("more attempts were committed than begun");
+        return Err("commits_within_attempts");
     }
     match job {
         AnyJob::Committed(job) => {
             let committed = matches!(job.core.record.state, RecordedState::Committed { .. });
             if !committed || job.core.record.attempt != job.core.attempt {
-                return Err("members are released without a confirmed commit");
+                return Err("release_after_commit");
             }
         }
         AnyJob::Holding(job) => {
             if !job.core.record.spec.idempotent && job.core.may_have_run {
-                return Err("a non-idempotent job that may have run is started again");
+                return Err("non_idempotent_starts_once");
             }
         }
         AnyJob::Finished(job) => {
             let verdict = job.stage.outcome.as_ref().map_err(|error| error.verdict);
             if verdict.err() == Some(Verdict::NotRun) && job.core.may_have_run {
-                return Err("the verdict is not run, but a member may have run");
+                return Err("verdict_not_better_than_truth");
             }
         }
         AnyJob::Queued(_) => {}
--- a/crates/rattanwinch_decisions/src/gang/mod.rs
+++ b/crates/rattanwinch_decisions/src/gang/mod.rs
@@ -17,6 +17,7 @@
 pub use action::GangAction;
 pub use action::HeartbeatOrders;
 pub use action::WriteOutcome;
+pub use coordinator::BrokenRule;
 pub use coordinator::GangCoordinator;
 pub use job::Committed;
 pub use job::Finished;
--- a/crates/rattanwinch_decisions/src/lib.rs
+++ b/crates/rattanwinch_decisions/src/lib.rs
@@ -43,6 +43,7 @@
 pub use config_changes::apply;
 pub use config_changes::effect;
 pub use gang::AttemptEnd;
+pub use gang::BrokenRule;
 pub use gang::Committed;
 pub use gang::Finished;
 pub use gang::GangAction;
--- a/crates/rattanwinch_entry/src/zones/actions.rs
+++ b/crates/rattanwinch_entry/src/zones/actions.rs
@@ -49,7 +49,13 @@
     fn carry_out_one(&mut self, action: GangAction, now: Timestamp) {
         match action {
             GangAction::Hold { target, order } => self.hold(&target, order),
-            GangAction::Release { target, member } => self.release(&target, member),
+            GangAction::Release { target, member } => {
+                if self.gangs.is_committed(&member) {
+                    self.release(&target, member);
+                } else {
+                    self.count_violation("release_after_commit", &member.attempt.key);
+                }
+            }
             GangAction::Abort { target, member } => self.abort(&target, member),
             GangAction::Stop { target, order } => self.stop(&target, order),
             GangAction::Collect { target, member } => self.collect(&target, member),
--- a/crates/rattanwinch_entry/src/zones/decider.rs
+++ b/crates/rattanwinch_entry/src/zones/decider.rs
@@ -71,6 +71,8 @@
     /// Whether another entry has taken the zone over.
     pub(super) deposed: bool,
     waiters: Vec<Waiter>,
+    /// The policy's violations that are counted already.
+    policy_violations: u64,
     config_revision: Option<Revision>,
     ticked_at: Timestamp,
     handle: ZoneHandle,
@@ -108,6 +110,7 @@
         moving: BTreeSet::new(),
         deposed: false,
         waiters: Vec::new(),
+        policy_violations: 0,
         config_revision: None,
         ticked_at: Timestamp::ZERO,
         handle: handle.clone(),
@@ -295,14 +298,28 @@
         }
     }
 
-    fn check_invariants(&self) {
+    fn check_invariants(&mut self) {
         if let Err(broken) = self.gangs.check_invariants() {
-            counter!("invariant_violations_total", "invariant" => "gangs").increment(1);
+            self.count_violation(broken.rule, &broken.job);
+        }
+        let violations = self.policy.violations();
+        if violations > self.policy_violations {
+            counter!("invariant_violations_total", "rule" => "placement")
+                .increment(violations - self.policy_violations);
+            self.policy_violations = violations;
             error!(self.state.logger, "invariant violated"; "zone" => %self.zone,
-                "what" => broken);
+                "rule" => "placement");
         }
     }
 
+    /// Counts and logs a broken rule; fails in debug builds.
+    pub(super) fn count_violation(&self, rule: &'static str, job: &RequestKey) {
+        counter!("invariant_violations_total", "rule" => rule).increment(1);
+        error!(self.state.logger, "invariant violated"; "zone" => %self.zone, "rule" => rule,
+            "job" => %job);
+        debug_assert!(false, "job {job} breaks the rule {rule}");
+    }
+
     fn publish_summary(&self) {
         let capacity = self.policy.summary();
         let summary = ZoneSummary {
--- a/crates/rattanwinch_entry/src/zones/jobs.rs
+++ b/crates/rattanwinch_entry/src/zones/jobs.rs
@@ -121,13 +121,13 @@
             let message = "the deadline has passed";
             return Err(RequestError::not_run(ErrorKind::Deadline, message));
         }
-        let config = Arc::clone(&self.control.load().config);
-        if !config.has_organisation(&job.key.organisation) {
-            let message = format!("organisation {} isn't configured", job.key.organisation);
-            return Err(RequestError::not_run(ErrorKind::NotFound, message));
+        if self.control.load().confirmed_at.is_some() {
+            self.check_job_organisation(&job)?;
         }
         let until = job.deadline.min(now + SUBMIT_WAIT);
         let zone = self.wait_for_zone(&job, until).await?;
+        // An entry that has just started had no configuration before.
+        self.check_job_organisation(&job)?;
         let record = JobRecord {
             spec: job,
             zone,
@@ -142,6 +142,15 @@
         }
     }
 
+    fn check_job_organisation(&self, job: &JobSpec) -> Result<()> {
+        let organisation = &job.key.organisation;
+        if self.control.load().config.has_organisation(organisation) {
+            return Ok(());
+        }
+        let message = format!("organisation {organisation} isn't configured");
+        Err(RequestError::not_run(ErrorKind::NotFound, message))
+    }
+
     async fn wait_for_zone(&self, job: &JobSpec, until: Timestamp) -> Result<ZoneName> {
         loop {
             let control = self.control.load_full();
