--- a/crates/rattanwinch_decisions/tests/gang_model/mod.rs
+++ b/crates/rattanwinch_decisions/tests/gang_model/mod.rs
@@ -337,6 +337,8 @@
         match action {
             GangAction::Hold { target, order } => {
                 let held = self.agents.get_mut(target).expect("known").hold(order, now);
+                let refused = || RequestError::not_run(ErrorKind::Unavailable, "refused");
+                let held = held.then_some(()).ok_or_else(refused);
                 if let Some(decider) = self.answered(epoch, answered) {
                     decider.hold_answered(&order.member, held, now);
                 }
--- a/crates/rattanwinch_entry/src/zones/decider.rs
+++ b/crates/rattanwinch_entry/src/zones/decider.rs
@@ -13,12 +13,14 @@
 use rattanwinch_decisions::ZonePolicy;
 use rattanwinch_platform::Store;
 use rattanwinch_types::Epoch;
+use rattanwinch_types::ErrorKind;
 use rattanwinch_types::Explanation;
 use rattanwinch_types::Heartbeat;
 use rattanwinch_types::JobStatus;
 use rattanwinch_types::PlacedTask;
 use rattanwinch_types::RequestKey;
 use rattanwinch_types::Revision;
+use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
 use rattanwinch_types::ZoneName;
 use rattanwinch_types::ZoneSummary;
@@ -69,6 +71,8 @@
     /// Whether another entry has taken the zone over.
     pub(super) deposed: bool,
     waiters: Vec<Waiter>,
+    /// The policy's violations that are counted already.
+    policy_violations: u64,
     config_revision: Option<Revision>,
     ticked_at: Timestamp,
     handle: ZoneHandle,
@@ -107,6 +111,7 @@
         moving: BTreeSet::new(),
         deposed: false,
         waiters: Vec::new(),
+        policy_violations: 0,
         config_revision: None,
         ticked_at: Timestamp::ZERO,
         handle: handle.clone(),
@@ -170,7 +175,15 @@
             Response::Adopted(target, incarnation, reports) => {
                 self.adopted(&target, incarnation, reports, now);
             }
-            Response::Held(member, held) => self.gangs.hold_answered(&member, held, now),
+            Response::Held(target, member, held) => {
+                let unanswered = held.as_ref().is_err_and(|error| {
+                    !error.is_not_run() && error.kind == ErrorKind::Unavailable
+                });
+                if unanswered {
+                    self.doubt_worker(&target, now);
+                }
+                self.gangs.hold_answered(&member, held, now);
+            }
             Response::Released(member, response) => {
                 self.gangs.release_answered(&member, response, now);
             }
@@ -260,6 +273,15 @@
             .set_limits(GangLimits::from(&control.config.defaults));
     }
 
+    /// Places nothing on a worker that didn't answer a hold until its next heartbeat: waiting for
+    /// 3 s of silence would send the next attempts there too, and urgent work has 2.8 s.
+    fn doubt_worker(&mut self, target: &TargetName, now: Timestamp) {
+        if let Some(worker) = self.workers.0.get_mut(target) {
+            worker.silent = true;
+            self.policy.worker_unknown(target, now);
+        }
+    }
+
     fn look_for_silence(&mut self, now: Timestamp) {
         let doubt = self.workers.doubts_itself(now);
         self.gangs.suspend_losses(doubt);
@@ -277,14 +299,28 @@
         }
     }
 
-    fn check_invariants(&self) {
+    fn check_invariants(&mut self) {
         if let Err(broken) = self.gangs.check_invariants() {
-            counter!("invariant_violations_total", "invariant" => "gangs").increment(1);
+            self.count_violation(broken.rule, &broken.job);
+        }
+        let violations = self.policy.violations();
+        if violations > self.policy_violations {
+            counter!("invariant_violations_total", "rule" => "placement")
+                .increment(violations - self.policy_violations);
+            self.policy_violations = violations;
             error!(self.state.logger, "invariant violated"; "zone" => %self.zone,
-                "what" => broken);
+                "rule" => "placement");
         }
     }
 
+    /// Counts and logs a broken rule; fails in debug builds.
+    pub(super) fn count_violation(&self, rule: &'static str, job: &RequestKey) {
+        counter!("invariant_violations_total", "rule" => rule).increment(1);
+        error!(self.state.logger, "invariant violated"; "zone" => %self.zone, "rule" => rule,
+            "job" => %job);
+        debug_assert!(false, "job {job} breaks the rule {rule}");
+    }
+
     fn publish_summary(&self) {
         let capacity = self.policy.summary();
         let summary = ZoneSummary {
