--- a/crates/rattanwinch_entry/src/zones/calls.rs
+++ b/crates/rattanwinch_entry/src/zones/calls.rs
@@ -83,7 +83,7 @@
 
     async fn cancel_job(&self, key: WireRequestKey) -> RpcResult<WireJobStatus> {
         let key: RequestKey = read(key)?;
-        let status = self.0.own_cancel(&key).await;
+        let status = self.0.cancel_for_peer(&key).await;
         status.map(Into::into).map_err(rpc_error)
     }
 
--- a/crates/rattanwinch_entry/src/zones/jobs.rs
+++ b/crates/rattanwinch_entry/src/zones/jobs.rs
@@ -395,20 +395,43 @@
             return Ok(status);
         }
         let zone = self.zone_of(key).await?;
-        let found = self.read_record(&zone, key).await;
-        let (record, _) = found.ok_or_else(|| not_found(key))?;
-        let status = status_of(&record);
+        if self.zones.own(&zone).is_some() {
+            return self.cancel_recorded(&zone, key).await;
+        }
+        match self.decider_client(&zone) {
+            Some(client) => client.cancel_job(key.clone()).await,
+            None => {
+                let found = self.read_record(&zone, key).await;
+                let (record, _) = found.ok_or_else(|| not_found(key))?;
+                let status = status_of(&record);
+                status
+                    .is_finished()
+                    .then_some(status)
+                    .ok_or_else(|| not_decider(&zone))
+            }
+        }
+    }
+
+    /// Cancels a job for another entry.
+    pub(super) async fn cancel_for_peer(&self, key: &RequestKey) -> Result<JobStatus> {
+        if let Ok(status) = self.own_cancel(key).await {
+            return Ok(status);
+        }
+        let zone = self.zone_of(key).await?;
+        self.cancel_recorded(&zone, key).await
+    }
+
+    /// Cancels a job that is recorded but that the zone's task here hasn't taken in yet.
+    async fn cancel_recorded(&self, zone: &ZoneName, key: &RequestKey) -> Result<JobStatus> {
+        let status = self.take_submitted(zone, key).await?;
         if status.is_finished() {
             return Ok(status);
         }
-        let client = self
-            .decider_client(&zone)
-            .ok_or_else(|| not_decider(&zone))?;
-        client.cancel_job(key.clone()).await
+        self.own_cancel(key).await
     }
 
     /// Cancels a job of a zone that is decided here.
-    pub(super) async fn own_cancel(&self, key: &RequestKey) -> Result<JobStatus> {
+    async fn own_cancel(&self, key: &RequestKey) -> Result<JobStatus> {
         for handle in self.zones.own_zones().values() {
             let (tx, rx) = oneshot::channel();
             let message = ZoneMessage::Cancel(key.clone(), tx);
