Expect the kind of a refusal by closing in the agent's test

Change: it expects exactly "closed" for a closed zone and "unavailable" for a view that is out of date, which tells the two apart.

--- a/crates/rattanwinch_agent/tests/gang/gang_start.rs
+++ b/crates/rattanwinch_agent/tests/gang/gang_start.rs
@@ -142,9 +142,14 @@
             it.config_revision.0 += 1;
             it.freshness = Duration::from_secs(if closed { 60 } else { 0 });
         });
-        rig.gate_closed().await;
+        let kind = if closed {
+            ErrorKind::Closed
+        } else {
+            ErrorKind::Unavailable
+        };
+        rig.gate_closed(kind).await;
         let released = rig.release(&key, EPOCH).await;
-        assert_refused(released, ErrorKind::Unavailable, Verdict::NotRun);
+        assert_refused(released, kind, Verdict::NotRun);
         assert!(rig.executor.task_starts().is_empty());
     }
 }
--- a/crates/rattanwinch_agent/tests/gang/support.rs
+++ b/crates/rattanwinch_agent/tests/gang/support.rs
@@ -210,7 +210,7 @@
     }
 
     /// Waits until the agent's gate refuses new members.
-    pub async fn gate_closed(&self) {
+    pub async fn gate_closed(&self, kind: ErrorKind) {
         let attempt = Cell::new(0);
         let refusal = async || {
             attempt.set(attempt.get() + 1);
@@ -218,7 +218,7 @@
             let refused = self.hold(hold_order(&probe, 0x80, "")).await.err();
             self.abort(&probe, EPOCH).await.expect("aborted");
             // Many aborted holds in a short time are refused as busy as well.
-            refused.filter(|it| it.kind == ErrorKind::Unavailable)
+            refused.filter(|it| it.kind == kind)
         };
         eventually("a closed gate", refusal).await;
     }
