Wait until a frozen process has stopped before a test goes on

Ruled out: the expiry of the hold at the agent, since the task started within 10 ms of the hold and not after the resumption.

Change: a test that freezes a process waits until each of its threads is in the stopped state. The process tests of the demo package use the same function.

--- a/crates/rattanwinch_agent/tests/gang/agent_process.rs
+++ b/crates/rattanwinch_agent/tests/gang/agent_process.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rattanwinch_testing::wait_stopped;
 use rattanwinch_types::ErrorKind;
 use rattanwinch_types::MemberPhase;
 
@@ -51,6 +52,11 @@
         assert!(sent.expect("kill can be run").success());
     }
 
+    fn freeze(&self) {
+        self.signal("-STOP");
+        wait_stopped(self.0.id()).expect("the process stops");
+    }
+
     /// The processor time of all threads so far.
     fn processor_time(&self) -> Duration {
         let tasks = fs::read_dir(format!("/proc/{}/task", self.0.id()));
@@ -98,7 +104,7 @@
     order.hold_for = Duration::from_secs(1);
     rig.hold(order).await.expect("held");
     let expired = tokio::time::Instant::now() + Duration::from_secs(1);
-    rig.agent.signal("-STOP");
+    rig.agent.freeze();
     let release = rig.release(&key, EPOCH);
     let resume = async {
         tokio::time::sleep_until(expired).await;
--- a/crates/rattanwinch_demo/src/testing/process.rs
+++ b/crates/rattanwinch_demo/src/testing/process.rs
@@ -17,6 +17,7 @@
 use eyre::Result;
 use eyre::WrapErr as _;
 use eyre::ensure;
+use rattanwinch_testing::wait_stopped;
 use serde_json::Value;
 
 /// How long a daemon may take to say where it listens.
@@ -117,7 +118,7 @@
         self.child.id()
     }
 
-    /// Sends a signal.
+    /// Sends a signal; after [`Signal::Stop`] no thread of the process runs any more.
     ///
     /// # Errors
     ///
@@ -134,6 +135,9 @@
             .arg(self.id().to_string())
             .status()?;
         ensure!(status.success(), "process {} takes no signal", self.id());
+        if signal == Signal::Stop {
+            wait_stopped(self.id())?;
+        }
         Ok(())
     }
 
