Share the daemons' command line and the accessors of a claim's stages

Cause: 29 lines of both daemons' main functions were the same, and so were the accessors of Claim<Claimed> and Claim<Dispatched>.

Change: rattanwinch_runtime has DaemonArguments, which reads the settings, checks them or runs the daemon, with the exit codes documented in one place. A trait that isn't exported gives the stages whose claim is in the store one set of accessors. The HTTP error table stays in both callers and operators: each peer has a package and a wire format of its own.

--- a/crates/rattanwinch_agent/src/bin/rattanwinch-agent.rs
+++ b/crates/rattanwinch_agent/src/bin/rattanwinch-agent.rs
@@ -1,12 +1,12 @@
 //! The daemon beside a target: reads its settings and serves until SIGTERM.
 
-use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::Parser;
 use eyre::Result;
 use rattanwinch_agent::AgentDaemon;
 use rattanwinch_agent::AgentSettings;
+use rattanwinch_runtime::DaemonArguments;
 use rattanwinch_runtime::Shutdown;
 use rattanwinch_runtime::json_logger;
 use rattanwinch_targets::HttpExecutor;
@@ -15,34 +15,12 @@
 #[derive(Debug, Parser)]
 #[command(version)]
 struct Arguments {
-    /// The settings file (INI).
-    #[arg(long, value_name = "FILE")]
-    settings: PathBuf,
-    /// Check the settings, print every error and exit.
-    #[arg(long)]
-    check: bool,
+    #[command(flatten)]
+    daemon: DaemonArguments,
 }
 
 fn main() -> ExitCode {
-    let arguments = Arguments::parse();
-    let settings = match AgentSettings::read(&arguments.settings) {
-        Ok(settings) => settings,
-        Err(errors) => {
-            eprintln!("{errors}");
-            return ExitCode::from(2);
-        }
-    };
-    if arguments.check {
-        println!("{}: no errors", arguments.settings.display());
-        return ExitCode::SUCCESS;
-    }
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error:#}");
-            ExitCode::FAILURE
-        }
-    }
+    Arguments::parse().daemon.run(AgentSettings::read, run)
 }
 
 /// Two threads: an agent may use 1.7% of a core, so more would only cost memory.
--- a/crates/rattanwinch_decisions/src/claims/claim.rs
+++ b/crates/rattanwinch_decisions/src/claims/claim.rs
@@ -81,6 +81,24 @@
     }
 }
 
+/// A stage whose claim is in the store; not exported, so no other type can implement it.
+pub trait Recorded {
+    /// The claim.
+    fn record(&self) -> &ClaimRecord;
+}
+
+impl Recorded for Claimed {
+    fn record(&self) -> &ClaimRecord {
+        &self.record
+    }
+}
+
+impl Recorded for Dispatched {
+    fn record(&self) -> &ClaimRecord {
+        &self.record
+    }
+}
+
 /// A non-idempotent request on its way; the type parameter says how far it has come.
 ///
 /// Each transition takes the claim, so that an attempt can't be sent twice or before its claim
@@ -198,25 +216,27 @@
     }
 }
 
-impl Claim<Claimed> {
+impl<S: Recorded> Claim<S> {
     /// The number of the attempt.
     #[must_use]
-    pub const fn attempt(&self) -> u32 {
-        self.stage.record.attempt
+    pub fn attempt(&self) -> u32 {
+        self.stage.record().attempt
     }
 
     /// The target of the attempt.
     #[must_use]
-    pub const fn target(&self) -> &TargetName {
-        &self.stage.record.target
+    pub fn target(&self) -> &TargetName {
+        &self.stage.record().target
     }
 
     /// The life of the target's agent that the attempt is for.
     #[must_use]
-    pub const fn incarnation(&self) -> Incarnation {
-        self.stage.record.incarnation
+    pub fn incarnation(&self) -> Incarnation {
+        self.stage.record().incarnation
     }
+}
 
+impl Claim<Claimed> {
     /// Goes on with the result of sending the attempt to its target.
     #[must_use]
     pub fn sent(self, outcome: ClaimOutcome) -> ClaimStep {
@@ -236,24 +256,6 @@
 }
 
 impl Claim<Dispatched> {
-    /// The number of the attempt.
-    #[must_use]
-    pub const fn attempt(&self) -> u32 {
-        self.stage.record.attempt
-    }
-
-    /// The target of the attempt.
-    #[must_use]
-    pub const fn target(&self) -> &TargetName {
-        &self.stage.record.target
-    }
-
-    /// The life of the target's agent that the attempt is for.
-    #[must_use]
-    pub const fn incarnation(&self) -> Incarnation {
-        self.stage.record.incarnation
-    }
-
     /// Goes on with what the target answered about the attempt.
     #[must_use]
     pub fn asked(self, response: AskResponse) -> ClaimStep {
--- a/crates/rattanwinch_entry/src/bin/rattanwinch-entry.rs
+++ b/crates/rattanwinch_entry/src/bin/rattanwinch-entry.rs
@@ -1,6 +1,5 @@
 //! The daemon of an entry VM: reads its settings and serves until SIGTERM.
 
-use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::Parser;
@@ -8,6 +7,7 @@
 use rattanwinch_entry::EntryDaemon;
 use rattanwinch_entry::EntrySettings;
 use rattanwinch_platform::EtcdStore;
+use rattanwinch_runtime::DaemonArguments;
 use rattanwinch_runtime::Shutdown;
 use rattanwinch_runtime::install_metrics;
 use rattanwinch_runtime::json_logger;
@@ -16,34 +16,12 @@
 #[derive(Debug, Parser)]
 #[command(version)]
 struct Arguments {
-    /// The settings file (INI).
-    #[arg(long, value_name = "FILE")]
-    settings: PathBuf,
-    /// Check the settings, print every error and exit.
-    #[arg(long)]
-    check: bool,
+    #[command(flatten)]
+    daemon: DaemonArguments,
 }
 
 fn main() -> ExitCode {
-    let arguments = Arguments::parse();
-    let settings = match EntrySettings::read(&arguments.settings) {
-        Ok(settings) => settings,
-        Err(errors) => {
-            eprintln!("{errors}");
-            return ExitCode::from(2);
-        }
-    };
-    if arguments.check {
-        println!("{}: no errors", arguments.settings.display());
-        return ExitCode::SUCCESS;
-    }
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error:#}");
-            ExitCode::FAILURE
-        }
-    }
+    Arguments::parse().daemon.run(EntrySettings::read, run)
 }
 
 #[tokio::main]
--- a/crates/rattanwinch_runtime/src/lib.rs
+++ b/crates/rattanwinch_runtime/src/lib.rs
@@ -1,13 +1,14 @@
-//! Settings, logs, metrics, clock and graceful shutdown of the daemons.
+//! Command line, settings, logs, metrics, clock and graceful shutdown of the daemons.
 //!
-//! [`SettingsFile`] reads INI and collects every error before anything starts. [`json_logger`]
-//! makes the JSON-line logger, [`install_metrics`] the recorder whose text a daemon serves,
+//! [`DaemonArguments`] is the command line. [`SettingsFile`] reads INI and collects every error
+//! before anything starts. [`json_logger`] makes the JSON-line logger, [`install_metrics`] the recorder whose text a daemon serves,
 //! [`Shutdown`] tells all tasks of a daemon to stop, and [`Clock`] is the one place that reads
 //! the time; deciding functions take it as an argument.
 //!
 //! This package isn't for what a daemon does: see `rattanwinch_entry` and `rattanwinch_agent`.
 
 mod clock;
+mod daemon_arguments;
 mod logger;
 mod metrics_text;
 mod settings_error;
@@ -15,6 +16,7 @@
 mod shutdown;
 
 pub use clock::Clock;
+pub use daemon_arguments::DaemonArguments;
 pub use logger::discard_logger;
 pub use logger::json_logger;
 pub use metrics_text::MetricsText;
