Count plain_when_stale from the last fresh view of the store

Cause: an agent took the response of an entry that had lost the store as a view that is fresh for no time, from the moment of the heartbeat. Each heartbeat so restarted plain_when_stale, and the bound on plain requests during an outage (6 h by default) never ended as long as any entry answered. Ruled out: a check elsewhere; no entry reads plain_when_stale but to pass it on.

Change: the response says for how long the entry's view has not been fresh, and the gate counts from there. A first try that ignored such responses was dropped, because an agent that is replaced during an outage would then take nothing until its end.

Also tests that a recorded refusal of a claim is followed by a new attempt and that at most half of a zone's workers are quarantined, which had none.

--- a/crates/rattanwinch_decisions/src/gate.rs
+++ b/crates/rattanwinch_decisions/src/gate.rs
@@ -59,11 +59,14 @@
         if response.config_revision < self.config_revision {
             return self.clone();
         }
+        // An entry that has lost the store says for how long: taking its view as fresh at each
+        // heartbeat would restart `plain_when_stale` every time, so that it would never end.
+        let fresh_until = sent_at + response.freshness - response.stale_for;
         Self {
             config_revision: response.config_revision,
             zone_closed: response.zone_closed,
             leaving: self.leaving,
-            fresh_until: self.fresh_until.max(sent_at + response.freshness),
+            fresh_until: self.fresh_until.max(fresh_until),
             heard_at: self.heard_at.max(sent_at),
             plain_when_stale: response.plain_when_stale,
         }
--- a/crates/rattanwinch_decisions/tests/claims.rs
+++ b/crates/rattanwinch_decisions/tests/claims.rs
@@ -371,3 +371,41 @@
         (ErrorKind::Conflict, Verdict::NotRun)
     );
 }
+
+/// Guards against a request that was refused as "not run" and whose retry, after the target's
+/// agent was replaced, ends as "may have run".
+#[test]
+fn a_recorded_refusal_is_followed_by_a_new_attempt() {
+    let mut world = World::new();
+    let target = TargetName::new("0").expect("a name");
+    let mut step = ClaimStep::Pick(Claim::new(world.digest, true));
+    let refusal = loop {
+        step = match step {
+            ClaimStep::Pick(claim) => {
+                let claim = claim.propose(target.clone(), Incarnation(0));
+                let response = world.write(claim.record().clone(), claim.expected());
+                claim.written(response)
+            }
+            ClaimStep::Dispatch(claim) => claim.sent(Err(RequestError::not_run(
+                ErrorKind::Busy,
+                "the queue is full",
+            ))),
+            ClaimStep::Ask(_) => panic!("a refusal needs no question"),
+            ClaimStep::Done { outcome, record } => break (outcome, record),
+        };
+    };
+    let (Err(error), Some((record, revision))) = refusal else {
+        panic!("the refusal was not recorded");
+    };
+    assert!(error.is_not_run(), "{error}");
+    let last_attempt = record.attempt;
+    world.write(record, Some(revision));
+
+    let retry = Claim::new(world.digest, false).propose(target, Incarnation(1));
+    let response = world.write(retry.record().clone(), retry.expected());
+    let ClaimStep::Pick(claim) = retry.written(response) else {
+        panic!("the retry asks an agent that is gone");
+    };
+    let target = TargetName::new("1").expect("a name");
+    assert!(claim.propose(target, Incarnation(0)).record().attempt > last_attempt);
+}
--- a/crates/rattanwinch_decisions/tests/policy/workers.rs
+++ b/crates/rattanwinch_decisions/tests/policy/workers.rs
@@ -1,5 +1,6 @@
 //! Closed zones, excluded and lost workers, quarantine.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rattanwinch_decisions::Decision;
@@ -153,6 +154,20 @@
     assert_eq!(policy.summary().accelerators, 8, "the other worker only");
 }
 
+/// Guards against a burst of bad jobs that takes a whole availability zone out of service.
+#[test]
+fn at_most_half_of_the_workers_are_quarantined() {
+    let mut policy = policy(4, Vec::new());
+    let mut failed = BTreeMap::<TargetName, usize>::new();
+    for id in 0..40 {
+        let target = fail_once(&mut policy, &format!("job-{id}"), 101);
+        *failed.entry(target.expect("a worker is left")).or_default() += 1;
+    }
+    let excluded = failed.values().filter(|&&jobs| jobs == 3).count();
+    assert_eq!(excluded, 2, "{failed:?}");
+    assert_eq!(policy.summary().accelerators, 16);
+}
+
 /// Guards against a job that fails everywhere and takes the workers out of service one by one.
 #[test]
 fn a_job_that_fails_on_three_workers_is_refused_and_the_workers_stay() {
--- a/crates/rattanwinch_entry/src/control_view.rs
+++ b/crates/rattanwinch_entry/src/control_view.rs
@@ -66,9 +66,16 @@
         if self.regressed {
             return Duration::ZERO;
         }
-        let until = self
-            .confirmed_at
-            .map_or(Timestamp::ZERO, |at| at + FRESH_FOR);
-        now.until(until).min(AGENT_FRESH_FOR)
+        now.until(self.fresh_until()).min(AGENT_FRESH_FOR)
+    }
+
+    /// How long ago the view ceased to be fresh; zero while it is fresh.
+    pub fn stale_for(&self, now: Timestamp) -> Duration {
+        self.fresh_until().until(now)
+    }
+
+    fn fresh_until(&self) -> Timestamp {
+        self.confirmed_at
+            .map_or(Timestamp::ZERO, |at| at + FRESH_FOR)
     }
 }
--- a/crates/rattanwinch_entry/src/heartbeats.rs
+++ b/crates/rattanwinch_entry/src/heartbeats.rs
@@ -63,6 +63,7 @@
             entries: self.entry_addresses(),
             deciding: None,
             freshness: control.freshness(now),
+            stale_for: control.stale_for(now),
             config_revision: control.revision,
             zone_closed: control.config.zone_closure(&heartbeat.zone).is_some(),
             plain_when_stale: control.config.defaults.plain_when_stale,
--- a/crates/rattanwinch_peers/src/wire/heartbeat.rs
+++ b/crates/rattanwinch_peers/src/wire/heartbeat.rs
@@ -131,6 +131,8 @@
         pub deciding: Option<i64>,
         /// How long the agent may start tasks from when it sent the heartbeat, in milliseconds.
         pub freshness_ms: u64,
+        /// How long ago the entry's own view ceased to be fresh, in milliseconds.
+        pub stale_for_ms: u64,
         /// The configuration revision that the entry acts on.
         pub config_revision: i64,
         /// Whether the zone is closed.
@@ -152,6 +154,7 @@
             entries: response.entries.into_iter().map(Into::into).collect(),
             deciding: response.deciding.map(|epoch| epoch.0),
             freshness_ms: to_millis(response.freshness),
+            stale_for_ms: to_millis(response.stale_for),
             config_revision: response.config_revision.0,
             zone_closed: response.zone_closed,
             plain_when_stale_ms: to_millis(response.plain_when_stale),
@@ -173,6 +176,7 @@
             entries: entries.collect::<Result<_, _>>()?,
             deciding: wire.deciding.map(Epoch),
             freshness: Duration::from_millis(wire.freshness_ms),
+            stale_for: Duration::from_millis(wire.stale_for_ms),
             config_revision: Revision(wire.config_revision),
             zone_closed: wire.zone_closed,
             plain_when_stale: Duration::from_millis(wire.plain_when_stale_ms),
--- a/crates/rattanwinch_types/src/heartbeat.rs
+++ b/crates/rattanwinch_types/src/heartbeat.rs
@@ -61,6 +61,9 @@
     pub deciding: Option<Epoch>,
     /// How long the agent may start tasks, counted from when it sent the heartbeat.
     pub freshness: Duration,
+    /// How long ago the entry's own view ceased to be fresh; zero while it is fresh.
+    #[builder(default)]
+    pub stale_for: Duration,
     /// The configuration revision that the entry acts on.
     pub config_revision: Revision,
     /// Whether operators have closed the agent's zone.
--- a/crates/rattanwinch_types/src/timestamp.rs
+++ b/crates/rattanwinch_types/src/timestamp.rs
@@ -1,4 +1,5 @@
 use std::ops::Add;
+use std::ops::Sub;
 use std::time::Duration;
 
 crate::value! { copy
@@ -47,3 +48,13 @@
         Self(self.0.saturating_add(millis))
     }
 }
+
+impl Sub<Duration> for Timestamp {
+    type Output = Self;
+
+    /// Moves the timestamp back; sub-millisecond parts are dropped, and the start holds.
+    fn sub(self, span: Duration) -> Self {
+        let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(millis))
+    }
+}
