--- a/crates/rattanwinch_standins/src/executor/standin_tasks.rs
+++ b/crates/rattanwinch_standins/src/executor/standin_tasks.rs
@@ -32,6 +32,8 @@
     lease_until: Timestamp,
     /// When the work is done, once it runs.
     done_at: Timestamp,
+    /// When the checkpoint is done that was ordered.
+    checkpoint_at: Option<Timestamp>,
     /// Whether the work fails at its end.
     fails: bool,
     throttled: bool,
@@ -50,7 +52,11 @@
             return;
         }
         let running = self.state == TaskState::Running;
-        if running && self.done_at <= now.min(self.lease_until) {
+        let checkpoint_at = self.checkpoint_at.filter(|at| *at < self.done_at);
+        if let Some(at) = checkpoint_at.filter(|at| *at <= now.min(self.lease_until)) {
+            self.state = TaskState::Stopped;
+            self.ended_at = Some(at);
+        } else if running && self.done_at <= now.min(self.lease_until) {
             self.state = if self.fails {
                 TaskState::Failed("the work failed".into())
             } else {
@@ -113,6 +119,7 @@
             lease_until: now + order.lease,
             state: TaskState::Loaded,
             done_at: now,
+            checkpoint_at: None,
             fails: false,
             throttled: false,
             ended_at: None,
@@ -146,7 +153,8 @@
         Ok(true)
     }
 
-    /// Throttles, checkpoints or stops a task. A checkpoint takes no time here.
+    /// Throttles, checkpoints or stops a task. A checkpoint takes the time that the payload says,
+    /// by default none.
     ///
     /// # Errors
     ///
@@ -156,14 +164,24 @@
         if !task.is_live() {
             return Ok(());
         }
-        if mode == StopMode::Throttle {
-            if task.state == TaskState::Running && !task.throttled {
-                task.throttled = true;
-                task.done_at = now + now.until(task.done_at) * THROTTLE_FACTOR;
+        let checkpoint = WorkOrder::parse(&task.order.payload).checkpoint;
+        match mode {
+            StopMode::Throttle => {
+                if task.state == TaskState::Running && !task.throttled {
+                    task.throttled = true;
+                    task.done_at = now + now.until(task.done_at) * THROTTLE_FACTOR;
+                }
+            }
+            StopMode::Checkpoint if task.state == TaskState::Running => {
+                if let Some(span) = checkpoint {
+                    task.checkpoint_at.get_or_insert(now + span);
+                    task.advance(now);
+                }
+            }
+            StopMode::Checkpoint | StopMode::Stop => {
+                task.state = TaskState::Stopped;
+                task.ended_at = Some(now);
             }
-        } else {
-            task.state = TaskState::Stopped;
-            task.ended_at = Some(now);
         }
         Ok(())
     }
--- a/crates/rattanwinch_standins/src/executor/work_order.rs
+++ b/crates/rattanwinch_standins/src/executor/work_order.rs
@@ -1,7 +1,8 @@
 use std::time::Duration;
 
 rattanwinch_types::value! {
-    /// What a payload asks of the stand-in: words such as `work_ms=20 answer_bytes=100 fail`.
+    /// What a payload asks of the stand-in: words such as `work_ms=20 answer_bytes=100 fail`,
+    /// `checkpoint_ms=500` or `no_checkpoint`.
     ///
     /// Words that mean nothing are ignored, so that any text is a payload.
     pub struct WorkOrder {
@@ -11,6 +12,8 @@
         pub answer_bytes: usize,
         /// Whether the work fails at its end.
         pub fail: bool,
+        /// How long a checkpoint takes; `None` if the work ignores the order to make one.
+        pub checkpoint: Option<Duration>,
     }
 }
 
@@ -22,6 +25,7 @@
             work: Duration::ZERO,
             answer_bytes: 0,
             fail: false,
+            checkpoint: Some(Duration::ZERO),
         };
         for word in payload.split_whitespace() {
             match word.split_once('=') {
@@ -31,7 +35,11 @@
                 Some(("answer_bytes", value)) => {
                     order.answer_bytes = value.parse().unwrap_or(0);
                 }
+                Some(("checkpoint_ms", value)) => {
+                    order.checkpoint = Some(Duration::from_millis(value.parse().unwrap_or(0)));
+                }
                 None if word == "fail" => order.fail = true,
+                None if word == "no_checkpoint" => order.checkpoint = None,
                 _ => {}
             }
         }
