Keep retries within a guarantee under its stated time

Cause: `rattanwinch-trials waits` traces each wait within a guarantee beyond 35 s. Two faults: homes that moved off borrowers moved onto free workers that the retry avoids, so it found nothing; and a retry whose guarantee lies only on such workers waited for others without a bound. Change: homes don't move onto avoided workers, and a retry uses the workers that it failed on if its guarantee has no others. Waits that end without a start, by a cancellation or a closing, now count as well.

--- a/crates/rattanwinch_decisions/src/policy/reclaim.rs
+++ b/crates/rattanwinch_decisions/src/policy/reclaim.rs
@@ -134,19 +134,24 @@
         if misfits.guaranteed.contains(&query) {
             return None;
         }
-        let avoided = self.avoided_workers(spec);
+        let mut avoided = self.avoided_workers(spec);
         let mut cheapest = self.cheapest_own(spec, &avoided, Some(now));
         if cheapest.is_none() && self.move_homes_away(organisation, &avoided, now) {
             cheapest = self.cheapest_own(spec, &avoided, Some(now));
         }
-        if cheapest.is_none() && avoided.is_empty() {
+        if cheapest.is_none() && !avoided.is_empty() {
+            // A retry on a worker that it failed on costs less than a wait without a bound.
+            avoided.clear();
+            cheapest = self.cheapest_own(spec, &avoided, Some(now));
+        }
+        if cheapest.is_none() {
             misfits.guaranteed.insert(query);
         }
         let mut slots = cheapest?;
         if !self.is_clear(&slots) {
             // The moved homes may be further apart. A gang larger than each block has no claim to
             // blocks that happen to be adjacent, so it may find nothing then.
-            self.move_homes(organisation, spec.shape.accelerators(), now);
+            self.move_homes(organisation, spec.shape.accelerators(), &avoided, now);
             slots = self
                 .cheapest_own(spec, &avoided, None)
                 .or_else(|| self.cheapest_own(spec, &avoided, Some(now)))?;
@@ -223,8 +228,14 @@
     }
 
     /// Moves unused homes of the organisation off borrowers: onto free accelerators, or onto
-    /// borrowers with less to lose.
-    fn move_homes(&mut self, organisation: &Organisation, accelerators: u32, now: Timestamp) {
+    /// borrowers with less to lose. A home on an avoided worker would keep the job from starting.
+    fn move_homes(
+        &mut self,
+        organisation: &Organisation,
+        accelerators: u32,
+        avoided: &[WorkerId],
+        now: Timestamp,
+    ) {
         let mut moved = 0;
         let mut costly_moves = 0;
         let mut is_full = None;
@@ -239,7 +250,7 @@
                 continue;
             };
             let free = NewHome {
-                avoided: &[],
+                avoided,
                 evicting_at: None,
             };
             let mut found = None;
@@ -250,7 +261,7 @@
             if found.is_none() && costly_moves < MOST_COSTLY_MOVES {
                 costly_moves += 1;
                 let costly = NewHome {
-                    avoided: &[],
+                    avoided,
                     evicting_at: Some(now),
                 };
                 found = solver::solve(&self.pool, wanted, &costly)
--- a/crates/rattanwinch_decisions/tests/policy/guarantees.rs
+++ b/crates/rattanwinch_decisions/tests/policy/guarantees.rs
@@ -6,8 +6,10 @@
 use rattanwinch_decisions::JobEnd;
 use rattanwinch_decisions::ZonePolicy;
 use rattanwinch_types::Adjacency;
+use rattanwinch_types::JobSpec;
 use rattanwinch_types::RequestKey;
 use rattanwinch_types::StopMode;
+use rattanwinch_types::TargetName;
 
 use crate::fixtures::at;
 use crate::fixtures::config;
@@ -189,3 +191,58 @@
     policy.submit(spec, at(5000)).expect("it fits the zone");
     assert_eq!(evictions(&policy.decide(at(5000))), [key]);
 }
+
+/// Runs the job to a failure on the worker where the policy places it, and submits it again.
+fn fail_and_retry(policy: &mut ZonePolicy, spec: &JobSpec, second: u64) -> TargetName {
+    policy
+        .submit(spec.clone(), at(second))
+        .expect("it fits the zone");
+    let decisions = policy.decide(at(second));
+    let Some(Decision::Start { placement, .. }) = decisions.first() else {
+        panic!("it starts on free accelerators: {decisions:?}");
+    };
+    let target = placement.tasks[0].target.clone();
+    policy.started(&spec.key, at(second));
+    let blamed = [target.clone()].into_iter().collect();
+    policy.ended(&spec.key, JobEnd::Failed { blamed }, at(second));
+    target
+}
+
+/// Guards against a retry that waits without a bound within its owner's guarantee, because the
+/// only accelerators of the guarantee are on a worker that the job failed on.
+#[test]
+fn a_retry_uses_the_worker_it_failed_on_if_its_guarantee_lies_only_there() {
+    let mut policy = policy(2, vec![guarantee("owner", 1, 8), guarantee("other", 1, 8)]);
+    run_whole(&mut policy, "other", "b", 1, 100);
+    let spec = job(key("owner", "o"), shape(1, 8, Adjacency::Worker));
+    let failed_on = fail_and_retry(&mut policy, &spec, 200);
+    policy
+        .submit(spec.clone(), at(201))
+        .expect("it fits the zone");
+    let decisions = policy.decide(at(201));
+    let is_there = |decision: &Decision| {
+        matches!(decision, Decision::Start { placement, .. }
+            if placement.tasks[0].target == failed_on)
+    };
+    assert!(
+        decisions.len() == 1 && is_there(&decisions[0]),
+        "{decisions:?}"
+    );
+}
+
+/// Guards against a home that moves off a borrower onto a free worker which the retry avoids, so
+/// that the retry finds nothing within its owner's guarantee.
+#[test]
+fn a_home_does_not_move_onto_a_worker_that_the_retry_avoids() {
+    let mut policy = policy(3, vec![guarantee("owner", 1, 4)]);
+    let spec = job(key("owner", "o"), shape(1, 4, Adjacency::Worker));
+    fail_and_retry(&mut policy, &spec, 100);
+    let first = run_whole(&mut policy, "other", "first", 1, 101);
+    let second = run_whole(&mut policy, "other", "second", 1, 102);
+    policy.submit(spec, at(103)).expect("it fits the zone");
+    let evicted = evictions(&policy.decide(at(103)));
+    assert!(
+        evicted == [first] || evicted == [second],
+        "one borrower is evicted: {evicted:?}"
+    );
+}
--- a/crates/rattanwinch_trials/src/bin/rattanwinch-trials.rs
+++ b/crates/rattanwinch_trials/src/bin/rattanwinch-trials.rs
@@ -3,8 +3,10 @@
 use clap::Parser;
 use clap::Subcommand;
 use rattanwinch_trials::Profile;
+use rattanwinch_trials::Workload;
 use rattanwinch_trials::compare;
 use rattanwinch_trials::measure_speed;
+use rattanwinch_trials::trace_waits;
 use serde::Serialize;
 
 /// Trials of the scheduling policy.
@@ -32,6 +34,15 @@
         #[arg(long)]
         json: bool,
     },
+    /// Prints the course of each wait within a guarantee that exceeded the stated 35 s
+    Waits {
+        /// The fleet and its work.
+        #[arg(value_enum)]
+        profile: Profile,
+        /// The seed; repeatable.
+        #[arg(long, value_delimiter = ',', default_values_t = [0])]
+        seed: Vec<u64>,
+    },
     /// Measures how long decisions take against the size of the fleet.
     Speed {
         /// Workers in the zone; repeatable.
@@ -63,6 +74,15 @@
             threads,
             json,
         } => print(&compare(profile, seeds, threads), json),
+        Command::Waits { profile, seed } => {
+            for seed in seed {
+                let workload = Workload::draw(profile, seed);
+                for wait in trace_waits(profile, &workload) {
+                    print!("seed {seed}: {wait}");
+                }
+            }
+            Ok(())
+        }
         Command::Speed {
             workers,
             rounds,
--- a/crates/rattanwinch_trials/src/driver.rs
+++ b/crates/rattanwinch_trials/src/driver.rs
@@ -13,6 +13,8 @@
 
 use crate::accounts::Accounts;
 use crate::comparison::SchedulerKind;
+use crate::guarantee_waits::GuaranteeWaits;
+use crate::guarantee_waits::WaitTrace;
 use crate::job_run::JobRun;
 use crate::job_run::Stage;
 use crate::job_run::job_measures;
@@ -23,12 +25,11 @@
 use crate::workload::Workload;
 use crate::zone_run::ZoneRun;
 
+mod faults;
+
 /// A failing task fails this long after its start.
 const FAILS_AFTER: Duration = Duration::from_secs(5);
 
-/// The caller gives a job up after so many failures.
-const MOST_FAILURES: u32 = 8;
-
 /// The longest checkpoint that succeeds; the default of the configuration.
 const CHECKPOINT_LIMIT: Duration = Duration::from_secs(30);
 
@@ -60,7 +61,7 @@
     sequence: u64,
     now: Timestamp,
     accounts: Accounts,
-    guarantee_waits: Times,
+    guarantee_waits: GuaranteeWaits,
     urgent_waits: Times,
     last_success: Timestamp,
 }
@@ -73,6 +74,15 @@
     driver.measures()
 }
 
+/// Runs the policy on the events and returns the waits within guarantees that exceeded the
+/// stated time.
+#[must_use]
+pub fn trace_waits(profile: Profile, workload: &Workload) -> Vec<WaitTrace> {
+    let mut driver = Driver::new(profile, workload, SchedulerKind::Policy);
+    driver.run();
+    driver.guarantee_waits.overlong
+}
+
 impl<'a> Driver<'a> {
     fn new(profile: Profile, workload: &'a Workload, kind: SchedulerKind) -> Self {
         let zones = profile.zones().into_iter().zip(profile.workers());
@@ -96,7 +106,7 @@
             sequence: 0,
             now: Timestamp::ZERO,
             accounts: Accounts::default(),
-            guarantee_waits: Times::new(),
+            guarantee_waits: GuaranteeWaits::new(),
             urgent_waits: Times::new(),
             last_success: Timestamp::ZERO,
         };
@@ -166,67 +176,6 @@
         }
     }
 
-    fn apply(&mut self, fault: Fault) {
-        match fault {
-            Fault::WorkerDown(zone, worker) => {
-                self.zones[zone].outages[worker] += 1;
-                self.lose_worker(zone, worker);
-            }
-            Fault::WorkerSilent(zone, worker) => {
-                let run = &mut self.zones[zone];
-                run.outages[worker] += 1;
-                if run.outages[worker] == 1 {
-                    let target = &run.workers[worker].target;
-                    run.map.set_up(target, false);
-                    run.scheduler.worker_silent(target, self.now);
-                    run.touch();
-                }
-            }
-            Fault::WorkerUp(zone, worker) => {
-                let run = &mut self.zones[zone];
-                run.outages[worker] -= 1;
-                if run.outages[worker] == 0 {
-                    let info = run.workers[worker].clone();
-                    run.map.set_up(&info.target, true);
-                    run.scheduler.worker_up(info, self.now);
-                    run.touch();
-                }
-            }
-            Fault::ExecutorBroken(zone, worker) => self.zones[zone].broken[worker] = true,
-            Fault::ExecutorRepaired(zone, worker) => self.zones[zone].broken[worker] = false,
-            Fault::ZoneClosed(zone) => {
-                self.zones[zone].is_closed = true;
-                self.zones[zone].scheduler.set_closed(true, self.now);
-                for index in self.zones[zone].queued.clone() {
-                    self.unqueue(index);
-                    self.submit(index);
-                }
-            }
-            Fault::ZoneOpened(zone) => {
-                self.zones[zone].is_closed = false;
-                self.zones[zone].scheduler.set_closed(false, self.now);
-                self.zones[zone].touch();
-            }
-        }
-    }
-
-    fn lose_worker(&mut self, zone: usize, worker: usize) {
-        let run = &mut self.zones[zone];
-        let target = run.workers[worker].target.clone();
-        run.map.set_up(&target, false);
-        run.scheduler.worker_down(&target, self.now);
-        run.touch();
-        for index in 0..self.runs.len() {
-            let job = &self.runs[index];
-            let has_started = matches!(job.stage, Stage::Running | Stage::Leaving);
-            if has_started && job.placement.tasks.iter().any(|task| task.target == target) {
-                self.lose_progress(index, false);
-                self.release(index, JobEnd::WorkerLost);
-                self.submit(index);
-            }
-        }
-    }
-
     /// The zone for a job: an open one with the most free accelerators for each that is asked
     /// for. A closed one takes it if it fits no open one.
     fn zone_order(&self) -> Vec<usize> {
@@ -255,8 +204,10 @@
                 let run = &mut self.runs[index];
                 run.zone = zone;
                 run.stage = Stage::Queued;
-                run.queued_at = self.now;
-                run.is_entitled = is_entitled;
+                if is_entitled {
+                    self.guarantee_waits
+                        .begin((index, spec), zone, run.failures, self.now);
+                }
                 return;
             }
         }
@@ -290,6 +241,7 @@
         zone.queued.remove(&index);
         zone.touch();
         self.runs[index].stage = Stage::Absent;
+        self.guarantee_waits.end(index, self.now);
     }
 
     fn finish(&mut self, index: usize, is_success: bool) {
@@ -331,33 +283,6 @@
         }
     }
 
-    fn fail(&mut self, index: usize) {
-        let zone = self.runs[index].zone;
-        let tasks = &self.runs[index].placement.tasks;
-        let broken = |target: &TargetName| {
-            let run = &self.zones[zone];
-            let position = run
-                .workers
-                .iter()
-                .position(|worker| worker.target == *target);
-            position.is_some_and(|worker| run.broken[worker])
-        };
-        let is_faulty = self.workload.jobs[index].is_faulty;
-        let blamed = tasks
-            .iter()
-            .enumerate()
-            .filter(|(task, place)| broken(&place.target) || (is_faulty && *task == 0));
-        let blamed = blamed.map(|(_, place)| place.target.clone()).collect();
-        self.lose_progress(index, false);
-        self.release(index, JobEnd::Failed { blamed });
-        self.runs[index].failures += 1;
-        if self.runs[index].failures >= MOST_FAILURES {
-            self.finish(index, false);
-        } else {
-            self.submit(index);
-        }
-    }
-
     fn complete_eviction(&mut self, index: usize, is_saved: bool) {
         if !is_saved {
             self.lose_progress(index, true);
@@ -379,6 +304,13 @@
                 break;
             }
         }
+        for (index, key) in self.guarantee_waits.waiting(zone) {
+            let scheduler = &self.zones[zone].scheduler;
+            if let Some(reason) = scheduler.wait_reason(&key) {
+                let status = scheduler.guarantee_status(&key.organisation);
+                self.guarantee_waits.note(index, reason, status, self.now);
+            }
+        }
         let wakeup = self.zones[zone].scheduler.next_wakeup(self.now);
         let earliest = self.zones[zone].wake_at;
         if let Some(at) = wakeup
@@ -398,6 +330,7 @@
                 let index = self.by_key[&key];
                 self.zones[zone].queued.remove(&index);
                 self.zones[zone].touch();
+                self.guarantee_waits.end(index, self.now);
                 self.finish(index, false);
             }
         }
@@ -421,9 +354,7 @@
         };
         let fails = job.is_faulty || placement.tasks.iter().any(|task| is_broken(&task.target));
         let run = &mut self.runs[index];
-        if run.is_entitled {
-            self.guarantee_waits.record(self.now.since(run.queued_at));
-        }
+        self.guarantee_waits.end(index, self.now);
         if !run.has_started && job.spec.urgency == Urgency::Urgent {
             self.urgent_waits.record(self.now.since(job.arrives_at));
         }
@@ -479,8 +410,8 @@
             fragmentation: self.accounts.fragmentation(),
             unusable_of_capacity: self.accounts.unusable(),
             zone_change_useful: self.accounts.zone_change_useful(),
-            guarantee_wait_s: self.guarantee_waits.percentiles(),
-            guarantee_wait_max_s: self.guarantee_waits.max(),
+            guarantee_wait_s: self.guarantee_waits.times.percentiles(),
+            guarantee_wait_max_s: self.guarantee_waits.times.max(),
             urgent_wait_s: self.urgent_waits.percentiles(),
             eviction_lost_h: self.accounts.eviction_lost_h(),
             evictions: self.accounts.evictions,
--- a/crates/rattanwinch_trials/src/job_run.rs
+++ b/crates/rattanwinch_trials/src/job_run.rs
@@ -31,14 +31,10 @@
     pub attempt: u32,
     /// What it has completed and saved.
     pub saved: Duration,
-    /// When it was last queued.
-    pub queued_at: Timestamp,
     /// When it last started.
     pub started_at: Timestamp,
     /// Whether it ever started.
     pub has_started: bool,
-    /// Whether it fits the unused part of its owner's guarantee.
-    pub is_entitled: bool,
     /// How often its task failed.
     pub failures: u32,
     /// Where it runs.
@@ -54,10 +50,8 @@
             zone: 0,
             attempt: 0,
             saved: Duration::ZERO,
-            queued_at: Timestamp::ZERO,
             started_at: Timestamp::ZERO,
             has_started: false,
-            is_entitled: false,
             failures: 0,
             placement: Placement { tasks: Vec::new() },
             ended: None,
--- a/crates/rattanwinch_trials/src/policy_zone.rs
+++ b/crates/rattanwinch_trials/src/policy_zone.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use rattanwinch_decisions::Decision;
 use rattanwinch_decisions::JobEnd;
 use rattanwinch_decisions::WorkerInfo;
@@ -5,7 +7,9 @@
 use rattanwinch_types::Exception;
 use rattanwinch_types::ExceptionEffect;
 use rattanwinch_types::FleetConfig;
+use rattanwinch_types::GuaranteeStatus;
 use rattanwinch_types::JobSpec;
+use rattanwinch_types::Organisation;
 use rattanwinch_types::RequestError;
 use rattanwinch_types::RequestKey;
 use rattanwinch_types::TargetName;
@@ -81,6 +85,17 @@
         self.policy.next_wakeup(now)
     }
 
+    fn wait_reason(&self, key: &RequestKey) -> Option<Arc<str>> {
+        self.policy.wait_reason(key)
+    }
+
+    fn guarantee_status(&self, owner: &Organisation) -> Option<GuaranteeStatus> {
+        let guarantees = self.policy.summary().guarantees;
+        guarantees
+            .into_iter()
+            .find(|known| known.organisation == *owner)
+    }
+
     fn violations(&self) -> u64 {
         self.policy.violations()
     }
--- a/crates/rattanwinch_trials/src/zone_scheduler.rs
+++ b/crates/rattanwinch_trials/src/zone_scheduler.rs
@@ -1,9 +1,12 @@
 use std::fmt::Debug;
+use std::sync::Arc;
 
 use rattanwinch_decisions::Decision;
 use rattanwinch_decisions::JobEnd;
 use rattanwinch_decisions::WorkerInfo;
+use rattanwinch_types::GuaranteeStatus;
 use rattanwinch_types::JobSpec;
+use rattanwinch_types::Organisation;
 use rattanwinch_types::RequestError;
 use rattanwinch_types::RequestKey;
 use rattanwinch_types::TargetName;
@@ -41,6 +44,16 @@
     /// When to decide again if nothing happens.
     fn next_wakeup(&self, now: Timestamp) -> Option<Timestamp>;
 
+    /// What a queued job waits for, if the scheduler can say so.
+    fn wait_reason(&self, _key: &RequestKey) -> Option<Arc<str>> {
+        None
+    }
+
+    /// How the organisation's guarantee stands, if the scheduler knows guarantees.
+    fn guarantee_status(&self, _owner: &Organisation) -> Option<GuaranteeStatus> {
+        None
+    }
+
     /// How many invariants were found broken.
     fn violations(&self) -> u64;
 }
--- a/crates/rattanwinch_trials/tests/trials.rs
+++ b/crates/rattanwinch_trials/tests/trials.rs
@@ -6,6 +6,7 @@
 use rattanwinch_trials::Workload;
 use rattanwinch_trials::compare;
 use rattanwinch_trials::run_trial;
+use rattanwinch_trials::trace_waits;
 
 fn text(measures: &Measures) -> String {
     serde_json::to_string(measures).expect("measures are plain values")
@@ -39,3 +40,14 @@
         );
     }
 }
+
+/// Guards against waits within a guarantee beyond the checkpoint and stop limits, which retries of
+/// failing jobs had in these seeds (up to 4,529 s).
+#[test]
+fn no_wait_within_a_guarantee_exceeds_the_stated_time() {
+    for (profile, seed) in [(Profile::Letrafa, 12), (Profile::Gait, 16)] {
+        let overlong = trace_waits(profile, &Workload::draw(profile, seed));
+        let text: String = overlong.iter().map(ToString::to_string).collect();
+        assert!(overlong.is_empty(), "{text}");
+    }
+}
