Measure the path with every daemon as a process

Cause: the added time of a plain request was measured with callers, entries, agents and executors in one process, at one entry, so the load generator competed with what it measured and the figure was an upper bound only.

Change: measure_path starts the store, the executors, the entries and the agents as processes and is itself only the load generator. Direct calls and calls through the path take turns in several rounds for each rate, over connections that stay open. Latency counts from the time at which a request was due; the generator's own delay is shown beside it.

The final figures need an idle machine.

--- /dev/null
+++ b/crates/rattanwinch_demo/examples/measure_path/main.rs
@@ -0,0 +1,225 @@
+//! Measures the time that the path adds to a plain request, beside direct calls to the same
+//! executors in the same run, over loopback.
+//!
+//! `cargo run --release -p rattanwinch_demo --example measure_path`
+//!
+//! This process is the load generator; the store, the executors, the entries and the agents are
+//! processes of their own, unless `--one-process` is given. Each rate has several rounds, in
+//! which direct calls and calls through the path take turns.
+
+mod load;
+mod places;
+mod usage;
+
+use clap::Parser;
+use eyre::Result;
+use eyre::ensure;
+use load::Measured;
+use load::Sender;
+use places::Places;
+use rattanwinch_demo::SiteSize;
+use serde_json::Value;
+use serde_json::json;
+use usage::Usage;
+
+const QUANTILES: [(&str, f64); 3] = [("p50", 0.5), ("p95", 0.95), ("p99", 0.99)];
+
+/// Measures the time that the path adds to a plain request.
+#[derive(Debug, Parser)]
+struct Arguments {
+    /// Requests a second, sent at fixed times whether or not earlier ones have ended.
+    #[arg(long, value_delimiter = ',', default_value = "200,500,1500")]
+    rates: Vec<u32>,
+    /// Rounds for each rate.
+    #[arg(long, default_value_t = 3)]
+    rounds: u32,
+    /// How long each of the two parts of a round lasts, in seconds.
+    #[arg(long, default_value_t = 5)]
+    seconds: u32,
+    /// Entries that requests are spread over.
+    #[arg(long, default_value_t = 2)]
+    entries: usize,
+    /// Executors, each of 8 slots.
+    #[arg(long, default_value_t = 11)]
+    executors: usize,
+    /// Connections for each executor.
+    #[arg(long, default_value_t = 60)]
+    connections: usize,
+    /// How long an executor works on a request, in milliseconds.
+    #[arg(long, default_value_t = 5)]
+    work_ms: u64,
+    /// Run everything in this process.
+    #[arg(long)]
+    one_process: bool,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+/// What was measured at one rate.
+struct Outcome {
+    rate: u32,
+    direct: Measured,
+    path: Measured,
+    /// For entries and agents: microseconds of processor time and waits for each request.
+    entry: (f64, f64),
+    agent: (f64, f64),
+    load: String,
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let arguments = Arguments::parse();
+    let size = SiteSize {
+        targets: arguments.executors,
+        entries: arguments.entries,
+        ..SiteSize::default()
+    };
+    let places = if arguments.one_process {
+        Places::start_here(size).await?
+    } else {
+        Places::start_processes(size).await?
+    };
+    let (connections, work_ms) = (
+        arguments.connections * arguments.executors,
+        arguments.work_ms,
+    );
+    let mut direct = Sender::new(places.direct.clone(), false, connections, work_ms)?;
+    let mut path = Sender::new(places.entries.clone(), true, connections, work_ms)?;
+    // A short round of each first, so that connections are open and code is warm.
+    let highest = arguments.rates.iter().max().copied().unwrap_or(1);
+    direct.run(highest, 1, &mut Measured::new()?).await?;
+    path.run(highest, 1, &mut Measured::new()?).await?;
+    let mut failed = 0;
+    if !arguments.json {
+        print_header(&arguments);
+    }
+    for rate in &arguments.rates {
+        let outcome = measure(&arguments, &places, *rate, &mut direct, &mut path).await?;
+        if arguments.json {
+            println!("{}", outcome.to_json());
+        } else {
+            outcome.print();
+        }
+        failed += outcome.direct.failed + outcome.path.failed;
+    }
+    ensure!(failed == 0, "{failed} requests failed");
+    Ok(())
+}
+
+async fn measure(
+    arguments: &Arguments,
+    places: &Places,
+    rate: u32,
+    direct: &mut Sender,
+    path: &mut Sender,
+) -> Result<Outcome> {
+    let (mut direct_measured, mut path_measured) = (Measured::new()?, Measured::new()?);
+    let groups = [&places.entry_ids[..], &places.agent_ids[..]];
+    let mut idle = [Usage::default(); 2];
+    let mut busy = [Usage::default(); 2];
+    let read = || -> Result<[Usage; 2]> { Ok([Usage::of(groups[0])?, Usage::of(groups[1])?]) };
+    for _ in 0..arguments.rounds {
+        let before = read()?;
+        direct
+            .run(rate, arguments.seconds, &mut direct_measured)
+            .await?;
+        // The daemons are idle here, so this is what heartbeats and pings cost.
+        let between = read()?;
+        path.run(rate, arguments.seconds, &mut path_measured)
+            .await?;
+        let after = read()?;
+        for group in 0..groups.len() {
+            idle[group].add(between[group].since(before[group]));
+            busy[group].add(after[group].since(between[group]));
+        }
+    }
+    let requests = path_measured.latency.len();
+    Ok(Outcome {
+        rate,
+        direct: direct_measured,
+        path: path_measured,
+        entry: busy[0].per_request(idle[0], requests),
+        agent: busy[1].per_request(idle[1], requests),
+        load: std::fs::read_to_string("/proc/loadavg")?
+            .split_whitespace()
+            .next()
+            .unwrap_or_default()
+            .to_owned(),
+    })
+}
+
+fn print_header(arguments: &Arguments) {
+    println!(
+        "{} rounds of {} s, {} ms of work, {} entries, {} executors of 8 slots, {} connections \
+         each, {}",
+        arguments.rounds,
+        arguments.seconds,
+        arguments.work_ms,
+        arguments.entries,
+        arguments.executors,
+        arguments.connections,
+        if arguments.one_process {
+            "one process"
+        } else {
+            "processes"
+        }
+    );
+    println!("times in microseconds; per request: processor time / waits of a thread");
+    println!(
+        "{:>6} {:>5} {:>8} {:>8} {:>8} {:>8} {:>14} {:>14} {:>6}",
+        "rate", "", "direct", "path", "added", "late", "entry", "agent", "load"
+    );
+}
+
+impl Outcome {
+    fn print(&self) {
+        for (name, q) in QUANTILES {
+            let (direct, path) = self.values(q);
+            print!(
+                "{:>6} {name:>5} {direct:>8} {path:>8} {:>8} {:>8}",
+                self.rate,
+                path - direct,
+                self.path.late.value_at_quantile(q)
+            );
+            if name == "p50" {
+                let pair = |(cpu, waits): (f64, f64)| format!("{cpu:.0} / {waits:.2}");
+                let (entry, agent) = (pair(self.entry), pair(self.agent));
+                print!(" {entry:>14} {agent:>14} {:>6}", self.load);
+            }
+            println!();
+        }
+        let failed = self.direct.failed + self.path.failed;
+        println!(
+            "       answered {} and {}, failed {failed}",
+            self.direct.latency.len(),
+            self.path.latency.len()
+        );
+    }
+
+    fn values(&self, quantile: f64) -> (i64, i64) {
+        let value = |measured: &Measured| {
+            let micros = measured.latency.value_at_quantile(quantile);
+            i64::try_from(micros).unwrap_or(i64::MAX)
+        };
+        (value(&self.direct), value(&self.path))
+    }
+
+    fn to_json(&self) -> Value {
+        let times: serde_json::Map<_, _> = QUANTILES
+            .into_iter()
+            .map(|(name, q)| {
+                let (direct, path) = self.values(q);
+                let late = self.path.late.value_at_quantile(q);
+                let times = json!({"direct_us": direct, "path_us": path,
+                    "added_us": path - direct, "late_us": late});
+                (name.to_owned(), times)
+            })
+            .collect();
+        let usage = |(cpu, waits): (f64, f64)| json!({"cpu_us": cpu, "waits": waits});
+        json!({"rate": self.rate, "times": times, "entry_per_request": usage(self.entry),
+            "agent_per_request": usage(self.agent), "load": self.load,
+            "answered": {"direct": self.direct.latency.len(), "path": self.path.latency.len()},
+            "failed": {"direct": self.direct.failed, "path": self.path.failed}})
+    }
+}
--- a/crates/rattanwinch_demo/src/testing/process.rs
+++ b/crates/rattanwinch_demo/src/testing/process.rs
@@ -19,6 +19,7 @@
 use eyre::ensure;
 use rattanwinch_testing::wait_stopped;
 use serde_json::Value;
+use serde_json::json;
 
 /// How long a daemon may take to say where it listens.
 const START_LIMIT: Duration = Duration::from_secs(10);
@@ -93,6 +94,39 @@
         })
     }
 
+    /// Starts a stand-in with arguments and waits until it says where it listens, which is its
+    /// address under the field `listen`.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be built or started, or doesn't listen in time.
+    pub fn start_standin(binary: &str, arguments: &[&str]) -> Result<Self> {
+        let program = build(binary)?;
+        let mut child = Command::new(program)
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .spawn()
+            .wrap_err_with(|| format!("can't start {binary}"))?;
+        let stdout = child.stdout.take().wrap_err("standard output is piped")?;
+        let (tx, rx) = mpsc::channel();
+        std::thread::spawn(move || {
+            let mut line = String::new();
+            // A failed read leaves the line empty, which the receiver reports.
+            let _ = BufReader::new(stdout).read_line(&mut line);
+            let _ = tx.send(line);
+        });
+        let line = rx.recv_timeout(START_LIMIT).unwrap_or_default();
+        let mut process = Self {
+            child,
+            addresses: Value::Null,
+            faults: Arc::default(),
+        };
+        let address = line.trim().strip_prefix("listening on ");
+        let address = address.wrap_err_with(|| format!("{binary} didn't say that it listens"))?;
+        process.addresses = json!({ "listen": address });
+        Ok(process)
+    }
+
     /// An address that the daemon logged under the given field.
     ///
     /// # Errors
@@ -159,7 +193,7 @@
     }
 }
 
-/// Builds the daemons once and returns the path of one.
+/// Builds the daemons and the stand-ins once and returns the path of one.
 fn build(binary: &str) -> Result<PathBuf> {
     static BUILT: OnceLock<bool> = OnceLock::new();
     let test = std::env::current_exe()?;
@@ -172,7 +206,8 @@
         let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
         let mut command = Command::new(cargo);
         command.args(["build", "--quiet", "--locked", "--bins"]);
-        command.args(["-p", "rattanwinch_entry", "-p", "rattanwinch_agent"]);
+        let packages = ["entry", "agent", "standins"];
+        command.args(packages.map(|package| format!("--package=rattanwinch_{package}")));
         command.arg("--manifest-path");
         command.arg(Path::new(env!("CARGO_MANIFEST_DIR")).join("../../Cargo.toml"));
         if release {
