Place TCP relays between the processes of a test site

Cause: connections that fall silent without being closed were only designed for. A test needs something between the processes that stops forwarding, and a process was reachable only where it listens.

Change: `Relay` forwards TCP connections and falls silent on command, in either or both directions, for the open connections or for new ones; `ProcessSite::start_relayed` puts one before each entry, each agent and each entry's store. Entries and agents take `rpc_advertise` and `advertise`, the address at which others reach them.

Conclusion: a listener on another address than the one that others connect to is supported, which a VM behind address translation needs as well.

--- a/crates/rattanwinch_agent/src/agent_daemon.rs
+++ b/crates/rattanwinch_agent/src/agent_daemon.rs
@@ -94,7 +94,13 @@
         let Starting { logger, inbox } = self.stage;
         let owner = MemberOwner::new(Arc::clone(&self.state), inbox);
         shutdown.spawn(owner.run(shutdown.clone()));
-        let beats = heartbeats::run(Arc::clone(&self.state), server.address(), shutdown.clone());
+        let advertised = self.state.settings.advertise;
+        let reached_at = if advertised.port() == 0 {
+            server.address()
+        } else {
+            advertised
+        };
+        let beats = heartbeats::run(Arc::clone(&self.state), reached_at, shutdown.clone());
         shutdown.spawn(beats);
         shutdown.spawn(sweep(Arc::clone(&self.state), shutdown.clone()));
         info!(logger, "agent serves"; "target" => %self.state.settings.target,
--- a/crates/rattanwinch_agent/src/agent_settings.rs
+++ b/crates/rattanwinch_agent/src/agent_settings.rs
@@ -1,3 +1,5 @@
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -10,6 +12,9 @@
 use rattanwinch_types::WORKER_ACCELERATORS;
 use rattanwinch_types::ZoneName;
 
+/// Stands for the address that a listener has taken.
+const AS_LISTENING: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 /// What reading the settings returns.
 pub type Result<T> = std::result::Result<T, SettingsErrors>;
 
@@ -24,6 +29,9 @@
     pub rack: RackName,
     /// Where the agent takes calls; port 0 takes a free one.
     pub listen: SocketAddr,
+    /// Where entries reach the agent; with port 0, the default, where it listens.
+    #[builder(default = AS_LISTENING)]
+    pub advertise: SocketAddr,
     /// Where the executor on the same VM takes calls.
     pub executor: SocketAddr,
     /// Entries to announce to first; the others are learnt from their responses.
@@ -66,6 +74,7 @@
         let zone = file.required("agent", "zone", "an availability zone name");
         let rack = file.required("agent", "rack", "a rack name");
         let listen = file.required("agent", "listen", address);
+        let advertise = file.optional("agent", "advertise", AS_LISTENING, address);
         let executor = file.required("agent", "executor", address);
         let entries: Option<Vec<SocketAddr>> = file.list("agent", "entries", address);
         if entries.as_ref().is_some_and(Vec::is_empty) {
@@ -96,6 +105,7 @@
                 zone: zone?,
                 rack: rack?,
                 listen: listen?,
+                advertise: advertise?,
                 executor: executor?,
                 entries: entries?,
                 slots: slots?,
--- a/crates/rattanwinch_demo/src/testing/mod.rs
+++ b/crates/rattanwinch_demo/src/testing/mod.rs
@@ -7,6 +7,8 @@
 mod operator;
 mod process;
 mod process_site;
+mod relay;
+mod relays;
 
 pub use attempt_log::AttemptLog;
 pub use gang_calls::gang_body;
@@ -23,3 +25,6 @@
 pub use process::Signal;
 pub use process_site::ProcessSite;
 pub use process_site::write_site_config;
+pub use relay::Relay;
+pub use relay::Silence;
+pub use relays::Relays;
--- a/crates/rattanwinch_demo/src/testing/process_site.rs
+++ b/crates/rattanwinch_demo/src/testing/process_site.rs
@@ -16,6 +16,8 @@
 use rattanwinch_types::ZoneName;
 
 use super::Process;
+use super::Relay;
+use super::Relays;
 use crate::SiteSize;
 use crate::site::ANY_PORT;
 use crate::site::WORKERS_PER_RACK;
@@ -38,6 +40,8 @@
     pub entries: Vec<Process>,
     /// The agents.
     pub agents: Vec<Process>,
+    /// What stands between the processes, if the site was started with relays.
+    pub relays: Option<Relays>,
     size: SiteSize,
     folder: PathBuf,
 }
@@ -56,17 +60,36 @@
     ///
     /// If something doesn't start in time.
     pub async fn start(name: &str, size: SiteSize) -> Result<Self> {
+        Self::start_with(name, size, false).await
+    }
+
+    /// As [`Self::start`], with a relay before each entry, each agent and each entry's store.
+    ///
+    /// # Errors
+    ///
+    /// If something doesn't start in time.
+    pub async fn start_relayed(name: &str, size: SiteSize) -> Result<Self> {
+        Self::start_with(name, size, true).await
+    }
+
+    async fn start_with(name: &str, size: SiteSize, relayed: bool) -> Result<Self> {
         let folder =
             std::env::temp_dir().join(format!("rattanwinch-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let store = StandinStore::start(ANY_PORT, StoreLimits::default()).await?;
         write_config(store.address(), &site_config(size)?).await?;
         let (executors, entries, agents) = (Vec::new(), Vec::new(), Vec::new());
+        let relays = if relayed {
+            Some(Relays::start(size, store.address()).await?)
+        } else {
+            None
+        };
         let mut site = Self {
             store,
             executors,
             entries,
             agents,
+            relays,
             size,
             folder,
         };
@@ -91,15 +114,24 @@
     ///
     /// If it doesn't start in time.
     pub fn start_entry(&self, index: usize) -> Result<Process> {
+        let relays = self.relays.as_ref();
+        let relay = relays.map(|relays| &relays.entries[index]);
+        let store = relays.map_or_else(
+            || self.store.address(),
+            |relays| relays.stores[index].address(),
+        );
         let text = format!(
             "[entry]\nentry = entry-{n}\nzone = az-{zone}\nhttp_listen = 127.0.0.1:0\n\
-             rpc_listen = 127.0.0.1:0\ndrain_wait_ms = 200\n[store]\nendpoints = {store}\n",
+             rpc_listen = 127.0.0.1:0\n{advertise}drain_wait_ms = 200\n\
+             [store]\nendpoints = {store}\n",
             n = index + 1,
             zone = index % self.size.zones + 1,
-            store = self.store.address(),
+            advertise = advertise("rpc_advertise", relay),
         );
         let settings = self.folder.join(format!("entry-{}.ini", index + 1));
-        start(&settings, "rattanwinch-entry", &text)
+        let entry = start(&settings, "rattanwinch-entry", &text)?;
+        set_target(relay, entry.address("rpc")?);
+        Ok(entry)
     }
 
     /// Starts the agent beside the executor with the given number, as it was or anew.
@@ -110,19 +142,25 @@
     pub fn start_agent(&self, index: usize) -> Result<Process> {
         let zone = index % self.size.zones + 1;
         let rack = index / self.size.zones / WORKERS_PER_RACK;
-        let seeds = self
-            .entries
-            .iter()
-            .map(|entry| entry.address("rpc").map(|a| a.to_string()));
+        let seeds = self.entries.iter().enumerate().map(|(number, entry)| {
+            let relay = self.relays.as_ref().map(|relays| &relays.entries[number]);
+            let address = relay.map_or_else(|| entry.address("rpc"), |r| Ok(r.address()));
+            address.map(|address| address.to_string())
+        });
         let seeds = seeds.collect::<Result<Vec<_>>>()?.join(", ");
+        let relay = self.relays.as_ref().map(|relays| &relays.agents[index]);
         let text = format!(
             "[agent]\ntarget = target-{index}\nzone = az-{zone}\nrack = rack-{zone}-{rack}\n\
-             listen = 127.0.0.1:0\nexecutor = {executor}\nentries = {seeds}\nslots = {slots}\n",
+             listen = 127.0.0.1:0\n{advertise}executor = {executor}\nentries = {seeds}\n\
+             slots = {slots}\n",
+            advertise = advertise("advertise", relay),
             executor = self.executors[index].address(),
             slots = self.size.slots,
         );
         let settings = self.folder.join(format!("agent-{index}.ini"));
-        start(&settings, "rattanwinch-agent", &text)
+        let agent = start(&settings, "rattanwinch-agent", &text)?;
+        set_target(relay, agent.address("listen")?);
+        Ok(agent)
     }
 
     /// The URL of a path of the HTTP interface of an entry.
@@ -229,6 +267,20 @@
     write_config(store, &site_config(size)?).await
 }
 
+/// The settings line by which a process is reached through its relay.
+fn advertise(key: &str, relay: Option<&Relay>) -> String {
+    relay.map_or_else(String::new, |relay| {
+        format!("{key} = {}\n", relay.address())
+    })
+}
+
+/// A restarted process listens elsewhere, so its relay goes there from then on.
+fn set_target(relay: Option<&Relay>, address: SocketAddr) {
+    if let Some(relay) = relay {
+        relay.set_target(address);
+    }
+}
+
 fn start(settings: &Path, binary: &str, text: &str) -> Result<Process> {
     std::fs::write(settings, text)?;
     Process::start(binary, settings)
--- a/crates/rattanwinch_entry/src/entry_daemon.rs
+++ b/crates/rattanwinch_entry/src/entry_daemon.rs
@@ -202,8 +202,14 @@
     let rpc = RpcServer::start(listen, MAX_RPC_CONNECTIONS, calls)
         .await
         .wrap_err_with(|| format!("can't listen on {listen}"))?;
+    let advertised = state.settings.rpc_advertise;
+    let reached_at = if advertised.port() == 0 {
+        rpc.address()
+    } else {
+        advertised
+    };
     // The cell is empty before this, the only place that sets it.
-    let _ = state.rpc_address.set(rpc.address());
+    let _ = state.rpc_address.set(reached_at);
     Ok(rpc)
 }
 
--- a/crates/rattanwinch_entry/src/entry_settings.rs
+++ b/crates/rattanwinch_entry/src/entry_settings.rs
@@ -1,3 +1,5 @@
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -9,6 +11,9 @@
 use rattanwinch_types::EntryName;
 use rattanwinch_types::ZoneName;
 
+/// Stands for the address that a listener has taken.
+const AS_LISTENING: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 /// What reading the settings returns.
 pub type Result<T> = std::result::Result<T, SettingsErrors>;
 
@@ -23,6 +28,9 @@
     pub http_listen: SocketAddr,
     /// Where agents and other entries connect; port 0 takes a free one.
     pub rpc_listen: SocketAddr,
+    /// Where agents and other entries reach the entry; with port 0, the default, where it listens.
+    #[builder(default = AS_LISTENING)]
+    pub rpc_advertise: SocketAddr,
     /// The platform's store.
     pub store: StoreSettings,
     /// How long the entry goes on serving after it has become not ready, so that the platform's
@@ -55,6 +63,7 @@
         let zone = file.required("entry", "zone", "an availability zone name");
         let http_listen = file.required("entry", "http_listen", address);
         let rpc_listen = file.required("entry", "rpc_listen", address);
+        let rpc_advertise = file.optional("entry", "rpc_advertise", AS_LISTENING, address);
         let store = StoreSettings::from_file(&mut file);
         let drain_wait = file.millis("entry", "drain_wait_ms", Duration::from_secs(5));
         let drain_limit = file.millis("entry", "drain_limit_ms", Duration::from_secs(60));
@@ -64,6 +73,7 @@
                 zone: zone?,
                 http_listen: http_listen?,
                 rpc_listen: rpc_listen?,
+                rpc_advertise: rpc_advertise?,
                 store: store?,
                 drain_wait: drain_wait?,
                 drain_limit: drain_limit?,
