Replace silent connections within 1.5 s without losing answers

In-flight idempotent requests used up the retry budget or all three targets and failed with "may have run". The worst case of the replacement was 1.5 s plus the connecting for a WebSocket, 2.05 s for heartbeats and above 1.5 s for control reads, which waited for the one before them.

Change: pings time out after 750 ms, heartbeats after 750 ms with the next one at once. An idempotent request is sent again over the connection that replaced its own, to the same target and without the retry budget. A slot stays taken until the executor has answered: the call's future was dropped with its connection, the slot was given away, and the executor refused the next request ("all slots are taken"). Reads of the store have a time-out of 4 s and are sent again after 1 s; control reads don't wait for each other, and one that was overtaken is ignored, because it would look like a store that has gone back.

--- a/crates/rattanwinch_agent/src/agent_state.rs
+++ b/crates/rattanwinch_agent/src/agent_state.rs
@@ -31,7 +31,7 @@
     /// What may start now.
     pub gate: ArcSwap<Gate>,
     /// The executor's slots for plain requests.
-    pub slots: Semaphore,
+    pub slots: Arc<Semaphore>,
     /// Plain requests that run or wait.
     pub in_flight: AtomicU32,
     /// Attempts at non-idempotent requests.
@@ -56,7 +56,7 @@
         logger: Logger,
     ) -> Arc<Self> {
         Arc::new(Self {
-            slots: Semaphore::new(usize::from(settings.slots)),
+            slots: Arc::new(Semaphore::new(usize::from(settings.slots))),
             settings,
             incarnation,
             executor,
--- a/crates/rattanwinch_agent/src/heartbeats.rs
+++ b/crates/rattanwinch_agent/src/heartbeats.rs
@@ -89,7 +89,9 @@
         let mut answered_at = self.state.clock.now();
         while !shutdown.is_requested() {
             let sent_at = self.state.clock.now();
-            if self.send(sent_at, interval * 2).await {
+            // With the pause before it, a heartbeat on a silent connection is given up 1.3 s after
+            // the silence began, and the next one goes out at once over a new connection.
+            if self.send(sent_at, interval * 3 / 2).await {
                 answered_at = sent_at;
             } else if self.is_forgotten(answered_at) {
                 debug!(self.state.logger, "dropping an entry that doesn't answer";
@@ -98,8 +100,10 @@
             }
             // Jitter keeps the agents of a fleet from beating in step after an outage.
             let jitter = rand::rng().random_range(0.9..1.1);
+            let pause = interval.mul_f64(jitter);
+            let pause = pause.saturating_sub(self.state.clock.now().since(sent_at));
             tokio::select! {
-                () = tokio::time::sleep(interval.mul_f64(jitter)) => {}
+                () = tokio::time::sleep(pause) => {}
                 () = shutdown.requested() => {}
             }
         }
--- a/crates/rattanwinch_agent/src/plain_requests.rs
+++ b/crates/rattanwinch_agent/src/plain_requests.rs
@@ -1,5 +1,4 @@
 use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -11,6 +10,7 @@
 use rattanwinch_types::MAX_DEADLINE_AHEAD;
 use rattanwinch_types::PlainRequest;
 use rattanwinch_types::RequestError;
+use tokio::task::JoinError;
 
 use crate::agent_state::AgentState;
 use crate::attempt_table::Entered;
@@ -23,11 +23,11 @@
 const CLOCK_MARGIN: Duration = Duration::from_secs(60);
 
 /// Counts a plain request that runs or waits, until it is dropped.
-struct InFlight<'a>(&'a AtomicU32);
+struct InFlight<E>(Arc<AgentState<E>>);
 
-impl Drop for InFlight<'_> {
+impl<E> Drop for InFlight<E> {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
+        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
@@ -46,7 +46,7 @@
             ));
         }
         if req.idempotent {
-            return self.run_in_slot(&req, &attempt).await;
+            return self.run_in_slot(req, attempt).await;
         }
         match self.attempts.enter(&attempt, req.deadline + CLOCK_MARGIN) {
             Entered::Known(known) => known.outcome().await,
@@ -55,14 +55,11 @@
                 // A task of its own, because the call's future is dropped with its connection
                 // and the attempt's outcome must be recorded all the same.
                 let run = tokio::spawn(async move {
-                    let outcome = state.run_in_slot(&req, &attempt).await;
+                    let outcome = state.run_in_slot(req, attempt).await;
                     state.attempts.finish(running, outcome.clone());
                     outcome
                 });
-                run.await.unwrap_or_else(|error| {
-                    let message = format!("the attempt ended in a panic: {error}");
-                    Err(RequestError::may_have_run(ErrorKind::Failed, message))
-                })
+                run.await.unwrap_or_else(|error| Err(panicked(&error)))
             }
         }
     }
@@ -75,10 +72,15 @@
     }
 
     /// Waits for a slot and runs the request in it.
-    async fn run_in_slot(&self, req: &PlainRequest, attempt: &AttemptKey) -> Result<Answer> {
-        let _in_flight = self.admit()?;
+    async fn run_in_slot(
+        self: &Arc<Self>,
+        req: PlainRequest,
+        attempt: AttemptKey,
+    ) -> Result<Answer> {
+        let in_flight = self.admit()?;
         let limit = self.clock.now().until(req.deadline);
-        let Ok(Ok(_slot)) = tokio::time::timeout(limit, self.slots.acquire()).await else {
+        let slot = Arc::clone(&self.slots).acquire_owned();
+        let Ok(Ok(slot)) = tokio::time::timeout(limit, slot).await else {
             let message = "the deadline passed while the request waited for a slot";
             return Err(RequestError::not_run(ErrorKind::Deadline, message));
         };
@@ -87,15 +89,22 @@
         let gate = self.gate.load_full();
         gate.check_plain(now)?;
         self.assert_may_start(&gate, false, now);
-        self.executor
-            .run_request(attempt, &req.payload, now.until(req.deadline))
-            .await
+        let state = Arc::clone(self);
+        // A task of its own, because the call's future is dropped with its connection while the
+        // executor goes on: a slot that is given away then is refused by the executor.
+        let run = tokio::spawn(async move {
+            let _held = (in_flight, slot);
+            let limit = now.until(req.deadline);
+            let executor = &state.executor;
+            executor.run_request(&attempt, &req.payload, limit).await
+        });
+        run.await.unwrap_or_else(|error| Err(panicked(&error)))
     }
 
     /// Admits a request if the gate and the bound on waiting requests allow.
-    fn admit(&self) -> Result<InFlight<'_>> {
+    fn admit(self: &Arc<Self>) -> Result<InFlight<E>> {
         let before = self.in_flight.fetch_add(1, Ordering::AcqRel);
-        let in_flight = InFlight(&self.in_flight);
+        let in_flight = InFlight(Arc::clone(self));
         self.gate.load().check_plain(self.clock.now())?;
         if before >= u32::from(self.settings.slots) + self.settings.queue {
             let message = format!("{before} requests run or wait at the target");
@@ -104,3 +113,8 @@
         Ok(in_flight)
     }
 }
+
+fn panicked(error: &JoinError) -> RequestError {
+    let message = format!("the attempt ended in a panic: {error}");
+    RequestError::may_have_run(ErrorKind::Failed, message)
+}
--- a/crates/rattanwinch_entry/src/control_reads.rs
+++ b/crates/rattanwinch_entry/src/control_reads.rs
@@ -21,6 +21,7 @@
 use slog::error;
 use slog::info;
 use slog::warn;
+use tokio::task::JoinSet;
 
 use crate::control_view::ControlView;
 use crate::entry_state::EntryState;
@@ -29,16 +30,25 @@
 /// for ten entries.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A read without a response for this long is given up, so that the next one can be sent before
-/// the freshness of the last one has expired.
-const READ_TIMEOUT: Duration = Duration::from_secs(1);
+/// The least time between two reads, however often one is asked for.
+const LEAST_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Reads until the daemon stops.
+/// A read without a response for this long is given up. It is longer than the freshness of 1.5 s:
+/// a late read extends no freshness, but it still tells of a closing.
+const READ_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Reads until the daemon stops. A read doesn't wait for the one before it, which may be on a
+/// connection that fell silent or in a slow store.
 pub(crate) async fn run<S: Store>(state: Arc<EntryState<S>>, shutdown: Shutdown) {
+    let mut reads = JoinSet::new();
     while !shutdown.is_requested() {
-        state.read_control_once().await;
+        let reader = Arc::clone(&state);
+        reads.spawn(async move { reader.read_control_once().await });
+        while reads.try_join_next().is_some() {}
+        tokio::time::sleep(LEAST_INTERVAL).await;
         // Jitter keeps the entries from reading in step after an outage.
-        let pause = READ_INTERVAL.mul_f64(rand::rng().random_range(0.9..1.0));
+        let interval = READ_INTERVAL.mul_f64(rand::rng().random_range(0.9..1.0));
+        let pause = interval.saturating_sub(LEAST_INTERVAL);
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
             () = state.control_wanted.notified() => {}
@@ -81,6 +91,10 @@
         }
         let before = self.control.rcu(|before| {
             let mut view = ControlView::clone(before);
+            if before.confirmed_at.is_some_and(|at| sent_at < at) {
+                // A later read was answered first, so this one shows an older state.
+                return view;
+            }
             view.regressed |= read.revision < known.revision || is_regressed(before, read);
             if view.regressed {
                 return view;
--- a/crates/rattanwinch_entry/src/plain_requests.rs
+++ b/crates/rattanwinch_entry/src/plain_requests.rs
@@ -77,7 +77,7 @@
                 Ok(target) => target,
                 Err(error) => return Err(error.with_verdict_at_least(worst)),
             };
-            let error = match self.run_at(&target, req, 1).await {
+            let error = match self.run_over_replacements(&target, req).await {
                 Ok(answer) => {
                     self.retries.earn();
                     return Ok(answer);
@@ -101,6 +101,32 @@
         }
     }
 
+    /// Sends an idempotent request to one target, again over each connection that replaces a
+    /// silent one. The target isn't at fault, so it isn't avoided and no retry budget is spent; a
+    /// replacement takes a second, so the deadline bounds the sends.
+    async fn run_over_replacements(
+        &self,
+        target: &Arc<Target>,
+        req: &PlainRequest,
+    ) -> Result<Answer> {
+        loop {
+            let client = target.connection.client()?;
+            let outcome = self.run_at(target, req, 1).await;
+            let Err(error) = outcome else {
+                return outcome;
+            };
+            let replaced = target
+                .connection
+                .client()
+                .is_ok_and(|now| !Arc::ptr_eq(&now, &client));
+            if !replaced || error.verdict != Verdict::MayHaveRun || self.clock.now() >= req.deadline
+            {
+                return Err(error);
+            }
+            counter!("plain_resends_total").increment(1);
+        }
+    }
+
     /// Picks a target that takes requests now and isn't avoided.
     pub(crate) fn pick_target(&self, avoided: &Avoided) -> Result<Arc<Target>> {
         let now = self.clock.now();
--- a/crates/rattanwinch_peers/src/agent_connection.rs
+++ b/crates/rattanwinch_peers/src/agent_connection.rs
@@ -17,8 +17,12 @@
 /// The time between two pings on a connection.
 pub const CONNECTION_PING_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A connection without an answer to a ping for this long is replaced.
-pub const CONNECTION_PING_TIMEOUT: Duration = Duration::from_secs(1);
+/// A connection without an answer to a ping for this long is replaced. With the interval it leaves
+/// 250 ms of the 1.5 s in which a silent connection has to be replaced for opening the new one.
+pub const CONNECTION_PING_TIMEOUT: Duration = Duration::from_millis(750);
+
+/// How long a new connection may take to open; a frozen agent doesn't answer at all.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Above the longest deadline of a plain request (12 h), because deadlines are kept by callers of
 /// this package.
@@ -147,13 +151,13 @@
 
 async fn connect(address: SocketAddr) -> Option<Arc<WsClient>> {
     let building = WsClientBuilder::default()
-        .connection_timeout(CONNECTION_PING_TIMEOUT)
+        .connection_timeout(CONNECT_TIMEOUT)
         .request_timeout(CALL_TIMEOUT)
         .max_concurrent_requests(MAX_CALLS_IN_FLIGHT)
         .max_request_size(MAX_MESSAGE_BYTES)
         .max_response_size(MAX_MESSAGE_BYTES)
         .build(format!("ws://{address}"));
-    let client = tokio::time::timeout(CONNECTION_PING_TIMEOUT, building)
+    let client = tokio::time::timeout(CONNECT_TIMEOUT, building)
         .await
         .ok()?
         .ok()?;
--- a/crates/rattanwinch_platform/src/etcd/call_kind.rs
+++ b/crates/rattanwinch_platform/src/etcd/call_kind.rs
@@ -37,6 +37,12 @@
         matches!(self, Self::Read | Self::Control | Self::ReadBack)
     }
 
+    /// Whether a call whose response is late is sent a second time. Control reads aren't: the
+    /// next one follows anyway.
+    pub const fn is_sent_twice(self) -> bool {
+        matches!(self, Self::Read | Self::ReadBack)
+    }
+
     /// The path below the endpoint.
     pub const fn path(self) -> &'static str {
         match self {
--- a/crates/rattanwinch_platform/src/etcd/gateway.rs
+++ b/crates/rattanwinch_platform/src/etcd/gateway.rs
@@ -50,7 +50,6 @@
     pub fn new(settings: StoreSettings, client_name: Arc<str>) -> Self {
         let client = Client::builder()
             .connect_timeout(settings.call_timeout)
-            .timeout(settings.call_timeout)
             .no_proxy()
             .retry(reqwest::retry::never())
             .tcp_nodelay(true)
@@ -106,14 +105,31 @@
         Timestamp::ZERO + self.started.elapsed()
     }
 
-    /// Waits for the call's turn and makes it.
+    /// Waits for the call's turn and makes it; a read may be made twice.
     pub async fn call<Q: Serialize, R: DeserializeOwned + HasHeader>(
         &self,
         kind: CallKind,
         body: &Q,
     ) -> CallResult<R> {
         let turn = self.reserve(kind).await?;
-        self.send(kind, turn, body).await
+        let first = self.send(kind, turn, body);
+        if !kind.is_sent_twice() {
+            return first.await;
+        }
+        // Within the time-out of other calls a silent connection can't be told from a slow store.
+        let mut first = std::pin::pin!(first);
+        let answered = tokio::time::timeout(self.settings.call_timeout, &mut first).await;
+        if let Ok(response) = answered {
+            return response;
+        }
+        let second = async {
+            let turn = self.reserve(kind).await?;
+            self.send(kind, turn, body).await
+        };
+        tokio::select! {
+            Ok(response) = first => Ok(response),
+            response = second => response,
+        }
     }
 
     /// Makes a call in its turn, or in another one if that has passed.
@@ -130,7 +146,13 @@
         let address = self.settings.endpoints[index % self.settings.endpoints.len()];
         let url = format!("http://{address}{}", kind.path());
         let req = self.client.post(url).json(body);
+        let limit = if kind.is_read() {
+            self.settings.read_timeout
+        } else {
+            self.settings.call_timeout
+        };
         let req = req.header(CLIENT_NAME_HEADER, &*self.client_name);
+        let req = req.timeout(limit);
         let result = match req.send().await {
             Ok(response) => read_response(response).await,
             Err(error) => Err(transport_error(&error)),
--- a/crates/rattanwinch_platform/src/etcd/read_back.rs
+++ b/crates/rattanwinch_platform/src/etcd/read_back.rs
@@ -28,9 +28,6 @@
 /// The time between two reads, about one group commit.
 const READ_INTERVAL: Duration = Duration::from_millis(150);
 
-/// The time in which a read-back ends, in call time-outs; its caller still waits.
-const LIMIT_IN_TIMEOUTS: u32 = 2;
-
 /// The most keys in one read; the store's default limit is 128 operations a transaction.
 const MAX_KEYS: usize = 128;
 
@@ -43,7 +40,8 @@
     before: StoreView,
 ) -> Vec<Option<Revision>> {
     let mut applied = vec![None; lost.len()];
-    let limit = LIMIT_IN_TIMEOUTS * gateway.settings.call_timeout;
+    // The caller still waits, so a read-back ends with the time of one read.
+    let limit = gateway.settings.read_timeout;
     let reading = read_repeatedly(gateway, lost, before, &mut applied);
     // What was found by the limit counts; the rest stays unknown.
     let _ = tokio::time::timeout(limit, reading).await;
--- a/crates/rattanwinch_platform/src/store_settings.rs
+++ b/crates/rattanwinch_platform/src/store_settings.rs
@@ -15,6 +15,10 @@
     /// How long one call may take.
     #[builder(default = Duration::from_secs(1))]
     pub call_timeout: Duration,
+    /// How long one read may take. A read without a response after `call_timeout` is sent a second
+    /// time, since its connection may have fallen silent, and the first response counts.
+    #[builder(default = Duration::from_secs(4))]
+    pub read_timeout: Duration,
     /// How long a call or transaction may wait for its turn before it is refused.
     #[builder(default = Duration::from_secs(2))]
     pub max_wait: Duration,
@@ -48,6 +52,7 @@
             );
         }
         let call_timeout = positive_millis(file, "call_timeout_ms", Duration::from_secs(1));
+        let read_timeout = positive_millis(file, "read_timeout_ms", Duration::from_secs(4));
         let max_wait = file.millis("store", "max_wait_ms", Duration::from_secs(2));
         let writes_per_second = positive(file, "writes_per_second", 10);
         let reads_per_second = positive(file, "reads_per_second", 60);
@@ -61,6 +66,7 @@
         Some(Self {
             endpoints: endpoints.filter(|endpoints| !endpoints.is_empty())?,
             call_timeout: call_timeout?,
+            read_timeout: read_timeout?,
             max_wait: max_wait?,
             writes_per_second: writes_per_second?,
             reads_per_second: reads_per_second?,
