Renew task leases only while a decider's role is confirmed

Cause: a decider that was replaced, and was cut off from the store and the other entries, kept renewing the task leases of the agents that it still reached, so that two attempts of an idempotent gang could run. If more than half of the agents fell silent together it also ended nothing, and the survivors ran on without the rest of their gang.

Change: a decider answers heartbeats as the decider only within 3 s of having sent a control read or a ping that was answered, unless it is the only registered entry (`may_renew`). Pings carry the epochs that an entry has read, so that any entry tells a replaced decider of the takeover. The next decider waits 5 s longer than the lease for members that no agent has reported to it. A member that is silent for its whole lease counts as lost, whoever is cut off. The model of the gang runs has agents that only the replaced decider reaches; its figures change with it.

Conclusion: attempts don't overlap, except if the old decider is cut off together with another entry, or was the only registered one (design, section 7).

--- a/crates/rattanwinch_decisions/src/gang/coordinator.rs
+++ b/crates/rattanwinch_decisions/src/gang/coordinator.rs
@@ -82,7 +82,8 @@
     pub(super) limits: GangLimits,
     pub(super) jobs: BTreeMap<RequestKey, AnyJob>,
     pub(super) actions: Vec<GangAction>,
-    /// Whether silence of agents is put down to this process, so that no member counts as lost.
+    /// Whether silence of agents is put down to this process, so that a member counts as lost only
+    /// after its task lease.
     pub(super) losses_suspended: bool,
     rng: ChaCha8Rng,
 }
@@ -113,8 +114,8 @@
         self.limits = limits;
     }
 
-    /// Counts no member as lost while most agents of the zone are silent: then it is likely that
-    /// this process is cut off.
+    /// Counts a member as lost only after its task lease while most agents of the zone are silent:
+    /// then it is likely that this process is cut off.
     pub const fn suspend_losses(&mut self, suspended: bool) {
         self.losses_suspended = suspended;
     }
--- a/crates/rattanwinch_decisions/src/gang/timers.rs
+++ b/crates/rattanwinch_decisions/src/gang/timers.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use rattanwinch_types::RequestKey;
 use rattanwinch_types::StopMode;
 use rattanwinch_types::StopOrder;
@@ -14,6 +16,7 @@
 use super::tasks::EndCause;
 use super::tasks::HoldStep;
 use super::tasks::TaskPhase;
+use crate::REPLACED_RENEWS_FOR;
 use crate::TASK_LEASE;
 
 impl GangCoordinator {
@@ -89,7 +92,14 @@
             // release may have arrived as late as its hold lasted.
             let released_by = job.stage.release_by + (RELEASE_MARGIN + HOLD_TIMEOUT);
             for task in &mut job.stage.tasks {
-                let renewed_at = task.reported_at.max(released_by);
+                // Until its agent reports to this decider, a replaced one may still renew it.
+                let inherited = task.phase == TaskPhase::Unreported;
+                let renewed_by_other = if inherited {
+                    REPLACED_RENEWS_FOR
+                } else {
+                    Duration::ZERO
+                };
+                let renewed_at = (task.reported_at + renewed_by_other).max(released_by);
                 let gone = now.since(renewed_at) > TASK_LEASE + LEASE_MARGIN;
                 if gone && !task.is_over() {
                     task.phase = TaskPhase::Ended;
@@ -100,12 +110,19 @@
             self.settle(key, now);
             return;
         }
-        let missing = |since| !self.losses_suspended && now.since(since) >= MISSING_AFTER;
+        // A member that is silent for its whole lease has ended or is another decider's, whoever
+        // is cut off: then the gang isn't whole.
+        let patience = if self.losses_suspended {
+            TASK_LEASE
+        } else {
+            MISSING_AFTER
+        };
+        let missing = |since| now.since(since) >= patience;
         let lost = job.stage.tasks.iter().find(|task| {
             !matches!(task.phase, TaskPhase::Succeeded(Some(_))) && missing(task.reported_at)
         });
         if let Some(task) = lost {
-            let text = "its agent hasn't reported it for 3 s";
+            let text = format!("its agent hasn't reported it for {} s", patience.as_secs());
             let cause = EndCause::Lost(task.placed.target.clone(), text.into());
             self.end_attempt(key, cause, now);
             return;
--- a/crates/rattanwinch_decisions/src/role/mod.rs
+++ b/crates/rattanwinch_decisions/src/role/mod.rs
@@ -6,12 +6,16 @@
 
 mod peers;
 mod rank;
+mod renewal;
 mod state;
 
 pub use peers::PING_INTERVAL;
 pub use peers::Peers;
 pub use peers::SUSPECT_AFTER;
 pub use rank::rank_entries;
+pub use renewal::RENEWS_UNCONFIRMED_FOR;
+pub use renewal::REPLACED_RENEWS_FOR;
+pub use renewal::may_renew;
 pub use state::Adopting;
 pub use state::DeciderKey;
 pub use state::Deciding;
--- a/crates/rattanwinch_decisions/src/role/peers.rs
+++ b/crates/rattanwinch_decisions/src/role/peers.rs
@@ -112,11 +112,15 @@
         })
     }
 
-    /// The highest epoch at which another entry says that it decides the zone.
+    /// The highest epoch in the zone of which another entry has told, as its decider or from the
+    /// store.
     #[must_use]
     pub fn highest_epoch(&self, zone: &ZoneName) -> Option<Epoch> {
         let zones = self.states().flat_map(|state| &state.zones);
-        let epochs = zones.filter(|summary| summary.zone == *zone);
-        epochs.map(|summary| summary.epoch).max()
+        let zones = zones.filter(|summary| summary.zone == *zone);
+        let known = self.states().flat_map(|state| &state.epochs);
+        let known = known.filter(|known| known.zone == *zone);
+        let decided = zones.map(|summary| summary.epoch);
+        decided.chain(known.map(|known| known.epoch)).max()
     }
 }
--- a/crates/rattanwinch_decisions/tests/gang_model/mod.rs
+++ b/crates/rattanwinch_decisions/tests/gang_model/mod.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod checks;
+mod cut_off;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -58,6 +59,10 @@
     coordinator: GangCoordinator,
     /// A decider that was replaced while it was frozen, with its epoch.
     frozen: Option<(Epoch, GangCoordinator)>,
+    /// The agents that only the replaced decider reaches, which then reaches nothing else.
+    cut: BTreeSet<TargetName>,
+    /// When the replaced decider sent the last message that confirmed its role.
+    confirmed_at: Timestamp,
     waiting: BTreeSet<RequestKey>,
     committed: BTreeSet<(RequestKey, u32)>,
     ran: BTreeMap<RequestKey, BTreeSet<u32>>,
@@ -93,6 +98,8 @@
             network: Vec::new(),
             coordinator: coordinator(Epoch(1)),
             frozen: None,
+            cut: BTreeSet::new(),
+            confirmed_at: Timestamp::ZERO,
             waiting: BTreeSet::new(),
             committed: BTreeSet::new(),
             ran: BTreeMap::new(),
@@ -109,12 +116,13 @@
             14..=63 => self.deliver(u)?,
             64..=77 => self.heartbeat(u)?,
             78..=84 => self.end_task(u)?,
-            85 => self.replace_decider(u.arbitrary()?),
+            85 => self.replace_decider(u)?,
             86 => self.lose_worker(u)?,
             87 => self.cancel_or_evict(u)?,
             88 => self.advance(Duration::from_secs(u.int_in_range(1..=40)?)),
             89 => self.coordinator.suspend_losses(u.arbitrary()?),
             90 => self.resume_frozen(),
+            91 => self.cut.clear(),
             _ => self.advance(Duration::from_millis(u.int_in_range(1..=300)?)),
         }
         self.take_actions();
@@ -130,6 +138,9 @@
         let now = self.now;
         self.agents.values_mut().for_each(|agent| agent.expire(now));
         self.coordinator.tick(now);
+        if !self.cut.is_empty() {
+            self.resume_frozen();
+        }
     }
 
     fn submit(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
@@ -255,6 +266,9 @@
         let index = u.int_in_range(0..=self.network.len() - 1)?;
         let message = self.network.swap_remove(index);
         let fate = u.int_in_range(0..=19_u8)?;
+        if self.is_cut(&message) {
+            return Ok(());
+        }
         let (arrives, answered) = (fate != 0, fate > 1);
         let own = self.decider(message.epoch).is_some();
         let now = self.now;
@@ -387,25 +401,6 @@
         self.decider(epoch).filter(|_| answered)
     }
 
-    fn heartbeat(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
-        let target = target(u.int_in_range(0..=TARGETS - 1)?);
-        let agent = self.agents.get_mut(&target).expect("known");
-        if !agent.accepts(self.epoch) {
-            return Ok(());
-        }
-        let reports = agent.reports();
-        let orders = self.coordinator.heartbeat(&target, &reports, self.now);
-        if u.ratio(1, 10)? {
-            return Ok(());
-        }
-        agent.renew(self.now);
-        orders.stop.iter().for_each(|stop| agent.stop(&stop.member));
-        for member in &orders.forget {
-            agent.members.remove(member);
-        }
-        Ok(())
-    }
-
     fn end_task(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
         let agent = self
             .agents
@@ -423,21 +418,6 @@
         Ok(())
     }
 
-    /// Replaces the decider, which is dead or only frozen.
-    fn replace_decider(&mut self, dead: bool) {
-        self.revision += 1;
-        let epoch = std::mem::replace(&mut self.epoch, Epoch(self.revision));
-        let replaced = std::mem::replace(&mut self.coordinator, coordinator(self.epoch));
-        self.frozen = (!dead).then_some((epoch, replaced));
-        self.waiting.clear();
-        for (key, (record, revision)) in self.records.clone() {
-            if record.state == RecordedState::Queued {
-                self.waiting.insert(key);
-            }
-            self.coordinator.restore(record, revision, self.now);
-        }
-    }
-
     fn lose_worker(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
         let target = target(u.int_in_range(0..=TARGETS - 1)?);
         self.agents.insert(target, Agent::default());
--- a/crates/rattanwinch_decisions/tests/gangs.rs
+++ b/crates/rattanwinch_decisions/tests/gangs.rs
@@ -36,3 +36,35 @@
         "no gang ever succeeded, so the run shows nothing"
     );
 }
+
+/// Guards against two attempts of a gang at a time when a replaced decider, cut off from the store
+/// and the other entries, still reaches some of the agents.
+#[test]
+fn a_decider_that_is_cut_off_with_some_agents_never_overlaps_the_next_one() {
+    let run = RandomRun::new("cut off")
+        .with_seeds(100)
+        .with_entropy_bytes(20_000);
+    run.run(|u| {
+        let mut steps = 0;
+        while !u.is_empty() {
+            steps += World::new().run_cut_off(u)?;
+        }
+        Ok(steps)
+    });
+}
+
+/// Guards against survivors that a decider renews for good because most agents fell silent at
+/// once, which it puts down to itself.
+#[test]
+fn a_gang_with_members_silent_for_their_lease_ends_even_if_most_agents_are_silent() {
+    let run = RandomRun::new("silent")
+        .with_seeds(100)
+        .with_entropy_bytes(10_000);
+    run.run(|u| {
+        let mut steps = 0;
+        while !u.is_empty() {
+            steps += World::new().run_silent(u)?;
+        }
+        Ok(steps)
+    });
+}
--- a/crates/rattanwinch_entry/src/heartbeats.rs
+++ b/crates/rattanwinch_entry/src/heartbeats.rs
@@ -32,6 +32,9 @@
         let mut response = self.0.take_heartbeat(&heartbeat, self.0.clock.now());
         if !response.duplicate
             && let Some((epoch, orders)) = self.0.zones.heartbeat(&heartbeat).await
+            // An agent renews for a decider only. One that may have been replaced and can't know
+            // sends its stops over the agent's connection alone.
+            && self.0.may_renew(self.0.clock.now())
         {
             response.deciding = Some(epoch);
             response.stop = orders.stop;
--- a/crates/rattanwinch_entry/src/zones/control.rs
+++ b/crates/rattanwinch_entry/src/zones/control.rs
@@ -5,6 +5,7 @@
 use rattanwinch_platform::records::EntryRecord;
 use rattanwinch_types::Epoch;
 use rattanwinch_types::Timestamp;
+use rattanwinch_types::ZoneEpoch;
 use rattanwinch_types::ZoneName;
 
 use crate::control_view::ControlView;
@@ -22,6 +23,19 @@
         })
     }
 
+    /// The epochs of all zones that have a decider key.
+    pub fn epochs(&self) -> Vec<ZoneEpoch> {
+        let zones = self.config.zones.iter();
+        let epochs = zones.filter_map(|zone| {
+            let epoch = self.decider(zone)?.epoch;
+            Some(ZoneEpoch {
+                zone: zone.clone(),
+                epoch,
+            })
+        });
+        epochs.collect()
+    }
+
     /// The registered entries.
     pub fn entry_records(&self) -> impl Iterator<Item = EntryRecord> {
         let records = self.entries.iter();
--- a/crates/rattanwinch_entry/src/zones/pings.rs
+++ b/crates/rattanwinch_entry/src/zones/pings.rs
@@ -4,9 +4,11 @@
 use std::sync::atomic::Ordering;
 
 use rattanwinch_decisions::PING_INTERVAL;
+use rattanwinch_decisions::may_renew;
 use rattanwinch_platform::Store;
 use rattanwinch_types::EntryName;
 use rattanwinch_types::PeerState;
+use rattanwinch_types::Timestamp;
 
 use crate::entry_state::EntryState;
 
@@ -23,6 +25,7 @@
             .maybe_control_age(control.confirmed_at.map(|at| now.since(at)))
             .draining(self.draining.load(Ordering::Acquire))
             .zones(self.zones.summaries())
+            .epochs(control.epochs())
             .build();
         Some(state)
     }
@@ -41,6 +44,15 @@
         addresses
     }
 
+    /// Whether this entry may renew the task leases of zones that it decides.
+    pub fn may_renew(&self, now: Timestamp) -> bool {
+        let control = self.control.load();
+        let confirmed_at = control.confirmed_at.max(self.zones.confirmed_at());
+        let own = &self.settings.entry;
+        let alone = control.entry_records().all(|record| record.entry == *own);
+        may_renew(confirmed_at, alone, now)
+    }
+
     /// Sends one ping to every other entry; the responses are taken in as they arrive.
     pub fn ping_peers(self: &Arc<Self>) {
         let Some(own) = self.peer_state() else {
@@ -48,11 +60,13 @@
         };
         for address in self.peer_addresses().into_values() {
             let (state, own) = (Arc::clone(self), own.clone());
+            let sent_at = self.clock.now();
             tokio::spawn(async move {
                 let client = state.zones.client(address);
                 // Silence is what suspicion counts, so an error needs nothing more.
                 if let Ok(peer) = client.ping(own, PING_INTERVAL * 2).await {
                     state.hear_peer(&peer);
+                    state.zones.confirm(sent_at);
                 }
             });
         }
--- a/crates/rattanwinch_entry/src/zones/zone_table.rs
+++ b/crates/rattanwinch_entry/src/zones/zone_table.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -71,6 +72,9 @@
     sent: ArcSwap<HashMap<ZoneName, SentJobs>>,
     /// Clients of other entries.
     clients: ArcSwap<HashMap<SocketAddr, EntryClient>>,
+    /// When the latest ping was sent that another entry has answered, in milliseconds; 0 before
+    /// the first.
+    confirmed_ms: AtomicU64,
 }
 
 impl ZoneTable {
@@ -115,6 +119,18 @@
             .rcu(|peers| peers.update(state.entry.clone(), heard.clone()));
     }
 
+    /// Takes in that another entry has answered a ping that was sent at `sent_at`.
+    pub fn confirm(&self, sent_at: Timestamp) {
+        self.confirmed_ms
+            .fetch_max(sent_at.as_millis(), Ordering::AcqRel);
+    }
+
+    /// When the latest ping was sent that another entry has answered.
+    pub fn confirmed_at(&self) -> Option<Timestamp> {
+        let millis = self.confirmed_ms.load(Ordering::Acquire);
+        (millis > 0).then(|| Timestamp::from_millis(millis))
+    }
+
     /// Forgets entries that have been silent for long and aren't registered any longer.
     pub fn forget_silent(&self, registered: &[EntryName], now: Timestamp) {
         let gone = |entry: &EntryName, heard: &HeardPeer| {
--- a/crates/rattanwinch_peers/src/wire/peer_state.rs
+++ b/crates/rattanwinch_peers/src/wire/peer_state.rs
@@ -9,6 +9,7 @@
 use rattanwinch_types::Organisation;
 use rattanwinch_types::PeerState;
 use rattanwinch_types::Revision;
+use rattanwinch_types::ZoneEpoch;
 use rattanwinch_types::ZoneName;
 use rattanwinch_types::ZoneSummary;
 
@@ -108,6 +109,36 @@
     }
 }
 
+rattanwinch_types::value! { wire
+    /// A [`ZoneEpoch`] as it travels.
+    pub struct WireZoneEpoch {
+        /// The availability zone.
+        pub zone: String,
+        /// The epoch of its decider.
+        pub epoch: i64,
+    }
+}
+
+impl From<ZoneEpoch> for WireZoneEpoch {
+    fn from(known: ZoneEpoch) -> Self {
+        Self {
+            zone: known.zone.into(),
+            epoch: known.epoch.0,
+        }
+    }
+}
+
+impl TryFrom<WireZoneEpoch> for ZoneEpoch {
+    type Error = InvalidWire;
+
+    fn try_from(wire: WireZoneEpoch) -> Result<Self, InvalidWire> {
+        Ok(Self {
+            zone: ZoneName::new(wire.zone)?,
+            epoch: Epoch(wire.epoch),
+        })
+    }
+}
+
 rattanwinch_types::value! { wire
     /// A [`PeerState`] as it travels.
     pub struct WirePeerState {
@@ -125,6 +156,9 @@
         pub draining: bool,
         /// The zones that it decides.
         pub zones: Vec<WireZoneSummary>,
+        /// The epochs that it has read in the store; absent in pings of earlier versions.
+        #[serde(default)]
+        pub epochs: Vec<WireZoneEpoch>,
     }
 }
 
@@ -138,6 +172,7 @@
             control_age_ms: state.control_age.map(to_millis),
             draining: state.draining,
             zones: state.zones.into_iter().map(Into::into).collect(),
+            epochs: state.epochs.into_iter().map(Into::into).collect(),
         }
     }
 }
@@ -147,6 +182,7 @@
 
     fn try_from(wire: WirePeerState) -> Result<Self, InvalidWire> {
         let zones = wire.zones.into_iter().map(ZoneSummary::try_from);
+        let epochs = wire.epochs.into_iter().map(ZoneEpoch::try_from);
         Ok(Self {
             entry: EntryName::new(wire.entry)?,
             incarnation: Incarnation(wire.incarnation),
@@ -155,6 +191,7 @@
             control_age: wire.control_age_ms.map(Duration::from_millis),
             draining: wire.draining,
             zones: zones.collect::<Result<_, _>>()?,
+            epochs: epochs.collect::<Result<_, _>>()?,
         })
     }
 }
--- a/crates/rattanwinch_types/src/lib.rs
+++ b/crates/rattanwinch_types/src/lib.rs
@@ -76,6 +76,7 @@
 pub use name::ZoneName;
 pub use peer_state::GuaranteeStatus;
 pub use peer_state::PeerState;
+pub use peer_state::ZoneEpoch;
 pub use peer_state::ZoneSummary;
 pub use plain_request::MAX_DEADLINE_AHEAD;
 pub use plain_request::MAX_PAYLOAD_BYTES;
--- a/crates/rattanwinch_types/src/peer_state.rs
+++ b/crates/rattanwinch_types/src/peer_state.rs
@@ -47,6 +47,16 @@
     }
 }
 
+crate::value! {
+    /// The highest epoch that an entry knows of in an availability zone.
+    pub struct ZoneEpoch {
+        /// The availability zone.
+        pub zone: ZoneName,
+        /// The epoch of its decider.
+        pub epoch: Epoch,
+    }
+}
+
 /// What two entries tell each other in a ping and in its answer.
 #[derive(Clone, Debug, PartialEq, Eq, Builder)]
 pub struct PeerState {
@@ -64,4 +74,8 @@
     pub draining: bool,
     /// The zones that it decides.
     pub zones: Vec<ZoneSummary>,
+    /// The epochs that it has read in the store, so that a decider that was replaced learns of it
+    /// from any entry.
+    #[builder(default)]
+    pub epochs: Vec<ZoneEpoch>,
 }
