Move borrowers for the head of the queue; trace zone changes

Change: when enough accelerators are free but scattered, borrowers that fit elsewhere are checkpointed, each once, if the head of the queue gains more than the moves are expected to cost. A leaving job counts as gone in 35 s.

--- a/crates/rattanwinch_decisions/src/policy/evictions.rs
+++ b/crates/rattanwinch_decisions/src/policy/evictions.rs
@@ -27,6 +27,9 @@
             self.leave_excluded(now, decisions);
         }
         self.evict_let_in(now, decisions);
+        if self.rules.closure.is_none() {
+            self.move_borrowers(now, decisions);
+        }
     }
 
     /// Orders a checkpoint of a running job; does nothing if the job isn't running.
--- a/crates/rattanwinch_decisions/src/policy/head_of_queue.rs
+++ b/crates/rattanwinch_decisions/src/policy/head_of_queue.rs
@@ -15,6 +15,7 @@
 use crate::policy::job::JobId;
 use crate::policy::job_history::JobHistory;
 use crate::policy::reasons;
+use crate::policy::relocation::CONSIDER_EVERY;
 use crate::policy::solver;
 use crate::policy::solver::Pricing;
 use crate::policy::solver::Slot;
@@ -50,7 +51,7 @@
     /// jobs that started in the decision that made this job the head.
     let_in: BTreeSet<JobId>,
     /// When the accelerators are expected to be free of the jobs that were not let in.
-    free_at: Timestamp,
+    pub free_at: Timestamp,
     /// When others were last considered.
     looked_at: Timestamp,
 }
@@ -195,6 +196,14 @@
             known.looked_at = now;
             return;
         }
+        self.keep_for(head);
+        if self.has_free(spec.shape.accelerators()) {
+            self.wake_at(now + CONSIDER_EVERY);
+        }
+    }
+
+    /// Keeps the head's accelerators and no others.
+    pub(super) fn keep_for(&mut self, head: HeadOfQueue) {
         self.drop_head();
         for slot in &head.slots {
             self.pool.get_mut(slot.worker).shadow |= slot.bits;
@@ -289,6 +298,17 @@
 }
 
 impl HeadOfQueue {
+    /// The same job with other accelerators, whose jobs are about to be evicted.
+    pub(super) fn moved(self, slots: Slots, now: Timestamp) -> Self {
+        Self {
+            slots,
+            let_in: BTreeSet::new(),
+            free_at: now,
+            looked_at: now,
+            ..self
+        }
+    }
+
     fn has_let_in(&self, job: &Occupant) -> bool {
         self.let_in.contains(&job.job)
     }
--- a/crates/rattanwinch_decisions/src/policy/job_history.rs
+++ b/crates/rattanwinch_decisions/src/policy/job_history.rs
@@ -26,6 +26,8 @@
     pub has_run: bool,
     /// Whether it was evicted for the head of the queue after it had been let in.
     pub was_let_in: bool,
+    /// Whether it was evicted to be moved within the zone, which happens once at most.
+    pub was_moved: bool,
     changed_at: Timestamp,
 }
 
@@ -43,6 +45,7 @@
             failed_on: SmallVec::new(),
             has_run: false,
             was_let_in: false,
+            was_moved: false,
             changed_at: Timestamp::ZERO,
         }
     }
--- a/crates/rattanwinch_decisions/src/policy/mod.rs
+++ b/crates/rattanwinch_decisions/src/policy/mod.rs
@@ -17,6 +17,7 @@
 mod reasons;
 mod reclaim;
 mod refill;
+mod relocation;
 mod reports;
 mod restoring;
 mod rules;
--- a/crates/rattanwinch_decisions/src/policy/reasons.rs
+++ b/crates/rattanwinch_decisions/src/policy/reasons.rs
@@ -54,6 +54,13 @@
     ))
 }
 
+pub(super) fn move_eviction(head: &RequestKey) -> Arc<str> {
+    Arc::from(format!(
+        "Evicted to be moved: it fits free accelerators elsewhere in the availability zone, and \
+         {head} needs adjacent ones and has waited longer."
+    ))
+}
+
 pub(super) fn reclaim_eviction(
     owner: &Organisation,
     claimant: &RequestKey,
--- a/crates/rattanwinch_decisions/src/policy/reclaim.rs
+++ b/crates/rattanwinch_decisions/src/policy/reclaim.rs
@@ -201,7 +201,7 @@
     }
 
     /// The lost work of the started jobs on the slots, each counted once.
-    fn total_lost(&self, slots: &Slots, now: Timestamp) -> u64 {
+    pub(super) fn total_lost(&self, slots: &Slots, now: Timestamp) -> u64 {
         let mut seen = BTreeSet::new();
         let on = |slot: &Slot| self.pool.get(slot.worker).started_on(slot.bits);
         let occupants = slots.iter().flat_map(on);
--- a/crates/rattanwinch_decisions/src/policy/worker.rs
+++ b/crates/rattanwinch_decisions/src/policy/worker.rs
@@ -29,6 +29,9 @@
 /// the wait for as many accelerators again. It makes a young large gang dearer than a small job.
 const RESTART_COST_MS: u64 = 60_000;
 
+/// An eviction takes at most the default limits of a checkpoint, 30 s, and of a stop, 5 s.
+const LEAVING_MS: u64 = 35_000;
+
 rattanwinch_types::value! {
     /// What a search needs to know of a job on a worker, so that it looks up no job.
     pub(super) struct Occupant {
@@ -85,7 +88,11 @@
             } else {
                 std::time::Duration::ZERO
             });
-        u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+        let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        match self.tenure {
+            Tenure::Leaving => left.min(LEAVING_MS),
+            Tenure::Reserved | Tenure::Taken => left,
+        }
     }
 }
 
--- a/crates/rattanwinch_decisions/src/policy/zone_policy.rs
+++ b/crates/rattanwinch_decisions/src/policy/zone_policy.rs
@@ -80,6 +80,8 @@
     pub(super) is_changed: bool,
     /// Homes of guaranteed blocks have to be looked at.
     pub(super) is_plan_changed: bool,
+    /// When moves of borrowers were last considered.
+    pub(super) relocated_at: Option<Timestamp>,
     pub(super) checked_at: Option<Timestamp>,
     pub(super) violations: u64,
     next_id: u64,
@@ -110,6 +112,7 @@
             timers: BTreeSet::new(),
             is_changed: false,
             is_plan_changed: false,
+            relocated_at: None,
             checked_at: None,
             violations: 0,
             next_id: 0,
--- a/crates/rattanwinch_decisions/tests/policy/queueing.rs
+++ b/crates/rattanwinch_decisions/tests/policy/queueing.rs
@@ -231,3 +231,29 @@
         assert_eq!(policy.decide(at(second)), []);
     }
 }
+
+/// Guards against a job that needs a whole worker and waits for hours, although enough
+/// accelerators are free on two workers, and against moving the same borrower again and again.
+#[test]
+fn a_borrower_is_moved_once_to_make_room_for_the_head_of_the_queue() {
+    let mut policy = policy(2, vec![]);
+    for (id, second) in [("a", 100), ("b", 101), ("c", 102)] {
+        let spec = job(key("o", id), shape(1, 4, Adjacency::Worker));
+        policy.submit(spec, at(second)).expect("it fits the zone");
+        assert_eq!(starts(&policy.decide(at(second))), [key("o", id)]);
+        policy.started(&key("o", id), at(second));
+    }
+    policy.ended(&key("o", "a"), JobEnd::Succeeded, at(110));
+    let spec = job(key("o", "head"), shape(1, 8, Adjacency::Worker));
+    policy.submit(spec, at(120)).expect("it fits the zone");
+    assert_eq!(policy.decide(at(120)), []);
+    assert_eq!(policy.next_wakeup(at(121)), Some(at(130)));
+    let moved = evictions(&policy.decide(at(130)));
+    assert_eq!(moved.len(), 1, "one borrower is checkpointed");
+    policy.ended(&moved[0], JobEnd::Evicted, at(140));
+    let spec = job(moved[0].clone(), shape(1, 4, Adjacency::Worker));
+    policy.submit(spec, at(140)).expect("it fits the zone");
+    let started = starts(&policy.decide(at(140)));
+    assert!(started.contains(&moved[0]), "{started:?}");
+    assert!(started.contains(&key("o", "head")), "{started:?}");
+}
--- a/crates/rattanwinch_trials/src/accounts.rs
+++ b/crates/rattanwinch_trials/src/accounts.rs
@@ -3,6 +3,7 @@
 use rattanwinch_types::Timestamp;
 
 use crate::workload::TrialJob;
+use crate::zone_change::ZoneChange;
 use crate::zone_run::ZoneRun;
 
 const HOUR_MS: f64 = 3_600_000.0;
@@ -18,10 +19,8 @@
     capacity_ms: f64,
     /// Milliseconds in which jobs wait and accelerators are free.
     waiting_ms: f64,
-    /// Accelerator-milliseconds that ran in the time of the zone change.
-    useful_ms: f64,
-    /// Accelerator-milliseconds that could have run in that time.
-    reachable_ms: f64,
+    /// The time of the zone change.
+    pub zone_change: ZoneChange,
     /// Accelerator-milliseconds lost to evictions.
     pub eviction_lost_ms: f64,
     /// Accelerator-milliseconds lost to failures.
@@ -40,6 +39,7 @@
         jobs: &[TrialJob],
         span: (Timestamp, Timestamp),
         zone_change: Option<(Timestamp, Timestamp)>,
+        started: impl FnOnce() -> Vec<usize>,
     ) {
         let (from, to) = span;
         let millis = to.since(from).as_secs_f64() * 1000.0;
@@ -56,11 +56,7 @@
         }
         let is_changing = zone_change.is_some_and(|(start, end)| from >= start && to <= end);
         if is_changing {
-            let running: u32 = zones.iter().map(|zone| zone.running).sum();
-            let asked: u32 = zones.iter().map(|zone| zone.asked(jobs)).sum();
-            let capacity: u32 = zones.iter().map(ZoneRun::open_capacity).sum();
-            self.useful_ms += millis * f64::from(running);
-            self.reachable_ms += millis * f64::from(capacity.min(running + asked));
+            self.zone_change.pass(zones, jobs, &started(), millis);
         }
     }
 
@@ -76,7 +72,8 @@
 
     /// Work lost in the time of the zone change was not useful.
     pub(crate) fn discount(&mut self, accelerators: u32, lost: Duration) {
-        self.useful_ms -= f64::from(accelerators) * lost.as_secs_f64() * 1000.0;
+        let lost_ms = f64::from(accelerators) * lost.as_secs_f64() * 1000.0;
+        self.zone_change.discount(lost_ms);
     }
 
     pub(crate) fn fragmentation(&self) -> f64 {
@@ -87,10 +84,6 @@
         share(self.unusable_ms, self.capacity_ms)
     }
 
-    pub(crate) fn zone_change_useful(&self) -> f64 {
-        share(self.useful_ms, self.reachable_ms)
-    }
-
     pub(crate) fn eviction_lost_h(&self) -> f64 {
         self.eviction_lost_ms / HOUR_MS
     }
--- a/crates/rattanwinch_trials/src/block_map.rs
+++ b/crates/rattanwinch_trials/src/block_map.rs
@@ -104,6 +104,13 @@
         empty
     }
 
+    /// The same workers with nothing running on those that are up.
+    pub(crate) fn without_jobs(&self) -> Self {
+        let mut empty = self.clone();
+        empty.free.fill(u8::MAX);
+        empty
+    }
+
     fn usable(&self, index: usize) -> u8 {
         if self.up[index] { self.free[index] } else { 0 }
     }
--- a/crates/rattanwinch_trials/src/driver.rs
+++ b/crates/rattanwinch_trials/src/driver.rs
@@ -135,8 +135,12 @@
             }
             let span = (self.now, at);
             let change = self.workload.zone_change;
+            let runs = &self.runs;
+            let has_started =
+                |index: &usize| matches!(runs[*index].stage, Stage::Running | Stage::Leaving);
+            let started = || (0..runs.len()).filter(has_started).collect();
             self.accounts
-                .pass(&mut self.zones, &self.workload.jobs, span, change);
+                .pass(&mut self.zones, &self.workload.jobs, span, change, started);
             self.now = at;
             self.handle(event);
             for zone in 0..self.zones.len() {
@@ -409,7 +413,8 @@
         Measures {
             fragmentation: self.accounts.fragmentation(),
             unusable_of_capacity: self.accounts.unusable(),
-            zone_change_useful: self.accounts.zone_change_useful(),
+            zone_change_useful: self.accounts.zone_change.shares().useful,
+            zone_change: self.accounts.zone_change.shares(),
             guarantee_wait_s: self.guarantee_waits.times.percentiles(),
             guarantee_wait_max_s: self.guarantee_waits.times.max(),
             urgent_wait_s: self.urgent_waits.percentiles(),
--- a/crates/rattanwinch_trials/src/lib.rs
+++ b/crates/rattanwinch_trials/src/lib.rs
@@ -23,6 +23,7 @@
 mod speed;
 mod speed_fleet;
 mod workload;
+mod zone_change;
 mod zone_run;
 mod zone_scheduler;
 
@@ -37,3 +38,4 @@
 pub use speed::SpeedReport;
 pub use speed::measure_speed;
 pub use workload::Workload;
+pub use zone_change::ZoneChangeShares;
--- a/crates/rattanwinch_trials/src/measures.rs
+++ b/crates/rattanwinch_trials/src/measures.rs
@@ -3,6 +3,8 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
+use crate::zone_change::ZoneChangeShares;
+
 /// A distribution of times or ratios.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct Percentiles {
@@ -36,6 +38,8 @@
     /// Useful accelerator-hours through the zone's leaving and return, divided by what the
     /// remaining capacity and the waiting jobs allow.
     pub zone_change_useful: f64,
+    /// Where the time of the zone change went.
+    pub zone_change: ZoneChangeShares,
     /// The wait of jobs that fit the unused part of their owner's guarantee, in seconds.
     pub guarantee_wait_s: Percentiles,
     /// The longest such wait, in seconds.
--- a/crates/rattanwinch_trials/src/report.rs
+++ b/crates/rattanwinch_trials/src/report.rs
@@ -57,7 +57,7 @@
 
 type Figure = (&'static str, fn(&Measures) -> f64);
 
-const FIGURES: [Figure; 23] = [
+const FIGURES: [Figure; 28] = [
     ("completion p50 (s)", |m| m.completion_s.p50),
     ("completion p95 (s)", |m| m.completion_s.p95),
     ("completion p99 (s)", |m| m.completion_s.p99),
@@ -67,6 +67,11 @@
     ("fragmentation (share)", |m| m.fragmentation),
     ("unusable of capacity (share)", |m| m.unusable_of_capacity),
     ("zone change, useful (share)", |m| m.zone_change_useful),
+    ("zone change, packable (share)", |m| m.zone_change.packable),
+    ("zone change, leaving (share)", |m| m.zone_change.leaving),
+    ("zone change, lost (share)", |m| m.zone_change.lost),
+    ("zone change, fits own zone", |m| m.zone_change.fits_own),
+    ("zone change, fits other zone", |m| m.zone_change.fits_other),
     ("guarantee wait p50 (s)", |m| m.guarantee_wait_s.p50),
     ("guarantee wait p95 (s)", |m| m.guarantee_wait_s.p95),
     ("guarantee wait p99 (s)", |m| m.guarantee_wait_s.p99),
