Call agents by a client that has no timer for each call

Cause: jsonrpsee's own client guards each call with a timer of the futures-timer package. The limit was 13 h, because every caller keeps a limit of its own.

Change: AgentClient, in the peers package, uses jsonrpsee's transport, messages and generated calls, but sets no timer. Pings, replacement and the verdict of a lost call are as before.

--- a/crates/rattanwinch_peers/src/agent_connection.rs
+++ b/crates/rattanwinch_peers/src/agent_connection.rs
@@ -5,14 +5,12 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use jsonrpsee::ws_client::WsClient;
-use jsonrpsee::ws_client::WsClientBuilder;
 use rattanwinch_types::ErrorKind;
 use rattanwinch_types::RequestError;
 use tokio::sync::Notify;
 
+use crate::AgentClient;
 use crate::AgentRpcClient;
-use crate::MAX_MESSAGE_BYTES;
 
 /// The time between two pings on a connection.
 pub const CONNECTION_PING_INTERVAL: Duration = Duration::from_millis(500);
@@ -20,20 +18,13 @@
 /// A connection without an answer to a ping for this long is replaced.
 pub const CONNECTION_PING_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Above the longest deadline of a plain request (12 h), because deadlines are kept by callers of
-/// this package.
-const CALL_TIMEOUT: Duration = Duration::from_secs(13 * 3600);
-
-/// Calls in flight on one connection; an agent admits far fewer.
-const MAX_CALLS_IN_FLIGHT: usize = 4096;
-
 /// A WebSocket to one agent that is replaced when it falls silent.
 ///
 /// Calls take the client of the moment and keep it until they end, so a replaced connection
 /// lives on until its last call has ended.
 pub struct AgentConnection {
     address: SocketAddr,
-    client: ArcSwapOption<WsClient>,
+    client: ArcSwapOption<AgentClient>,
     changed: Notify,
 }
 
@@ -73,7 +64,7 @@
     /// # Errors
     ///
     /// [`ErrorKind::Unavailable`] with the verdict "not run" if there is no connection now.
-    pub fn client(&self) -> Result<Arc<WsClient>, RequestError> {
+    pub fn client(&self) -> Result<Arc<AgentClient>, RequestError> {
         self.client.load_full().ok_or_else(|| {
             let message = format!("no connection to the agent at {}", self.address);
             RequestError::not_run(ErrorKind::Unavailable, message)
@@ -83,7 +74,7 @@
     /// Waits until `client` is no longer the client of the moment, because it fell silent.
     ///
     /// The agent may be frozen, so that there is no new client to wait for either.
-    pub async fn given_up(&self, client: &Arc<WsClient>) {
+    pub async fn given_up(&self, client: &Arc<AgentClient>) {
         loop {
             let changed = self.changed.notified();
             let same = self
@@ -98,7 +89,7 @@
         }
     }
 
-    fn set(&self, client: Option<Arc<WsClient>>) {
+    fn set(&self, client: Option<Arc<AgentClient>>) {
         self.client.store(client);
         self.changed.notify_waiters();
     }
@@ -132,7 +123,7 @@
 }
 
 /// Pings until an answer stays out; false if nobody uses the connection any longer.
-async fn ping_until_silent(connection: &Weak<AgentConnection>, client: &Arc<WsClient>) -> bool {
+async fn ping_until_silent(connection: &Weak<AgentConnection>, client: &Arc<AgentClient>) -> bool {
     loop {
         tokio::time::sleep(CONNECTION_PING_INTERVAL).await;
         if connection.strong_count() == 0 {
@@ -145,17 +136,8 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<Arc<WsClient>> {
-    let building = WsClientBuilder::default()
-        .connection_timeout(CONNECTION_PING_TIMEOUT)
-        .request_timeout(CALL_TIMEOUT)
-        .max_concurrent_requests(MAX_CALLS_IN_FLIGHT)
-        .max_request_size(MAX_MESSAGE_BYTES)
-        .max_response_size(MAX_MESSAGE_BYTES)
-        .build(format!("ws://{address}"));
-    let client = tokio::time::timeout(CONNECTION_PING_TIMEOUT, building)
-        .await
-        .ok()?
-        .ok()?;
-    Some(Arc::new(client))
+async fn connect(address: SocketAddr) -> Option<Arc<AgentClient>> {
+    let url = format!("ws://{address}");
+    let client = AgentClient::connect(&url, CONNECTION_PING_TIMEOUT).await;
+    client.map(Arc::new)
 }
