Revert "Call agents by a client that has no timer for each call"

Cause: the client is a second implementation of what jsonrpsee's own client does. Own processes are to talk through jsonrpsee, and further transports are not wanted.

Change: reverts.

The better place for a change is the library.

--- a/crates/rattanwinch_entry/src/zones/actions.rs
+++ b/crates/rattanwinch_entry/src/zones/actions.rs
@@ -2,11 +2,11 @@
 use std::time::Duration;
 
 use jsonrpsee::core::client::Error as ClientError;
+use jsonrpsee::ws_client::WsClient;
 use rattanwinch_decisions::AttemptEnd;
 use rattanwinch_decisions::GangAction;
 use rattanwinch_decisions::HOLD_TIMEOUT;
 use rattanwinch_decisions::JobEnd;
-use rattanwinch_peers::AgentClient;
 use rattanwinch_peers::GangRpcClient as _;
 use rattanwinch_peers::request_error;
 use rattanwinch_platform::Store;
@@ -183,7 +183,7 @@
 pub(super) async fn call_agent<T>(
     agent: Option<Arc<Target>>,
     limit: Duration,
-    call: impl AsyncFnOnce(Arc<AgentClient>) -> Result<T, ClientError>,
+    call: impl AsyncFnOnce(Arc<WsClient>) -> Result<T, ClientError>,
 ) -> Result<T, RequestError> {
     let Some(agent) = agent else {
         let message = "the worker isn't known here";
--- a/crates/rattanwinch_peers/src/agent_connection.rs
+++ b/crates/rattanwinch_peers/src/agent_connection.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
+use jsonrpsee::ws_client::WsClient;
+use jsonrpsee::ws_client::WsClientBuilder;
 use rattanwinch_types::ErrorKind;
 use rattanwinch_types::RequestError;
 use tokio::sync::Notify;
 
-use crate::AgentClient;
 use crate::AgentRpcClient;
+use crate::MAX_MESSAGE_BYTES;
 
 /// The time between two pings on a connection.
 pub const CONNECTION_PING_INTERVAL: Duration = Duration::from_millis(500);
@@ -19,13 +21,23 @@
 /// 250 ms of the 1.5 s in which a silent connection has to be replaced for opening the new one.
 pub const CONNECTION_PING_TIMEOUT: Duration = Duration::from_millis(750);
 
+/// How long a new connection may take to open; a frozen agent doesn't answer at all.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Above the longest deadline of a plain request (12 h), because deadlines are kept by callers of
+/// this package.
+const CALL_TIMEOUT: Duration = Duration::from_secs(13 * 3600);
+
+/// Calls in flight on one connection; an agent admits far fewer.
+const MAX_CALLS_IN_FLIGHT: usize = 4096;
+
 /// A WebSocket to one agent that is replaced when it falls silent.
 ///
 /// Calls take the client of the moment and keep it until they end, so a replaced connection
 /// lives on until its last call has ended.
 pub struct AgentConnection {
     address: SocketAddr,
-    client: ArcSwapOption<AgentClient>,
+    client: ArcSwapOption<WsClient>,
     changed: Notify,
 }
 
@@ -65,7 +77,7 @@
     /// # Errors
     ///
     /// [`ErrorKind::Unavailable`] with the verdict "not run" if there is no connection now.
-    pub fn client(&self) -> Result<Arc<AgentClient>, RequestError> {
+    pub fn client(&self) -> Result<Arc<WsClient>, RequestError> {
         self.client.load_full().ok_or_else(|| {
             let message = format!("no connection to the agent at {}", self.address);
             RequestError::not_run(ErrorKind::Unavailable, message)
@@ -75,7 +87,7 @@
     /// Waits until `client` is no longer the client of the moment, because it fell silent.
     ///
     /// The agent may be frozen, so that there is no new client to wait for either.
-    pub async fn given_up(&self, client: &Arc<AgentClient>) {
+    pub async fn given_up(&self, client: &Arc<WsClient>) {
         loop {
             let changed = self.changed.notified();
             let same = self
@@ -90,7 +102,7 @@
         }
     }
 
-    fn set(&self, client: Option<Arc<AgentClient>>) {
+    fn set(&self, client: Option<Arc<WsClient>>) {
         self.client.store(client);
         self.changed.notify_waiters();
     }
@@ -124,7 +136,7 @@
 }
 
 /// Pings until an answer stays out; false if nobody uses the connection any longer.
-async fn ping_until_silent(connection: &Weak<AgentConnection>, client: &Arc<AgentClient>) -> bool {
+async fn ping_until_silent(connection: &Weak<AgentConnection>, client: &Arc<WsClient>) -> bool {
     loop {
         tokio::time::sleep(CONNECTION_PING_INTERVAL).await;
         if connection.strong_count() == 0 {
@@ -137,8 +149,17 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<Arc<AgentClient>> {
-    let url = format!("ws://{address}");
-    let client = AgentClient::connect(&url, CONNECTION_PING_TIMEOUT).await;
-    client.map(Arc::new)
+async fn connect(address: SocketAddr) -> Option<Arc<WsClient>> {
+    let building = WsClientBuilder::default()
+        .connection_timeout(CONNECT_TIMEOUT)
+        .request_timeout(CALL_TIMEOUT)
+        .max_concurrent_requests(MAX_CALLS_IN_FLIGHT)
+        .max_request_size(MAX_MESSAGE_BYTES)
+        .max_response_size(MAX_MESSAGE_BYTES)
+        .build(format!("ws://{address}"));
+    let client = tokio::time::timeout(CONNECT_TIMEOUT, building)
+        .await
+        .ok()?
+        .ok()?;
+    Some(Arc::new(client))
 }
--- a/crates/rattanwinch_peers/src/lib.rs
+++ b/crates/rattanwinch_peers/src/lib.rs
@@ -8,7 +8,6 @@
 //! This package is for messages and connections only: who sends what when is decided elsewhere.
 //! All wire types convert to and from the plain types of `rattanwinch_types`.
 
-mod agent_client;
 mod agent_connection;
 mod agent_rpc;
 mod entry_client;
@@ -20,7 +19,6 @@
 mod rpc_server;
 mod wire;
 
-pub use agent_client::AgentClient;
 pub use agent_connection::AgentConnection;
 pub use agent_connection::CONNECTION_PING_INTERVAL;
 pub use agent_connection::CONNECTION_PING_TIMEOUT;
