Bring an accepted closing in force without a read of the store

Cause: the entry that accepted a change only asked for a control read. When no control read succeeds after the acknowledgement, nobody learns of the closing: plain requests were still started in the closed zone 7.0 s after it, when the test stopped looking (bound 5 s).

Change: an accepted change carries the document; the entry acts on it before it acknowledges and pings the others at once, which fetch it.

The other closing tests now run through relays.

Conclusion: a closing needs no further store call once it is acknowledged. Gangs still don't start while each call takes longer than 1.5 s.

--- a/crates/rattanwinch_demo/src/testing/mod.rs
+++ b/crates/rattanwinch_demo/src/testing/mod.rs
@@ -21,6 +21,7 @@
 pub use http_calls::until;
 pub use load::Load;
 pub use operator::Operator;
+pub use operator::close_zone_at;
 pub use process::Process;
 pub use process::Signal;
 pub use process_site::ProcessSite;
--- a/crates/rattanwinch_demo/src/testing/operator.rs
+++ b/crates/rattanwinch_demo/src/testing/operator.rs
@@ -8,6 +8,7 @@
 use rattanwinch_operators::AcceptedChange;
 use rattanwinch_operators::ChangeRequest;
 use rattanwinch_operators::ConfigChanges;
+use rattanwinch_operators::WireChangeRequest;
 use rattanwinch_platform::EtcdStore;
 use rattanwinch_types::ChangeId;
 use rattanwinch_types::ExceptionId;
@@ -15,6 +16,8 @@
 use rattanwinch_types::Timestamp;
 use rattanwinch_types::ZoneName;
 
+use super::HttpAnswer;
+use super::post;
 use crate::site::client;
 
 /// An operator who changes the configuration of a site by compare-and-swap.
@@ -87,3 +90,27 @@
         self.apply(id, self.revision().await?, change).await
     }
 }
+
+/// Closes an availability zone over the HTTP interface of an entry; `url` is that of
+/// `/v1/config/changes`.
+///
+/// # Errors
+///
+/// If a name isn't valid.
+pub async fn close_zone_at(
+    url: String,
+    id: &str,
+    zone: &str,
+    based_on: Revision,
+) -> Result<HttpAnswer> {
+    let change = ConfigChange::close_zone(ExceptionId::new(id)?, ZoneName::new(zone)?);
+    let body = WireChangeRequest {
+        id: id.to_owned(),
+        author: "operator".to_owned(),
+        reason: "maintenance".to_owned(),
+        based_on: based_on.0,
+        dry_run: false,
+        change: change.into(),
+    };
+    Ok(post(url, serde_json::to_value(body)?).await)
+}
--- a/crates/rattanwinch_demo/tests/closings.rs
+++ b/crates/rattanwinch_demo/tests/closings.rs
@@ -8,12 +8,15 @@
 use rattanwinch_demo::testing::Operator;
 use rattanwinch_demo::testing::ProcessSite;
 use rattanwinch_demo::testing::Signal;
+use rattanwinch_demo::testing::Silence;
+use rattanwinch_demo::testing::close_zone_at;
 use rattanwinch_demo::testing::deadline_in;
 use rattanwinch_demo::testing::plain_body;
 use rattanwinch_demo::testing::post;
 use rattanwinch_demo::testing::until;
 use rattanwinch_standins::StandinExecutor;
 use rattanwinch_standins::StoreFaults;
+use rattanwinch_standins::StoreMode;
 use serde_json::json;
 
 /// Two zones; targets 0 and 2 are in `az-1`, the home of `entry-1`.
@@ -77,7 +80,8 @@
 
 /// A site under load, with plain requests and gang tasks that start in `az-1`.
 async fn loaded(name: &str) -> Closing {
-    let site = ProcessSite::start(name, SIZE).await.expect("site starts");
+    let site = ProcessSite::start_relayed(name, SIZE).await;
+    let site = site.expect("site starts");
     let operator = Operator::new(site.store.address(), "operator");
     let mut loads = Vec::new();
     for entry in 0..SIZE.entries {
@@ -225,3 +229,68 @@
     closing.site.store.set_faults(StoreFaults::default());
     closing.assert_reopens("entry cut off").await;
 }
+
+/// Guards against a closing that an entry acknowledges and that is in force only where the store
+/// can be read: its calls take longer than a view stays fresh, or it can't be reached any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_acknowledged_closing_needs_no_further_read_of_the_store() {
+    let slow = |delay_ms| StoreFaults {
+        delay_ms,
+        ..StoreFaults::default()
+    };
+    let cut_off = StoreFaults {
+        cut_off: ["entry-1".to_owned()].into(),
+        ..slow(2000)
+    };
+    let down = StoreFaults {
+        mode: StoreMode::Hang,
+        ..StoreFaults::default()
+    };
+    let cases = [
+        ("2 s a call, entry cut off", cut_off.clone(), cut_off),
+        ("1.2 s a call, then down", slow(1200), down),
+    ];
+    for (number, (case, before, after)) in cases.into_iter().enumerate() {
+        let closing = loaded(&format!("closing-no-read-{number}")).await;
+        let revision = closing.operator.revision().await.expect("a revision");
+        closing.site.store.set_faults(before);
+        let url = closing.site.url(1, "/v1/config/changes");
+        let answer = close_zone_at(url, "closing", "az-1", revision).await;
+        let (answer, since) = (answer.expect("valid names"), Instant::now());
+        closing.site.store.set_faults(after);
+        assert_eq!(answer.status, 200, "{case}: {answer:?}");
+        closing.assert_closed(case, since).await;
+        for load in [&closing.loads[0], &closing.loads[2]] {
+            let answers = load.answers_since(since + CLOSED_BOUND);
+            let failed = answers.iter().filter(|answer| answer.status != 200);
+            let failed: Vec<_> = failed.take(3).collect();
+            assert!(
+                !answers.is_empty() && failed.is_empty(),
+                "{case}: {failed:?}"
+            );
+        }
+    }
+}
+
+/// Guards against an entry that acknowledges a closing and waits for a read of the store to act on
+/// it: nobody can read the store from the acknowledgement on.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_acknowledged_closing_is_handed_on_without_the_store() {
+    let closing = loaded("closing-handed-on").await;
+    let revision = closing.operator.revision().await.expect("a revision");
+    // Reads that are sent before the acknowledgement are answered after it, and then get lost.
+    closing.site.store.set_faults(StoreFaults {
+        delay_ms: 900,
+        ..StoreFaults::default()
+    });
+    let url = closing.site.url(1, "/v1/config/changes");
+    let answer = close_zone_at(url, "closing", "az-1", revision).await;
+    let relays = closing.site.relays.as_ref().expect("started with relays");
+    for store in &relays.stores {
+        store.set_new(Silence::BOTH);
+        store.silence(Silence::BOTH);
+    }
+    let (answer, since) = (answer.expect("valid names"), Instant::now());
+    assert_eq!(answer.status, 200, "{answer:?}");
+    closing.assert_closed("store gone", since).await;
+}
--- a/crates/rattanwinch_entry/src/config_copies.rs
+++ b/crates/rattanwinch_entry/src/config_copies.rs
@@ -7,6 +7,7 @@
 
 use metrics::counter;
 use metrics::gauge;
+use rattanwinch_operators::AcceptedChange;
 use rattanwinch_platform::Store;
 use rattanwinch_platform::records::ConfigDocument;
 use rattanwinch_types::ConfigCopy;
@@ -80,6 +81,28 @@
     }
 }
 
+impl<S: Store> EntryState<S> {
+    /// Acts on a change that the store has accepted here, and tells the other entries. The store
+    /// may be too slow, or gone, for any of them to read the change there in time.
+    pub(crate) fn adopt_accepted(self: &Arc<Self>, change: &AcceptedChange) {
+        let current = &change.current;
+        // A control read that is on its way may show an older revision from now on.
+        self.note_revision(change.revision, self.clock.now());
+        let config = Arc::new(current.document.config.clone());
+        let before = self.control.rcu(|before| {
+            let mut view = ControlView::clone(before);
+            if !view.regressed && current.revision > view.revision {
+                view.revision = current.revision;
+                view.config = Arc::clone(&config);
+            }
+            view
+        });
+        self.config_changed(&before);
+        self.ping_peers();
+        self.control_wanted.notify_one();
+    }
+}
+
 impl<S> EntryState<S> {
     /// Remembers a revision that another process acts on: a store that is read later and is
     /// behind it was restored from an older copy.
--- a/crates/rattanwinch_entry/src/http.rs
+++ b/crates/rattanwinch_entry/src/http.rs
@@ -52,7 +52,8 @@
         .at("/metrics", get(metrics_text))
 }
 
-/// The operators' side: an accepted change is read at once rather than at the next interval.
+/// The operators' side: an accepted change is acted on and handed on before the operator is
+/// told of it.
 fn operators<S: Store>(state: &Arc<EntryState<S>>) -> OperatorsApi<S, EntryReport<S>> {
     let known_state = Arc::clone(state);
     let changes = ConfigChanges::new(Arc::clone(&state.store))
@@ -61,6 +62,6 @@
     let clock = state.clock;
     let accepted_state = Arc::clone(state);
     OperatorsApi::new(changes, report, Arc::new(move || clock.now())).with_on_accepted(Arc::new(
-        move |_| accepted_state.control_wanted.notify_one(),
+        move |change| accepted_state.adopt_accepted(change),
     ))
 }
--- a/crates/rattanwinch_operators/src/change_request.rs
+++ b/crates/rattanwinch_operators/src/change_request.rs
@@ -33,6 +33,9 @@
         pub repeated: bool,
         /// What it changed, a sentence each.
         pub effects: Vec<Arc<str>>,
+        /// The configuration as it was last seen in the store, with this change or a later one,
+        /// unless a repeated change was only just being made.
+        pub current: CurrentConfig,
     }
 }
 
--- a/crates/rattanwinch_operators/src/config_changes.rs
+++ b/crates/rattanwinch_operators/src/config_changes.rs
@@ -61,7 +61,8 @@
 /// A change that passed every check, and what it makes of the document.
 struct Prepared {
     record: ChangeRecord,
-    document: Vec<u8>,
+    document: ConfigDocument,
+    encoded: Vec<u8>,
 }
 
 /// What the store holds for a change: the document, read first, then the record. Read in this
@@ -122,15 +123,16 @@
     pub async fn apply(&self, req: &ChangeRequest, now: Timestamp) -> Result<AcceptedChange> {
         let present = self.present(&req.id).await?;
         if let Some(recorded) = &present.recorded {
-            return repeated(recorded, req);
+            return repeated(recorded, req, present.current);
         }
         let prepared = prepare(&present.current, req, now)?;
-        let effects = prepared.record.effects.clone();
+        let (effects, document) = (prepared.record.effects.clone(), prepared.document.clone());
         match self.store.transact(transaction(req, prepared)).await {
             Ok(TransactionOutcome::Applied(revision)) => Ok(AcceptedChange {
                 revision,
                 repeated: false,
                 effects,
+                current: CurrentConfig { revision, document },
             }),
             Ok(TransactionOutcome::Conflict(found)) => {
                 let present = Present::from_conflict(&req.id, &found)?;
@@ -223,7 +225,7 @@
 /// What became of a change, if the store's contents tell.
 fn settle(req: &ChangeRequest, present: Present) -> Option<Result<AcceptedChange>> {
     if let Some(recorded) = &present.recorded {
-        return Some(repeated(recorded, req));
+        return Some(repeated(recorded, req, present.current));
     }
     let moved = present.current.revision != req.based_on;
     moved.then(|| Err(stale(req.based_on, present.current)))
@@ -238,15 +240,20 @@
     let after = apply(&before.config, &req.change, &req.author, &req.reason, now)?;
     let mut record = record_of(req, now)?;
     record.effects = effect(&before.config, &after);
-    let document = before.succeeded_by(after, record.clone()).to_json();
-    if document.len() > MAX_DOCUMENT_BYTES {
+    let document = before.succeeded_by(after, record.clone());
+    let encoded = document.to_json();
+    if encoded.len() > MAX_DOCUMENT_BYTES {
         let message = format!(
             "the configuration would take {} bytes: expected at most {MAX_DOCUMENT_BYTES}",
-            document.len()
+            encoded.len()
         );
         return Err(RequestError::not_run(ErrorKind::Invalid, message).into());
     }
-    Ok(Prepared { record, document })
+    Ok(Prepared {
+        record,
+        document,
+        encoded,
+    })
 }
 
 fn transaction(req: &ChangeRequest, prepared: Prepared) -> Transaction {
@@ -259,12 +266,16 @@
     Transaction::new()
         .with_condition(unchanged)
         .with_condition(Condition::Absent(Arc::clone(&record_key)))
-        .with_put(keys::config(), prepared.document, Retention::Permanent)
+        .with_put(keys::config(), prepared.encoded, Retention::Permanent)
         .with_put(record_key, prepared.record.to_json(), Retention::Permanent)
 }
 
 /// Answers a request whose id is in the store already.
-fn repeated(recorded: &Versioned, req: &ChangeRequest) -> Result<AcceptedChange> {
+fn repeated(
+    recorded: &Versioned,
+    req: &ChangeRequest,
+    current: CurrentConfig,
+) -> Result<AcceptedChange> {
     let record = ChangeRecord::from_json(&recorded.value).map_err(unreadable)?;
     if !record.is_same_change(&record_of(req, record.at)?) {
         let message = format!(
@@ -277,6 +288,7 @@
         revision: recorded.revision,
         repeated: true,
         effects: record.effects,
+        current,
     })
 }
 
--- a/crates/rattanwinch_operators/src/operators_api.rs
+++ b/crates/rattanwinch_operators/src/operators_api.rs
@@ -1,16 +1,16 @@
 use std::fmt;
 use std::sync::Arc;
 
-use rattanwinch_types::Revision;
 use rattanwinch_types::Timestamp;
 
+use crate::AcceptedChange;
 use crate::ConfigChanges;
 
 /// Gives the present time.
 pub type Now = Arc<dyn Fn() -> Timestamp + Send + Sync>;
 
-/// Is told the revision of each change that was accepted here.
-pub type OnAccepted = Arc<dyn Fn(Revision) + Send + Sync>;
+/// Is told each change that was accepted here, before the operator is.
+pub type OnAccepted = Arc<dyn Fn(&AcceptedChange) + Send + Sync>;
 
 /// What the endpoints need.
 pub struct OperatorsApi<S, R> {
@@ -32,17 +32,17 @@
         }
     }
 
-    /// Calls `on_accepted` for each accepted change, so that the entry reads the configuration
-    /// at once instead of at its next control read.
+    /// Calls `on_accepted` for each accepted change, so that the entry acts on the
+    /// configuration at once instead of after its next control read.
     #[must_use]
     pub fn with_on_accepted(mut self, on_accepted: OnAccepted) -> Self {
         self.on_accepted = Some(on_accepted);
         self
     }
 
-    pub(crate) fn accepted(&self, revision: Revision) {
+    pub(crate) fn accepted(&self, change: &AcceptedChange) {
         if let Some(on_accepted) = &self.on_accepted {
-            on_accepted(revision);
+            on_accepted(change);
         }
     }
 }
--- a/crates/rattanwinch_operators/src/routes.rs
+++ b/crates/rattanwinch_operators/src/routes.rs
@@ -123,7 +123,7 @@
         return Ok(Json(WireChangeAnswer::dry_run(req.based_on, &effects)).into_response());
     }
     let accepted = api.changes.apply(&req, now).await?;
-    api.accepted(accepted.revision);
+    api.accepted(&accepted);
     Ok(Json(WireChangeAnswer::from(accepted)).into_response())
 }
 
--- a/crates/rattanwinch_operators/tests/operators/routes.rs
+++ b/crates/rattanwinch_operators/tests/operators/routes.rs
@@ -114,8 +114,9 @@
         let seen = Arc::clone(&accepted);
         let changes = ConfigChanges::new(Arc::new(store));
         let api = OperatorsApi::new(changes, Arc::new(SmallFleet), Arc::new(|| NOW))
-            .with_on_accepted(Arc::new(move |revision| {
-                seen.lock().expect("no holder panics").push(revision.0);
+            .with_on_accepted(Arc::new(move |change| {
+                let mut seen = seen.lock().expect("no holder panics");
+                seen.push(change.revision.0);
             }));
         let acceptor = TcpListener::bind("127.0.0.1:0").into_acceptor().await;
         let acceptor = acceptor.expect("a free port");
