End an older attempt at the agent before a newer one is held

Cause: an agent accepted a hold of a newer attempt while a member of an older attempt at the same job could still run there on other accelerators. Only the decider's bookkeeping kept them apart.

Change: a hold of a newer attempt stops the older members and is refused as busy until the executor has ended them (`Hold::AfterOlder`); the decider's back-off repeats it. `one_attempt_runs` asserts it (`debug_assert!` and the violation metric), and the model's executor checks each start for a running task of another attempt.

Conclusion: an agent runs at most one attempt of a job, whatever deciders ask. Tasks that an executor already had when its agent started are exempt, as with accelerators.

--- a/crates/rattanwinch_agent/src/member_owner.rs
+++ b/crates/rattanwinch_agent/src/member_owner.rs
@@ -186,6 +186,12 @@
                 self.wait(member, Awaits::Load, answer);
                 tokio::spawn(Arc::clone(&self.state).perform(action));
             }
+            Ok(Hold::AfterOlder(actions)) => {
+                self.perform(actions);
+                let message = format!("{member} waits for the end of an older attempt here");
+                let error = RequestError::not_run(ErrorKind::Busy, message);
+                self.refuse("hold", error, answer);
+            }
             Err(error) => self.refuse("hold", error, answer),
         }
     }
--- a/crates/rattanwinch_decisions/src/members/invariant.rs
+++ b/crates/rattanwinch_decisions/src/members/invariant.rs
@@ -17,6 +17,8 @@
         StartUnderFreshGate,
         /// An ended member never runs again.
         EndedStaysEnded,
+        /// Two attempts at a job never run at the same time.
+        OneAttemptRuns,
     }
 }
 
@@ -30,6 +32,7 @@
             Self::StartFromHighestEpoch => "start_from_highest_epoch",
             Self::StartUnderFreshGate => "start_under_fresh_gate",
             Self::EndedStaysEnded => "ended_stays_ended",
+            Self::OneAttemptRuns => "one_attempt_runs",
         }
     }
 }
@@ -55,6 +58,7 @@
         let mut violations = Vec::new();
         self.check_accelerators(&mut violations);
         self.check_starts(&mut violations);
+        self.check_attempts_apart(&mut violations);
         debug_assert!(violations.is_empty(), "invariants violated: {violations:?}");
         violations
     }
@@ -80,6 +84,26 @@
         }
     }
 
+    /// As with accelerators, two tasks that the executor had before this agent aren't its doing.
+    fn check_attempts_apart(&self, violations: &mut Vec<Violation>) {
+        let running = || {
+            let members = self.members();
+            members.filter(|(_, member)| matches!(member, MemberState::Running(_)))
+        };
+        for (key, member) in running() {
+            let granted_here = member.identity().payload.is_some();
+            let other = |(other, _): (&MemberKey, &MemberState)| {
+                other.attempt.key == key.attempt.key && other.attempt != key.attempt
+            };
+            if granted_here && running().any(other) {
+                violations.push(Violation {
+                    invariant: Invariant::OneAttemptRuns,
+                    member: key.clone(),
+                });
+            }
+        }
+    }
+
     fn check_starts(&self, violations: &mut Vec<Violation>) {
         for (key, member) in self.members() {
             let MemberState::Running(member) = member else {
--- a/crates/rattanwinch_decisions/src/members/member_table.rs
+++ b/crates/rattanwinch_decisions/src/members/member_table.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 
 use rattanwinch_types::AcceleratorSet;
+use rattanwinch_types::AttemptKey;
 use rattanwinch_types::Digest;
 use rattanwinch_types::Epoch;
 use rattanwinch_types::ErrorKind;
@@ -41,6 +42,9 @@
         Loading,
         /// It is known and its task is loaded or has run.
         Held,
+        /// It is refused until members of an older attempt at the job have ended; the actions
+        /// stop them.
+        AfterOlder(Actions),
     }
 }
 
@@ -156,7 +160,7 @@
     /// tombstone or below one that is here, [`ErrorKind::Conflict`] for a member that is held
     /// with another order, [`ErrorKind::Invalid`] for accelerators that the worker lacks,
     /// [`ErrorKind::Busy`] if they are taken or there is no room for the record, and what the
-    /// gate answers. Nothing has run on account of a refused hold.
+    /// gate answers. A newer attempt at a job ends an older one here before it is held. Nothing has run on account of a refused hold.
     pub fn hold(&mut self, order: HoldOrder, gate: &Gate, now: Timestamp) -> Result<Hold> {
         let key = &order.member;
         self.accept_epoch(order.epoch)
@@ -166,6 +170,9 @@
             return repeated_hold(known, &order);
         }
         self.check_attempts(key)?;
+        if self.has_older(&key.attempt) {
+            return Ok(Hold::AfterOlder(self.end_older(&key.attempt, now)));
+        }
         self.check_free(&order)?;
         gate.check_start(now)?;
         self.make_room()?;
@@ -285,6 +292,27 @@
         ))
     }
 
+    /// Whether a member of an older attempt at the same job may run or be released here.
+    fn has_older(&self, attempt: &AttemptKey) -> bool {
+        let older = |key: &MemberKey| {
+            key.attempt.key == attempt.key && key.attempt.attempt < attempt.attempt
+        };
+        self.by_key
+            .iter()
+            .any(|(key, member)| member.is_live() && older(key))
+    }
+
+    /// Ends the members of older attempts at the same job.
+    fn end_older(&mut self, attempt: &AttemptKey, now: Timestamp) -> Actions {
+        let older = self
+            .by_key
+            .keys()
+            .filter(|key| key.attempt.key == attempt.key && key.attempt.attempt < attempt.attempt);
+        let older: Vec<MemberKey> = older.cloned().collect();
+        let end = |key: &MemberKey| self.end_or_stop(key, StopMode::Stop, MemberEnd::Stopped, now);
+        older.iter().flat_map(end).collect()
+    }
+
     /// Ends a held member, or orders a running one to stop unless that was ordered before.
     pub(super) fn end_or_stop(
         &mut self,
--- a/crates/rattanwinch_decisions/tests/member_table/world.rs
+++ b/crates/rattanwinch_decisions/tests/member_table/world.rs
@@ -11,6 +11,7 @@
 use rattanwinch_decisions::ListRequest;
 use rattanwinch_decisions::MemberState;
 use rattanwinch_decisions::MemberTable;
+use rattanwinch_decisions::ObservedState;
 use rattanwinch_decisions::ObservedTask;
 use rattanwinch_decisions::Release;
 use rattanwinch_decisions::TOMBSTONE_RETENTION;
@@ -175,6 +176,7 @@
                 self.waiting.push((action, self.commands));
             }
             Ok(Hold::Held | Hold::Loading) => {}
+            Ok(Hold::AfterOlder(actions)) => self.will_do(actions),
             Err(error) => assert!(epoch >= self.highest || error.kind == ErrorKind::Fenced),
         }
         Ok(())
@@ -307,6 +309,12 @@
         let refused = self.refused.get(member).is_some_and(|it| *it >= cause);
         assert!(!refused, "{member} runs after it was refused as not run");
         let running = self.observed();
+        let attempt = &member.attempt;
+        let other = running.iter().find(|it| {
+            let same_job = it.member.attempt.key == attempt.key;
+            same_job && it.member.attempt != *attempt && it.state == ObservedState::Running
+        });
+        assert!(other.is_none(), "{member} runs beside {other:?}");
         let running = running.iter().filter(|it| it.state.end().is_none());
         let taken = running.fold(0, |sum, it| sum + it.accelerators.count());
         assert!(taken <= 8, "more accelerators are used than there are");
