Move the jobs of a lost availability zone to other zones

Cause: when all agents of a zone and its decider died, the next decider ended the gangs there after their leases and queued the idempotent ones again in the same zone, where nothing could run. Only operators who closed the zone moved them.

Change: a decider counts its zone as lost when it has heard none of its agents for 30 s, hears agents of another zone, and every other registered entry has answered within 750 ms and hears none of them either (`ZoneSigns`; pings tell the zones that an entry hears). Queued jobs then move as out of a closed zone, by one compare-and-swap on the record and the decider's epoch. Moves never choose the zone that they leave.

A decider that is cut off from a healthy zone, and randomised runs over the decision, are open.

--- a/crates/rattanwinch_decisions/src/lib.rs
+++ b/crates/rattanwinch_decisions/src/lib.rs
@@ -100,6 +100,8 @@
 pub use role::Role;
 pub use role::RoleView;
 pub use role::SUSPECT_AFTER;
+pub use role::ZONE_LOST_AFTER;
+pub use role::ZoneSigns;
 pub use role::may_renew;
 pub use role::rank_entries;
 pub use routing::TargetLoad;
--- a/crates/rattanwinch_decisions/src/role/mod.rs
+++ b/crates/rattanwinch_decisions/src/role/mod.rs
@@ -8,6 +8,7 @@
 mod rank;
 mod renewal;
 mod state;
+mod zone_signs;
 
 pub use peers::PING_INTERVAL;
 pub use peers::Peers;
@@ -23,3 +24,5 @@
 pub use state::RANK_DELAY;
 pub use state::Role;
 pub use state::RoleView;
+pub use zone_signs::ZONE_LOST_AFTER;
+pub use zone_signs::ZoneSigns;
--- a/crates/rattanwinch_entry/src/fleet.rs
+++ b/crates/rattanwinch_entry/src/fleet.rs
@@ -133,6 +133,16 @@
         self.view.load().by_zone.get(zone).map(Arc::clone)
     }
 
+    /// The zones of which agents are heard.
+    pub fn heard_zones(&self, now: Timestamp) -> Vec<ZoneName> {
+        let view = self.view.load();
+        let heard = view.by_zone.iter().filter(|(_, targets)| {
+            let mut targets = targets.iter();
+            targets.any(|target| target.is_heard(now))
+        });
+        heard.map(|(zone, _)| zone.clone()).collect()
+    }
+
     /// The target with the given name.
     pub fn target(&self, name: &TargetName) -> Option<Arc<Target>> {
         self.view.load().targets.get(name).map(Arc::clone)
--- a/crates/rattanwinch_entry/src/zones/decider.rs
+++ b/crates/rattanwinch_entry/src/zones/decider.rs
@@ -75,6 +75,8 @@
     policy_violations: u64,
     config_revision: Option<Revision>,
     ticked_at: Timestamp,
+    /// When the task began, before which it heard no agent.
+    pub(super) began_at: Timestamp,
     handle: ZoneHandle,
 }
 
@@ -114,6 +116,7 @@
         policy_violations: 0,
         config_revision: None,
         ticked_at: Timestamp::ZERO,
+        began_at: state.clock.now(),
         handle: handle.clone(),
     };
     (handle, decider.run(rx))
--- a/crates/rattanwinch_entry/src/zones/moves.rs
+++ b/crates/rattanwinch_entry/src/zones/moves.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use metrics::counter;
+use rattanwinch_decisions::ZoneSigns;
 use rattanwinch_decisions::choose_zone;
 use rattanwinch_platform::Condition;
 use rattanwinch_platform::Retention;
@@ -27,13 +28,29 @@
 const MAX_MOVING: usize = 16;
 
 impl<S: Store> ZoneDecider<S> {
-    /// Moves jobs that wait out of a closed zone, while another one is open.
+    /// Whether the zone counts as lost. The move itself is one compare-and-swap on the record and
+    /// the epoch, so it is safe if the zone comes back.
+    fn is_zone_lost(&self, now: Timestamp) -> bool {
+        let heard = self.workers.0.values().map(|worker| worker.heard_at);
+        let heard_at = heard.fold(self.began_at, Ord::max);
+        let hears = self.state.fleet.heard_zones(now);
+        let signs = ZoneSigns {
+            silent_for: now.since(heard_at),
+            hears_other_zones: hears.iter().any(|zone| *zone != self.zone),
+            others_agree: self.state.others_hear_none(&self.zone, now),
+        };
+        signs.is_lost()
+    }
+
+    /// Moves jobs that wait out of a closed or lost zone, while another one is open.
     pub(super) fn move_queued(&mut self, now: Timestamp) {
         let control = self.state.control.load_full();
-        if control.config.zone_closure(&self.zone).is_none() || !control.is_fresh(now) {
+        let closed = control.config.zone_closure(&self.zone).is_some();
+        if !control.is_fresh(now) || !(closed || self.is_zone_lost(now)) {
             return;
         }
-        let offers = self.state.zone_offers();
+        let mut offers = self.state.zone_offers();
+        offers.retain(|offer| offer.summary.zone != self.zone);
         let waiting = self.gangs.queued_keys();
         let waiting: Vec<_> = waiting.filter(|key| !self.moving.contains(key)).collect();
         let room = MAX_MOVING.saturating_sub(self.moving.len());
@@ -66,8 +83,11 @@
             self.answer_finished(key);
             self.state.hand_to_decider(zone, key);
         } else {
-            self.gangs
-                .explain(key, "couldn't be moved out of the closed zone yet", now);
+            self.gangs.explain(
+                key,
+                "couldn't be moved out of the closed or lost zone yet",
+                now,
+            );
         }
     }
 }
--- a/crates/rattanwinch_entry/src/zones/pings.rs
+++ b/crates/rattanwinch_entry/src/zones/pings.rs
@@ -4,11 +4,13 @@
 use std::sync::atomic::Ordering;
 
 use rattanwinch_decisions::PING_INTERVAL;
+use rattanwinch_decisions::SUSPECT_AFTER;
 use rattanwinch_decisions::may_renew;
 use rattanwinch_platform::Store;
 use rattanwinch_types::EntryName;
 use rattanwinch_types::PeerState;
 use rattanwinch_types::Timestamp;
+use rattanwinch_types::ZoneName;
 
 use crate::entry_state::EntryState;
 
@@ -26,6 +28,7 @@
             .draining(self.draining.load(Ordering::Acquire))
             .zones(self.zones.summaries())
             .epochs(control.epochs())
+            .hears(self.fleet.heard_zones(now))
             .build();
         Some(state)
     }
@@ -44,6 +47,23 @@
         addresses
     }
 
+    /// Whether every other registered entry has answered lately and hears no agent of the zone.
+    pub fn others_hear_none(&self, zone: &ZoneName, now: Timestamp) -> bool {
+        let control = self.control.load();
+        let peers = self.zones.peers();
+        let hears_none = |entry: &EntryName| {
+            let heard = peers.get(entry);
+            heard.is_some_and(|heard| {
+                let zones = heard.state.hears.as_ref();
+                let none = zones.is_some_and(|zones| !zones.contains(zone));
+                none && now.since(heard.at) < SUSPECT_AFTER
+            })
+        };
+        let own = &self.settings.entry;
+        let mut others = control.entry_records().filter(|it| it.entry != *own);
+        others.all(|record| hears_none(&record.entry))
+    }
+
     /// Whether this entry may renew the task leases of zones that it decides.
     pub fn may_renew(&self, now: Timestamp) -> bool {
         let control = self.control.load();
--- a/crates/rattanwinch_peers/src/wire/peer_state.rs
+++ b/crates/rattanwinch_peers/src/wire/peer_state.rs
@@ -159,6 +159,9 @@
         /// The epochs that it has read in the store; absent in pings of earlier versions.
         #[serde(default)]
         pub epochs: Vec<WireZoneEpoch>,
+        /// The zones of which it hears agents; absent in pings of earlier versions.
+        #[serde(default)]
+        pub hears: Option<Vec<String>>,
     }
 }
 
@@ -173,6 +176,9 @@
             draining: state.draining,
             zones: state.zones.into_iter().map(Into::into).collect(),
             epochs: state.epochs.into_iter().map(Into::into).collect(),
+            hears: state
+                .hears
+                .map(|zones| zones.into_iter().map(Into::into).collect()),
         }
     }
 }
@@ -182,6 +188,10 @@
 
     fn try_from(wire: WirePeerState) -> Result<Self, InvalidWire> {
         let zones = wire.zones.into_iter().map(ZoneSummary::try_from);
+        let hears = wire.hears.map(|zones| {
+            let zones = zones.into_iter().map(ZoneName::new);
+            zones.collect::<Result<Vec<_>, _>>()
+        });
         let epochs = wire.epochs.into_iter().map(ZoneEpoch::try_from);
         Ok(Self {
             entry: EntryName::new(wire.entry)?,
@@ -192,6 +202,7 @@
             draining: wire.draining,
             zones: zones.collect::<Result<_, _>>()?,
             epochs: epochs.collect::<Result<_, _>>()?,
+            hears: hears.transpose()?,
         })
     }
 }
--- a/crates/rattanwinch_types/src/peer_state.rs
+++ b/crates/rattanwinch_types/src/peer_state.rs
@@ -78,4 +78,6 @@
     /// from any entry.
     #[builder(default)]
     pub epochs: Vec<ZoneEpoch>,
+    /// The zones of which it hears agents; `None` from a version that doesn't tell.
+    pub hears: Option<Vec<ZoneName>>,
 }
