Decode the store's control records once a read, not for each heartbeat

Cause: an entry answers each heartbeat with the list of entries and decoded the JSON registration of every entry for it. In a profile of an entry with 60 agents and one registered entry (perf, dwarf call graphs, 490 samples, load 18) that was 3.9% of its samples; the cost of a heartbeat grew with the number of entries in the fleet. Looks at the roles decoded the decider keys 20 times a second and zone in the same way.

One run, so the noise is unknown. Of the process tests, the one of takeovers.rs passed; configurations::a_store_that_went_back_decides_nothing failed once ("entry 1 didn't notice" within 5 s, load 20) and passed once in the repetition. The values that are read are the same as before, but that the failure is older than this change is not shown.

Most of an entry's time for a heartbeat (52% of the samples) is the HTTP server of jsonrpsee and its socket calls; rattanwinch's own part of a heartbeat was 10%.

--- a/crates/rattanwinch_demo/examples/measure_control.rs
+++ b/crates/rattanwinch_demo/examples/measure_control.rs
@@ -42,6 +42,9 @@
     /// Numbers of agents, one run each.
     #[arg(long, value_delimiter = ',', default_value = "20,60,180")]
     agents: Vec<usize>,
+    /// Entries, of which the first is measured; agents send heartbeats to all.
+    #[arg(long, default_value_t = 1)]
+    entries: usize,
     /// Availability zones that the agents are spread over.
     #[arg(long, default_value_t = 3)]
     zones: usize,
@@ -89,17 +92,28 @@
     std::fs::create_dir_all(&folder)?;
     let store = StandinStore::start(ANY_PORT, StoreLimits::default()).await?;
     write_site_config(store.address(), arguments.zones).await?;
-    let text = format!(
-        "[entry]\nentry = entry-1\nzone = az-1\nhttp_listen = 127.0.0.1:0\n\
-         rpc_listen = 127.0.0.1:0\n[store]\nendpoints = {}\n",
-        store.address()
-    );
-    let entry = start(&folder, "rattanwinch-entry", &text)?;
-    let rpc = entry.address("rpc")?;
+    let start_entry = |n: usize| {
+        let text = format!(
+            "[entry]\nentry = entry-{n}\nzone = az-1\nhttp_listen = 127.0.0.1:0\n\
+             rpc_listen = 127.0.0.1:0\n[store]\nendpoints = {}\n",
+            store.address()
+        );
+        start(&folder, "rattanwinch-entry", &text)
+    };
+    let entries: Vec<Process> = (1..=arguments.entries)
+        .map(start_entry)
+        .collect::<Result<_>>()?;
+    let entry = entries.first().wrap_err("there is at least one entry")?;
+    let seeds: Vec<SocketAddr> = entries
+        .iter()
+        .map(|entry| entry.address("rpc"))
+        .collect::<Result<_>>()?;
+    let seed_list: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+    let seed_list = seed_list.join(", ");
     let executor = StandinExecutor::start(ANY_PORT, 8).await?;
     let text = format!(
         "[agent]\ntarget = measured\nzone = az-1\nrack = rack-0\nlisten = 127.0.0.1:0\n\
-         executor = {}\nentries = {rpc}\n",
+         executor = {}\nentries = {seed_list}\n",
         executor.address()
     );
     let measured = start(&folder, "rattanwinch-agent", &text)?;
@@ -111,7 +125,7 @@
             .rack(RackName::new(format!("rack-{}", n / 3))?)
             .listen(ANY_PORT)
             .executor(executor.address())
-            .entries(vec![rpc])
+            .entries(seeds.clone())
             // With requests, only the measured agent is to take them.
             .slots(if arguments.rate > 0 { 0 } else { 8 })
             .queue(if arguments.rate > 0 { 0 } else { 60 })
--- a/crates/rattanwinch_entry/src/control_reads.rs
+++ b/crates/rattanwinch_entry/src/control_reads.rs
@@ -24,6 +24,8 @@
 
 use crate::control_view::ControlView;
 use crate::entry_state::EntryState;
+use crate::zones::decode_deciders;
+use crate::zones::decode_entries;
 
 /// The time between two control reads: two a second and entry, a hundredth of the store's reads
 /// for ten entries.
@@ -79,6 +81,8 @@
             // The read was on its way when the revision became known, so it proves nothing.
             return;
         }
+        let deciders = decode_deciders(&read.deciders);
+        let entries = decode_entries(&read.entries);
         let before = self.control.rcu(|before| {
             let mut view = ControlView::clone(before);
             view.regressed |= read.revision < known.revision || is_regressed(before, read);
@@ -90,8 +94,8 @@
                 view.config = Arc::clone(config);
             }
             view.cluster = Some(read.cluster);
-            view.deciders = Arc::from(read.deciders.as_slice());
-            view.entries = Arc::from(read.entries.as_slice());
+            view.deciders = Arc::clone(&deciders);
+            view.entries = Arc::clone(&entries);
             view.confirmed_at = before.confirmed_at.max(Some(sent_at));
             view
         });
--- a/crates/rattanwinch_entry/src/control_view.rs
+++ b/crates/rattanwinch_entry/src/control_view.rs
@@ -1,11 +1,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rattanwinch_platform::Versioned;
+use rattanwinch_platform::records::EntryRecord;
 use rattanwinch_types::FleetConfig;
 use rattanwinch_types::Revision;
 use rattanwinch_types::Timestamp;
 
+use crate::zones::DeciderKeys;
+
 /// How long a successful control read keeps an entry's view fresh, from when it was sent. With
 /// an agent's 2 s it keeps a closing under its bound of 5 s.
 const FRESH_FOR: Duration = Duration::from_millis(1500);
@@ -46,10 +48,12 @@
     pub revision: Revision,
     /// The configuration.
     pub config: Arc<FleetConfig>,
-    /// The decider keys of all zones.
-    pub deciders: Arc<[Versioned]>,
-    /// The registrations of all entries.
-    pub entries: Arc<[Versioned]>,
+    /// The decider keys of all zones by their keys in the store, decoded once a read: each look
+    /// at a role asks for one.
+    pub deciders: DeciderKeys,
+    /// The registrations of all entries, decoded once a read: each response to a heartbeat lists
+    /// them.
+    pub entries: Arc<[EntryRecord]>,
     /// When the last successful control read was sent.
     pub confirmed_at: Option<Timestamp>,
     /// Which store was read; another id means other data.
--- a/crates/rattanwinch_entry/src/zones/control.rs
+++ b/crates/rattanwinch_entry/src/zones/control.rs
@@ -1,5 +1,8 @@
+use std::sync::Arc;
+
 use rattanwinch_decisions::DeciderKey;
 use rattanwinch_decisions::RoleView;
+use rattanwinch_platform::Versioned;
 use rattanwinch_platform::keys;
 use rattanwinch_platform::records::DeciderRecord;
 use rattanwinch_platform::records::EntryRecord;
@@ -9,23 +12,38 @@
 
 use crate::control_view::ControlView;
 
-impl ControlView {
-    /// The decider key of a zone; `None` if there is none or it can't be read.
-    pub fn decider(&self, zone: &ZoneName) -> Option<DeciderKey> {
-        let key = keys::decider(zone);
-        let stored = self.deciders.iter().find(|stored| stored.key == key)?;
+/// The decider keys of zones by their keys in the store.
+pub(crate) type DeciderKeys = Arc<[(Arc<str>, DeciderKey)]>;
+
+/// The decider keys that were read; one that can't be read is left out.
+pub(crate) fn decode_deciders(stored: &[Versioned]) -> DeciderKeys {
+    let decode = |stored: &Versioned| {
         let record = DeciderRecord::decode(&stored.value).ok()?;
-        Some(DeciderKey {
+        let decider = DeciderKey {
             entry: record.entry,
             incarnation: record.incarnation,
             epoch: Epoch(stored.revision.0),
-        })
-    }
+        };
+        Some((Arc::clone(&stored.key), decider))
+    };
+    stored.iter().filter_map(decode).collect()
+}
+
+/// The registrations that were read; one that can't be read is left out.
+pub(crate) fn decode_entries(stored: &[Versioned]) -> Arc<[EntryRecord]> {
+    let records = stored.iter();
+    records
+        .filter_map(|stored| EntryRecord::decode(&stored.value).ok())
+        .collect()
+}
 
-    /// The registered entries.
-    pub fn entry_records(&self) -> impl Iterator<Item = EntryRecord> {
-        let records = self.entries.iter();
-        records.filter_map(|stored| EntryRecord::decode(&stored.value).ok())
+impl ControlView {
+    /// The decider key of a zone; `None` if there is none or it can't be read.
+    pub fn decider(&self, zone: &ZoneName) -> Option<DeciderKey> {
+        let key = keys::decider(zone);
+        let mut deciders = self.deciders.iter();
+        let (_, decider) = deciders.find(|(known, _)| *known == key)?;
+        Some(decider.clone())
     }
 
     /// Whether decisions may be made on this view at `now`.
--- a/crates/rattanwinch_entry/src/zones/mod.rs
+++ b/crates/rattanwinch_entry/src/zones/mod.rs
@@ -21,6 +21,9 @@
 
 pub(crate) use calls::JobCalls;
 pub(crate) use calls::PeerCalls;
+pub(crate) use control::DeciderKeys;
+pub(crate) use control::decode_deciders;
+pub(crate) use control::decode_entries;
 pub(crate) use jobs::Jobs;
 pub(crate) use roles::run as run_roles;
 pub(crate) use zone_table::ZoneTable;
--- a/crates/rattanwinch_entry/src/zones/pings.rs
+++ b/crates/rattanwinch_entry/src/zones/pings.rs
@@ -30,9 +30,9 @@
     /// Where the other entries take calls: the registered ones and those that were heard.
     pub fn peer_addresses(&self) -> BTreeMap<EntryName, SocketAddr> {
         let control = self.control.load();
-        let registered = control.entry_records();
+        let registered = control.entries.iter();
         let mut addresses: BTreeMap<_, _> = registered
-            .map(|record| (record.entry, record.address))
+            .map(|record| (record.entry.clone(), record.address))
             .collect();
         for (entry, heard) in self.zones.peers() {
             addresses.insert(entry, heard.state.address);
--- a/crates/rattanwinch_entry/src/zones/registration.rs
+++ b/crates/rattanwinch_entry/src/zones/registration.rs
@@ -35,7 +35,7 @@
             zone: state.settings.zone.clone(),
         };
         let control = state.control.load();
-        let shown = control.entry_records().any(|known| known == record);
+        let shown = control.entries.contains(&record);
         let waits = |at| now.since(at) < REGISTER_AGAIN_AFTER;
         if shown || control.confirmed_at.is_none() || self.sent_at.is_some_and(waits) {
             return;
--- a/crates/rattanwinch_entry/src/zones/roles.rs
+++ b/crates/rattanwinch_entry/src/zones/roles.rs
@@ -116,7 +116,7 @@
     fn look_at_peers(&mut self, now: Timestamp) {
         let own = &self.state.settings.entry;
         let control = self.state.control.load();
-        let registered = control.entry_records().map(|record| record.entry);
+        let registered = control.entries.iter().map(|record| record.entry.clone());
         let registered: Vec<EntryName> = registered.filter(|entry| entry != own).collect();
         self.peers.set_registered(&registered, now);
         self.state.zones.forget_silent(&registered, now);
