Ping connections to agents every 4 s while they carry no calls

Cause: an entry pinged each connection twice a second, as often as the agent sends heartbeats, although an agent without running calls is shown to live by its heartbeats. A ping costs a call through the tasks of jsonrpsee's client, three timers and the socket calls for it and its answer.

Change: a connection is pinged every 500 ms while a call holds its client, every 4 s otherwise, and at once with the first call after an idle time. A silent connection is still replaced within 1.5 s of falling silent under a call, and within 1 s of its first use; a connection that was closed is noticed at once instead of at the next ping. Reading the number of connected targets doesn't count as a use. The maintenance of a connection may outlive its last user by 4 s.

--- a/crates/rattanwinch_entry/src/fleet.rs
+++ b/crates/rattanwinch_entry/src/fleet.rs
@@ -108,7 +108,7 @@
         let view = self.view.load();
         view.targets
             .values()
-            .filter(|target| target.connection.client().is_ok())
+            .filter(|target| target.connection.is_connected())
             .count()
     }
 
--- a/crates/rattanwinch_peers/src/agent_connection.rs
+++ b/crates/rattanwinch_peers/src/agent_connection.rs
@@ -2,6 +2,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Weak;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -14,9 +16,13 @@
 use crate::AgentRpcClient;
 use crate::MAX_MESSAGE_BYTES;
 
-/// The time between two pings on a connection.
+/// The time between two pings on a connection that carries calls.
 pub const CONNECTION_PING_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The time between two pings on a connection without calls. Heartbeats show that the agent
+/// lives; a silent connection is found by the ping that the next call brings forward.
+const IDLE_PING_INTERVAL: Duration = Duration::from_secs(4);
+
 /// A connection without an answer to a ping for this long is replaced.
 pub const CONNECTION_PING_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -27,7 +33,8 @@
 /// Calls in flight on one connection; an agent admits far fewer.
 const MAX_CALLS_IN_FLIGHT: usize = 4096;
 
-/// A WebSocket to one agent that is replaced when it falls silent.
+/// A WebSocket to one agent that is replaced when it falls silent: at most 1.5 s later while it
+/// carries calls, and 1 s after the first call that finds it silent.
 ///
 /// Calls take the client of the moment and keep it until they end, so a replaced connection
 /// lives on until its last call has ended.
@@ -35,14 +42,17 @@
     address: SocketAddr,
     client: ArcSwapOption<WsClient>,
     changed: Notify,
+    /// Whether the next ping waits for `IDLE_PING_INTERVAL` unless a call comes.
+    idle: AtomicBool,
+    /// Tells of the first call after an idle time.
+    used: Notify,
 }
 
 impl fmt::Debug for AgentConnection {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let connected = self.client.load().is_some();
         f.debug_struct("AgentConnection")
             .field("address", &self.address)
-            .field("connected", &connected)
+            .field("connected", &self.is_connected())
             .finish_non_exhaustive()
     }
 }
@@ -57,6 +67,8 @@
             address,
             client,
             changed: Notify::new(),
+            idle: AtomicBool::new(false),
+            used: Notify::new(),
         });
         tokio::spawn(maintain(Arc::downgrade(&connection), address));
         connection
@@ -68,16 +80,43 @@
         self.address
     }
 
-    /// The client of the moment.
+    /// Whether there is a connection now.
+    #[must_use]
+    pub fn is_connected(&self) -> bool {
+        self.client.load().is_some()
+    }
+
+    /// The client of the moment, for a call.
     ///
     /// # Errors
     ///
     /// [`ErrorKind::Unavailable`] with the verdict "not run" if there is no connection now.
     pub fn client(&self) -> Result<Arc<WsClient>, RequestError> {
-        self.client.load_full().ok_or_else(|| {
+        let client = self.client.load_full().ok_or_else(|| {
             let message = format!("no connection to the agent at {}", self.address);
             RequestError::not_run(ErrorKind::Unavailable, message)
-        })
+        })?;
+        // Only the first call after an idle time writes, so that calls share the flag by reading.
+        if self.idle.load(Ordering::SeqCst) && self.idle.swap(false, Ordering::SeqCst) {
+            self.used.notify_one();
+        }
+        Ok(client)
+    }
+
+    /// Waits while no call holds `client`, at most for what an idle connection adds to the
+    /// interval; false if the connection has been closed.
+    async fn idle_pause(&self, client: &Arc<WsClient>) -> bool {
+        self.idle.store(true, Ordering::SeqCst);
+        // The slot of the connection and its maintenance hold the client too.
+        let in_use = Arc::strong_count(client) > 2;
+        let connected = in_use
+            || tokio::select! {
+                () = tokio::time::sleep(IDLE_PING_INTERVAL - CONNECTION_PING_INTERVAL) => true,
+                () = self.used.notified() => true,
+                _ = client.on_disconnect() => false,
+            };
+        self.idle.store(false, Ordering::SeqCst);
+        connected
     }
 
     /// Waits until `client` is no longer the client of the moment, because it fell silent.
@@ -135,9 +174,13 @@
 async fn ping_until_silent(connection: &Weak<AgentConnection>, client: &Arc<WsClient>) -> bool {
     loop {
         tokio::time::sleep(CONNECTION_PING_INTERVAL).await;
-        if connection.strong_count() == 0 {
+        let Some(alive) = connection.upgrade() else {
             return false;
+        };
+        if !alive.idle_pause(client).await {
+            return true;
         }
+        drop(alive);
         let ping = tokio::time::timeout(CONNECTION_PING_TIMEOUT, client.ping()).await;
         if !matches!(ping, Ok(Ok(_))) {
             return true;
--- /dev/null
+++ b/crates/rattanwinch_peers/tests/agent_connection.rs
@@ -0,0 +1,161 @@
+//! Connections to agents: a silent one is replaced in time, and an idle one costs few pings.
+
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net::Ipv4Addr;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use jsonrpsee::RpcModule;
+use jsonrpsee::core::client::ClientT as _;
+use jsonrpsee::rpc_params;
+use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::ws_client::WsClient;
+use rattanwinch_peers::AgentConnection;
+use rattanwinch_peers::AgentRpcClient as _;
+use rattanwinch_peers::CONNECTION_PING_INTERVAL;
+use rattanwinch_peers::CONNECTION_PING_TIMEOUT;
+use rattanwinch_peers::RpcServer;
+
+const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// What a shared machine may add to a stated time.
+const SLACK: Duration = Duration::from_millis(500);
+
+/// How long an idle connection is watched.
+const WATCH: Duration = Duration::from_secs(6);
+
+/// Forwards connections to an agent; those that exist can be made silent without being closed.
+struct Relay {
+    address: SocketAddr,
+    silent: Arc<Mutex<Vec<Arc<AtomicBool>>>>,
+}
+
+impl Relay {
+    fn start(agent: SocketAddr) -> Self {
+        let listener = TcpListener::bind(ANY_PORT).expect("a port is free");
+        let address = listener.local_addr().expect("the listener is bound");
+        let silent: Arc<Mutex<Vec<Arc<AtomicBool>>>> = Arc::default();
+        let known = Arc::clone(&silent);
+        std::thread::spawn(move || {
+            for near in listener.incoming().map_while(Result::ok) {
+                let far = TcpStream::connect(agent).expect("the agent listens");
+                let flag = Arc::new(AtomicBool::new(false));
+                known
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .push(Arc::clone(&flag));
+                let copies = [
+                    (near.try_clone(), far.try_clone()),
+                    (far.try_clone(), near.try_clone()),
+                ];
+                for (from, to) in copies {
+                    let (from, to) = (from.expect("open"), to.expect("open"));
+                    let flag = Arc::clone(&flag);
+                    std::thread::spawn(move || forward(from, to, &flag));
+                }
+            }
+        });
+        Self { address, silent }
+    }
+
+    fn silence(&self) {
+        let known = self.silent.lock().unwrap_or_else(PoisonError::into_inner);
+        for flag in known.iter() {
+            flag.store(true, Ordering::Release);
+        }
+    }
+}
+
+fn forward(mut from: TcpStream, mut to: TcpStream, silent: &AtomicBool) {
+    let mut buf = [0; 4096];
+    while let Ok(count @ 1..) = from.read(&mut buf) {
+        if !silent.load(Ordering::Acquire) && to.write_all(&buf[..count]).is_err() {
+            break;
+        }
+    }
+    // The other side may have closed it before.
+    let _ = to.shutdown(Shutdown::Both);
+}
+
+/// An agent that answers pings, counts them, and never answers `agent_wait`.
+async fn start_agent() -> (RpcServer, Arc<AtomicU32>) {
+    let pings = Arc::new(AtomicU32::new(0));
+    let mut methods = RpcModule::new(Arc::clone(&pings));
+    let answer = |_: jsonrpsee::types::Params<'_>, pings: &Arc<AtomicU32>, _: &_| {
+        u64::from(pings.fetch_add(1, Ordering::AcqRel))
+    };
+    methods
+        .register_method("agent_ping", answer)
+        .expect("the name is new");
+    methods
+        .register_async_method("agent_wait", |_, _, _| async {
+            std::future::pending::<Result<u64, ErrorObjectOwned>>().await
+        })
+        .expect("the name is new");
+    let server = RpcServer::start(ANY_PORT, 16, methods).await;
+    (server.expect("a port is free"), pings)
+}
+
+async fn connected(connection: &AgentConnection) -> Arc<WsClient> {
+    let connecting = async {
+        loop {
+            if let Ok(client) = connection.client() {
+                return client;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let connecting = tokio::time::timeout(Duration::from_secs(5), connecting).await;
+    connecting.expect("the connection opens")
+}
+
+/// Guards against a call that waits on a silent connection for longer than the stated 1.5 s.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_falls_silent_under_a_call_is_replaced() {
+    let (agent, _) = start_agent().await;
+    let relay = Relay::start(agent.address());
+    let connection = AgentConnection::open(relay.address);
+    let client = connected(&connection).await;
+    let caller = Arc::clone(&client);
+    let call = tokio::spawn(async move {
+        let _: Result<u64, _> = caller.request("agent_wait", rpc_params![]).await;
+    });
+    client.ping().await.expect("the connection works");
+    relay.silence();
+    let bound = CONNECTION_PING_INTERVAL + CONNECTION_PING_TIMEOUT + SLACK;
+    let given_up = tokio::time::timeout(bound, connection.given_up(&client)).await;
+    given_up.expect("the silent connection is given up");
+    let replacement = connected(&connection).await;
+    replacement.ping().await.expect("the replacement works");
+    call.abort();
+}
+
+/// Guards against two pings a second on every idle connection of a large fleet, and against an
+/// idle connection whose silence shows only at the next regular ping.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_connection_is_pinged_rarely_and_replaced_on_its_first_use() {
+    let (agent, pings) = start_agent().await;
+    let relay = Relay::start(agent.address());
+    let connection = AgentConnection::open(relay.address);
+    drop(connected(&connection).await);
+    tokio::time::sleep(WATCH).await;
+    let idle = pings.load(Ordering::Acquire);
+    assert!((1..=3).contains(&idle), "{idle} pings in {WATCH:?}");
+    relay.silence();
+    let client = connected(&connection).await;
+    let bound = CONNECTION_PING_INTERVAL + CONNECTION_PING_TIMEOUT + SLACK;
+    let given_up = tokio::time::timeout(bound, connection.given_up(&client)).await;
+    given_up.expect("the silent connection is given up");
+    let replacement = connected(&connection).await;
+    replacement.ping().await.expect("the replacement works");
+}
