--- a/crates/rattanwinch_entry/src/control_reads.rs
+++ b/crates/rattanwinch_entry/src/control_reads.rs
@@ -25,6 +25,8 @@
 
 use crate::control_view::ControlView;
 use crate::entry_state::EntryState;
+use crate::zones::decode_deciders;
+use crate::zones::decode_entries;
 
 /// The time between two control reads: two a second and entry, a hundredth of the store's reads
 /// for ten entries.
@@ -89,6 +91,8 @@
             // The read was on its way when the revision became known, so it proves nothing.
             return;
         }
+        let deciders = decode_deciders(&read.deciders);
+        let entries = decode_entries(&read.entries);
         let before = self.control.rcu(|before| {
             let mut view = ControlView::clone(before);
             if before.confirmed_at.is_some_and(|at| sent_at < at) {
@@ -104,8 +108,8 @@
                 view.config = Arc::clone(config);
             }
             view.cluster = Some(read.cluster);
-            view.deciders = Arc::from(read.deciders.as_slice());
-            view.entries = Arc::from(read.entries.as_slice());
+            view.deciders = Arc::clone(&deciders);
+            view.entries = Arc::clone(&entries);
             view.confirmed_at = before.confirmed_at.max(Some(sent_at));
             view
         });
--- a/crates/rattanwinch_entry/src/zones/pings.rs
+++ b/crates/rattanwinch_entry/src/zones/pings.rs
@@ -36,9 +36,9 @@
     /// Where the other entries take calls: the registered ones and those that were heard.
     pub fn peer_addresses(&self) -> BTreeMap<EntryName, SocketAddr> {
         let control = self.control.load();
-        let registered = control.entry_records();
+        let registered = control.entries.iter();
         let mut addresses: BTreeMap<_, _> = registered
-            .map(|record| (record.entry, record.address))
+            .map(|record| (record.entry.clone(), record.address))
             .collect();
         for (entry, heard) in self.zones.peers() {
             addresses.insert(entry, heard.state.address);
@@ -60,7 +60,7 @@
             })
         };
         let own = &self.settings.entry;
-        let mut others = control.entry_records().filter(|it| it.entry != *own);
+        let mut others = control.entries.iter().filter(|it| it.entry != *own);
         others.all(|record| hears_none(&record.entry))
     }
 
@@ -69,7 +69,7 @@
         let control = self.control.load();
         let confirmed_at = control.confirmed_at.max(self.zones.confirmed_at());
         let own = &self.settings.entry;
-        let alone = control.entry_records().all(|record| record.entry == *own);
+        let alone = control.entries.iter().all(|record| record.entry == *own);
         may_renew(confirmed_at, alone, now)
     }
 
