Ping a replaced entry at its registered address once the old one is silent

Cause: configurations::a_store_that_went_back_decides_nothing failed: the restarted entry didn't notice within 5 s that the store had gone back. The address at which an entry was last heard always replaced its registered one, so the others kept pinging the dead process, and a store that has gone back updated no registrations at all. The restarted entry had nobody to tell it.

Change: an entry that has been silent for 750 ms is pinged at its registered address, and registrations are read from a store that has gone back, beside the known ones that it lacks.

--- a/crates/rattanwinch_entry/src/control_reads.rs
+++ b/crates/rattanwinch_entry/src/control_reads.rs
@@ -12,6 +12,7 @@
 use rattanwinch_platform::Store;
 use rattanwinch_platform::Versioned;
 use rattanwinch_platform::records::ConfigDocument;
+use rattanwinch_platform::records::EntryRecord;
 use rattanwinch_platform::records::InvalidConfig;
 use rattanwinch_runtime::Shutdown;
 use rattanwinch_types::ExceptionEffect;
@@ -101,6 +102,7 @@
             }
             view.regressed |= read.revision < known.revision || is_regressed(before, read);
             if view.regressed {
+                view.entries = with_known(&entries, &before.entries);
                 return view;
             }
             if let Some((revision, config)) = config.as_ref().filter(|new| new.0 > view.revision) {
@@ -155,6 +157,16 @@
     Ok((document.revision, Arc::new(parsed.config)))
 }
 
+/// The registrations that a store which has gone back shows, and the known ones that it lacks.
+///
+/// A restarted entry trusts the store until another process tells it the higher revision, so the
+/// others have to learn its new address.
+fn with_known(read: &[EntryRecord], known: &[EntryRecord]) -> Arc<[EntryRecord]> {
+    let is_read = |known: &EntryRecord| read.iter().any(|record| record.entry == known.entry);
+    let lacking = known.iter().filter(|known| !is_read(known));
+    read.iter().chain(lacking).cloned().collect()
+}
+
 /// Whether the store that was read can't be a later state of the one known before.
 fn is_regressed(before: &ControlView, read: &ControlRead) -> bool {
     let other_store = before
--- a/crates/rattanwinch_entry/src/zones/pings.rs
+++ b/crates/rattanwinch_entry/src/zones/pings.rs
@@ -40,8 +40,12 @@
         let mut addresses: BTreeMap<_, _> = registered
             .map(|record| (record.entry.clone(), record.address))
             .collect();
+        let now = self.clock.now();
         for (entry, heard) in self.zones.peers() {
-            addresses.insert(entry, heard.state.address);
+            // A silent entry may have been replaced and registered under another address.
+            if now.since(heard.at) < SUSPECT_AFTER || !addresses.contains_key(&entry) {
+                addresses.insert(entry, heard.state.address);
+            }
         }
         addresses.remove(&self.settings.entry);
         addresses
