--- a/crates/rattanwinch_decisions/src/gang/timers.rs
+++ b/crates/rattanwinch_decisions/src/gang/timers.rs
@@ -112,17 +112,20 @@
         }
         // A member that is silent for its whole lease has ended or is another decider's, whoever
         // is cut off: then the gang isn't whole.
-        let patience = if self.losses_suspended {
+        let silence_limit = if self.losses_suspended {
             TASK_LEASE
         } else {
             MISSING_AFTER
         };
-        let missing = |since| now.since(since) >= patience;
+        let missing = |since| now.since(since) >= silence_limit;
         let lost = job.stage.tasks.iter().find(|task| {
             !matches!(task.phase, TaskPhase::Succeeded(Some(_))) && missing(task.reported_at)
         });
         if let Some(task) = lost {
-            let text = format!("its agent hasn't reported it for {} s", patience.as_secs());
+            let text = format!(
+                "its agent hasn't reported it for {} s",
+                silence_limit.as_secs()
+            );
             let cause = EndCause::Lost(task.placed.target.clone(), text.into());
             self.end_attempt(key, cause, now);
             return;
--- a/crates/rattanwinch_decisions/src/members/member_table.rs
+++ b/crates/rattanwinch_decisions/src/members/member_table.rs
@@ -160,7 +160,8 @@
     /// tombstone or below one that is here, [`ErrorKind::Conflict`] for a member that is held
     /// with another order, [`ErrorKind::Invalid`] for accelerators that the worker lacks,
     /// [`ErrorKind::Busy`] if they are taken or there is no room for the record, and what the
-    /// gate answers. A newer attempt at a job ends an older one here before it is held. Nothing has run on account of a refused hold.
+    /// gate answers. A newer attempt at a job ends an older one here before it is held. Nothing
+    /// has run on account of a refused hold.
     pub fn hold(&mut self, order: HoldOrder, gate: &Gate, now: Timestamp) -> Result<Hold> {
         let key = &order.member;
         self.accept_epoch(order.epoch)
