Decide jobs of several steps in a package of their own

Cause: the platform's jobs have steps, gangs, data racks, labels, checkpoints, repeats and guarantees on targets of unequal room; the buddy blocks of rattanwinch_decisions don't fit them.

Change: rattanwinch_scheduling, pure: queueing, placement, reclaim, runs and their ends. Its owner makes each change durable before acting on it.

--- /dev/null
+++ b/crates/rattanwinch_scheduling/src/event.rs
@@ -0,0 +1,108 @@
+use rattanwinch_types::TargetName;
+use rattanwinch_types::value;
+
+use crate::JobId;
+use crate::JobState;
+use crate::RunEnd;
+use crate::RunId;
+use crate::StartRefusal;
+use crate::StepId;
+use crate::TargetLife;
+
+value! {
+    /// Something that the scheduler has decided or come to believe, for logs and metrics.
+    pub enum Event {
+        /// A step was placed on targets.
+        Placed {
+            /// The step.
+            step: StepId,
+            /// The number of the runs.
+            number: u32,
+            /// The targets, one a task.
+            targets: Vec<TargetName>,
+            /// How long the step had waited since its turn came, in milliseconds.
+            waited_ms: u64,
+        },
+        /// Runs are stopped to make room for a step within its organisation's guarantee.
+        Reclaimed {
+            /// The step that needs the room.
+            step: StepId,
+            /// The runs that give way.
+            victims: Vec<RunId>,
+        },
+        /// A target has the run.
+        Started(RunId),
+        /// A target didn't take a run.
+        Refused {
+            /// The run.
+            run: RunId,
+            /// The target.
+            target: TargetName,
+            /// Why.
+            refusal: StartRefusal,
+        },
+        /// A run has ended.
+        Ended {
+            /// The run.
+            run: RunId,
+            /// The target.
+            target: TargetName,
+            /// How it ended.
+            end: RunEnd,
+        },
+        /// A run is given up: it isn't on its target and can't start there any more.
+        Abandoned {
+            /// The run.
+            run: RunId,
+            /// The target.
+            target: TargetName,
+        },
+        /// A target has a run that nobody placed there.
+        Stranger {
+            /// The run.
+            run: RunId,
+            /// The target.
+            target: TargetName,
+        },
+        /// A life of a target is over, and with it all that ran there.
+        TargetGone {
+            /// The life.
+            life: TargetLife,
+            /// The cause.
+            cause: GoneCause,
+        },
+        /// A target gets no new tasks for a time, since runs of several jobs failed on it.
+        Quarantined {
+            /// The target.
+            target: TargetName,
+            /// For how long, in milliseconds.
+            for_ms: u64,
+        },
+        /// A run makes no progress and is stopped.
+        Stalled {
+            /// The run.
+            run: RunId,
+            /// The target.
+            target: TargetName,
+        },
+        /// A job has come to its end.
+        Finished {
+            /// The job.
+            job: JobId,
+            /// Its final state.
+            state: JobState,
+        },
+    }
+}
+
+value! { copy
+    /// Why a life of a target is taken as over.
+    pub enum GoneCause {
+        /// The target has started again or its VM has another one.
+        Replaced,
+        /// It said that it leaves.
+        Left,
+        /// Nothing was heard for so long that its leases have run out.
+        Silent,
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_scheduling/src/job_description.rs
@@ -0,0 +1,125 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use rattanwinch_types::Timestamp;
+use rattanwinch_types::value;
+use smallvec::SmallVec;
+
+use crate::Label;
+use crate::Resources;
+
+/// The most tasks that a job may have over all its occurrences; the state of a job with more
+/// would not fit into one value of the store.
+pub const MAX_JOB_TASKS: usize = 8_000;
+
+value! {
+    /// What a caller asks for: steps of tasks, once or repeatedly.
+    pub struct JobDescription {
+        /// What the tasks are told to do, passed on unread.
+        pub payload: Arc<str>,
+        /// The steps, in the order of their numbers.
+        pub steps: Arc<[StepDescription]>,
+        /// When the steps are due; `None` runs them once, at once.
+        pub repeats: Option<Repeats>,
+    }
+}
+
+value! { copy
+    /// The due times of a repeated job.
+    pub struct Repeats {
+        /// When the first occurrence is due, in wall time.
+        pub first: Timestamp,
+        /// The time between two occurrences.
+        pub interval: Duration,
+        /// The number of occurrences.
+        pub times: u32,
+    }
+}
+
+value! {
+    /// A step: equal tasks that may run once the steps before it are done.
+    #[derive(bon::Builder)]
+    pub struct StepDescription {
+        /// The number of tasks.
+        pub count: u32,
+        /// What each task needs.
+        pub need: Resources,
+        /// The caller's rough estimate of a task's run time.
+        #[builder(default)]
+        pub estimate: Duration,
+        /// The steps that must be done first.
+        #[builder(default)]
+        pub after: SmallVec<[u32; 4]>,
+        /// The tasks save their progress.
+        #[builder(default)]
+        pub checkpointing: bool,
+        /// The tasks only work together.
+        #[builder(default)]
+        pub gang: bool,
+        /// The tasks are slower on more than one rack.
+        #[builder(default)]
+        pub same_rack: bool,
+        /// A label that the target must carry.
+        pub required_label: Option<Label>,
+        /// The rack that holds the data; the tasks are slower on any other.
+        pub data_rack: Option<Label>,
+        /// The most tasks of one occurrence of the step on one target.
+        pub max_per_target: Option<u32>,
+        /// Copies of a task may run beside each other.
+        #[builder(default)]
+        pub speculative: bool,
+        /// The tasks run until the job is cancelled and are started again however they end.
+        #[builder(default)]
+        pub long_running: bool,
+        /// The task takes only what the other tasks on its target leave over.
+        #[builder(default)]
+        pub fills: bool,
+        /// The limit of a serving task's response-time tail.
+        pub response_time_limit: Option<Duration>,
+    }
+}
+
+impl JobDescription {
+    /// The number of occurrences, at least one.
+    #[must_use]
+    pub fn occurrences(&self) -> u32 {
+        self.repeats.map_or(1, |repeats| repeats.times.max(1))
+    }
+
+    /// When an occurrence is due in wall time; `None` if it is due at once.
+    #[must_use]
+    pub fn due(&self, occurrence: u32) -> Option<Timestamp> {
+        let repeats = self.repeats?;
+        Some(repeats.first + repeats.interval * occurrence)
+    }
+
+    /// The number of tasks over all occurrences.
+    #[must_use]
+    pub fn task_count(&self) -> usize {
+        let each: usize = self.steps.iter().map(|step| step.count as usize).sum();
+        each.saturating_mul(self.occurrences() as usize)
+    }
+
+    /// The accelerators that the widest step needs at once.
+    #[must_use]
+    pub fn widest_accelerators(&self) -> u64 {
+        let widths = self.steps.iter();
+        let widths = widths.map(|step| u64::from(step.count) * step.need.accelerators);
+        widths.max().unwrap_or(0)
+    }
+
+    /// True if a step's `after` names only earlier steps, and no step is empty.
+    #[must_use]
+    pub fn is_well_formed(&self) -> bool {
+        let ordered = |(number, step): (usize, &StepDescription)| {
+            step.count > 0
+                && step
+                    .after
+                    .iter()
+                    .all(|&earlier| (earlier as usize) < number)
+        };
+        !self.steps.is_empty()
+            && self.task_count() <= MAX_JOB_TASKS
+            && self.steps.iter().enumerate().all(ordered)
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -0,0 +1,281 @@
+use std::time::Duration;
+
+use rattanwinch_types::TargetName;
+use rattanwinch_types::Timestamp;
+
+use crate::EndedTask;
+use crate::Event;
+use crate::GoneCause;
+use crate::RunEnd;
+use crate::RunId;
+use crate::RunningTask;
+use crate::Scheduler;
+use crate::TargetLife;
+use crate::TargetReport;
+use crate::active_run::Intent;
+use crate::target::Target;
+
+/// Failures of different tasks in a row that speak against the target rather than the tasks.
+const FAILURES_BEFORE_QUARANTINE: u32 = 2;
+
+/// A run that had started and that no report has shown for so long is looked for by a stop; a
+/// report that was made just before the start is no sign, and reports come every second.
+const MISSING_LIMIT: Duration = Duration::from_millis(2500);
+
+impl Scheduler {
+    /// Takes in what a target's agent has read from it.
+    ///
+    /// Reports of one agent have to come in the order in which they were made.
+    pub fn report(&mut self, report: &TargetReport, now: Timestamp) {
+        let life = &report.description.life;
+        let known = self.targets.get(&life.target);
+        if known.is_some_and(|target| target.description.life != *life) {
+            self.target_gone(&life.target, GoneCause::Replaced);
+        }
+        self.lapse_former_lives(life);
+        let target = self
+            .targets
+            .entry(life.target.clone())
+            .or_insert_with(|| Target::new(report.description.clone(), now));
+        target.description = report.description.clone();
+        target.heard_at = now;
+        for ended in &report.ended {
+            self.note_end(life, ended, now);
+        }
+        for active in self
+            .active
+            .values_mut()
+            .filter(|active| active.target == *life)
+        {
+            active.present = false;
+        }
+        for running in &report.running {
+            self.note_running(life, running, now);
+        }
+        self.note_missing(life, now);
+        let strangers = report.running.iter().map(|running| &running.run);
+        let strangers: Vec<_> = strangers
+            .filter(|run| !self.placed_on(run, life))
+            .cloned()
+            .collect();
+        self.note_strangers(&life.target, strangers);
+    }
+
+    fn placed_on(&self, run: &RunId, life: &TargetLife) -> bool {
+        let active = self.active.get(run);
+        active.is_some_and(|active| active.target == *life)
+    }
+
+    fn note_strangers(&mut self, target: &TargetName, strangers: Vec<RunId>) {
+        let Some(known) = self.targets.get_mut(target) else {
+            return;
+        };
+        let before = std::mem::replace(&mut known.strangers, strangers);
+        let new: Vec<_> = known
+            .strangers
+            .iter()
+            .filter(|run| !before.contains(run))
+            .cloned()
+            .collect();
+        for run in new {
+            self.note(Event::Stranger {
+                run,
+                target: target.clone(),
+            });
+        }
+    }
+
+    /// Notes that a life of a target is over, and with it all that ran there.
+    pub fn life_gone(&mut self, life: &TargetLife, cause: GoneCause) {
+        let present = self.targets.get(&life.target);
+        if present.is_some_and(|target| target.description.life == *life) {
+            self.target_gone(&life.target, cause);
+        } else {
+            self.lapse(|other| other == life);
+        }
+    }
+
+    fn target_gone(&mut self, target: &TargetName, cause: GoneCause) {
+        let Some(known) = self.targets.remove(target) else {
+            return;
+        };
+        self.advice.forget_target(target);
+        self.note(Event::TargetGone {
+            life: known.description.life.clone(),
+            cause,
+        });
+        self.lapse(|life| *life == known.description.life);
+    }
+
+    /// Gives up targets that have been silent for so long that nothing can run there.
+    pub fn expire(&mut self, now: Timestamp) {
+        let silence = self.limits.silence;
+        let silent: Vec<_> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| now.since(target.heard_at) > silence)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in silent {
+            self.target_gone(&name, GoneCause::Silent);
+        }
+        if now.since(self.started_at) > silence {
+            let unheard: Vec<_> = self
+                .active
+                .values()
+                .filter(|active| !self.targets.contains_key(&active.target.target))
+                .map(|active| active.target.clone())
+                .collect();
+            self.lapse(|life| unheard.contains(life));
+        }
+    }
+
+    fn lapse_former_lives(&mut self, present: &TargetLife) {
+        self.lapse(|life| life.target == present.target && life != present);
+    }
+
+    fn lapse(&mut self, affected: impl Fn(&TargetLife) -> bool) {
+        let lapsed: Vec<_> = self
+            .active
+            .iter()
+            .filter(|(_, active)| affected(&active.target))
+            .map(|(run, _)| run.clone())
+            .collect();
+        for run in lapsed {
+            self.end_run(&run, RunEnd::Lapsed);
+        }
+    }
+
+    fn note_running(&mut self, life: &TargetLife, running: &RunningTask, now: Timestamp) {
+        if !self.placed_on(&running.run, life) {
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&running.run.task.step.job) {
+            job.save(&running.run, running.checkpoint.clone());
+        }
+        let Some(active) = self.active.get_mut(&running.run) else {
+            return;
+        };
+        if !active.started || active.percent != running.percent {
+            active.progressed_at = now;
+        }
+        active.started = true;
+        active.present = true;
+        active.percent = running.percent;
+    }
+
+    fn note_missing(&mut self, life: &TargetLife, now: Timestamp) {
+        for active in self
+            .active
+            .values_mut()
+            .filter(|active| active.target == *life)
+        {
+            if active.present || !active.started {
+                active.missing_since = None;
+                continue;
+            }
+            let since = *active.missing_since.get_or_insert(now);
+            if now.since(since) > MISSING_LIMIT {
+                active.intent = Intent::Stop;
+                active.stop_confirmed = false;
+            }
+        }
+    }
+
+    fn note_end(&mut self, life: &TargetLife, ended: &EndedTask, now: Timestamp) {
+        if ended.sequence <= self.acknowledged(life) {
+            return;
+        }
+        self.mark_processed(life, ended.sequence);
+        let run = &ended.run;
+        let job_id = run.task.step.job.clone();
+        if let Some(job) = self.jobs.get_mut(&job_id) {
+            job.save(run, ended.checkpoint.clone());
+        }
+        if self.placed_on(run, life) {
+            self.judge_target(life, ended, now);
+            self.end_run(run, ended.end);
+        } else if !self.active.contains_key(run)
+            && let Some(job) = self.jobs.get_mut(&job_id)
+            && job.end(run, ended.end, &life.target)
+        {
+            // The run had been given up, and its task hasn't been started again since.
+            self.mark_changed(&job_id);
+            self.close_if_final(&job_id);
+        }
+    }
+
+    fn judge_target(&mut self, life: &TargetLife, ended: &EndedTask, now: Timestamp) {
+        let first = self.limits.quarantine;
+        let most = self.limits.quarantine_most;
+        let Some(target) = self.targets.get_mut(&life.target) else {
+            return;
+        };
+        match ended.end {
+            RunEnd::Done => {
+                target.failures_in_row = 0;
+                target.quarantines = 0;
+            }
+            RunEnd::Failed => target.failures_in_row += 1,
+            _ => {}
+        }
+        if target.failures_in_row < FAILURES_BEFORE_QUARANTINE {
+            return;
+        }
+        let length = (first * 2_u32.saturating_pow(target.quarantines)).min(most);
+        target.failures_in_row = 0;
+        target.quarantines = (target.quarantines + 1).min(8);
+        target.quarantined_until = now + length;
+        self.note(Event::Quarantined {
+            target: life.target.clone(),
+            for_ms: u64::try_from(length.as_millis()).unwrap_or(u64::MAX),
+        });
+    }
+
+    /// Ends an active run and gives its task back to the queue, unless the task is over.
+    pub(crate) fn end_run(&mut self, run: &RunId, end: RunEnd) {
+        let Some(active) = self.active.remove(run) else {
+            return;
+        };
+        let target = active.target.target;
+        self.note(Event::Ended {
+            run: run.clone(),
+            target: target.clone(),
+            end,
+        });
+        self.release(run, end, &target);
+    }
+
+    /// Gives up a run that isn't on its target and can't start there any more.
+    pub(crate) fn abandon(&mut self, run: &RunId) {
+        let Some(active) = self.active.remove(run) else {
+            return;
+        };
+        let target = active.target.target;
+        self.note(Event::Abandoned {
+            run: run.clone(),
+            target: target.clone(),
+        });
+        self.release(run, RunEnd::Stopped, &target);
+    }
+
+    fn release(&mut self, run: &RunId, end: RunEnd, target: &TargetName) {
+        let step = run.task.step.clone();
+        let Some(job) = self.jobs.get_mut(&step.job) else {
+            return;
+        };
+        let gang = job.step(step.step).is_some_and(|described| described.gang);
+        if job.end(run, end, target) {
+            self.mark_changed(&step.job);
+            self.close_if_final(&step.job);
+        }
+        if gang && end != RunEnd::Done {
+            // What is left of a gang can't do any work.
+            for (other, active) in &mut self.active {
+                if other.task.step == step && other.number == run.number {
+                    active.intent = Intent::Stop;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -0,0 +1,323 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rattanwinch_types::TargetName;
+use rattanwinch_types::Timestamp;
+
+use crate::AcceptedJob;
+use crate::AdviceAnswer;
+use crate::AdviceQuestion;
+use crate::Event;
+use crate::JobId;
+use crate::JobProgress;
+use crate::JobState;
+use crate::QueueName;
+use crate::RunId;
+use crate::SchedulingLimits;
+use crate::SchedulingRules;
+use crate::StepId;
+use crate::TargetLife;
+use crate::active_run::ActiveRun;
+use crate::active_run::Intent;
+use crate::advice::Advice;
+use crate::job::Job;
+use crate::target::Target;
+use crate::target::Targets;
+
+/// Decides which task runs where and when, for all queues of a site.
+///
+/// It does no I/O and reads no clock. Its owner makes each change durable before it acts on it:
+/// [`Self::take_changes`] gives the jobs whose state has to be written, [`Self::committed`] says
+/// that it has been, and [`Self::orders`] gives only orders whose placement is durable.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(crate) limits: SchedulingLimits,
+    pub(crate) rules: SchedulingRules,
+    pub(crate) jobs: BTreeMap<JobId, Job>,
+    /// Jobs with tasks that may still start.
+    pub(crate) open: BTreeSet<JobId>,
+    pub(crate) targets: Targets,
+    pub(crate) active: BTreeMap<RunId, ActiveRun>,
+    pub(crate) advice: Advice,
+    /// Since when the turn of a step's waiting tasks has come.
+    pub(crate) ready_since: BTreeMap<StepId, Timestamp>,
+    /// When this scheduler took over; earlier placements count from then.
+    pub(crate) started_at: Timestamp,
+    changed: BTreeSet<JobId>,
+    /// Ends that have been processed but aren't durable yet.
+    unacknowledged: BTreeMap<TargetLife, u64>,
+    events: Vec<Event>,
+}
+
+/// Changes that are to be made durable together.
+#[derive(Clone, Debug, Default)]
+pub struct Changes {
+    /// The jobs whose progress has changed.
+    pub jobs: Vec<JobId>,
+    pub(crate) runs: Vec<RunId>,
+    pub(crate) acknowledged: BTreeMap<TargetLife, u64>,
+}
+
+impl Changes {
+    /// True if there is nothing to write and nothing to acknowledge.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty() && self.acknowledged.is_empty()
+    }
+}
+
+impl Scheduler {
+    /// Starts from what is durable.
+    #[must_use]
+    pub fn restore(
+        limits: SchedulingLimits,
+        rules: SchedulingRules,
+        jobs: impl IntoIterator<Item = (Arc<AcceptedJob>, JobProgress)>,
+        now: Timestamp,
+    ) -> Self {
+        let mut scheduler = Self {
+            limits,
+            rules: SchedulingRules::default(),
+            jobs: BTreeMap::new(),
+            open: BTreeSet::new(),
+            targets: Targets::new(),
+            active: BTreeMap::new(),
+            advice: Advice::default(),
+            ready_since: BTreeMap::new(),
+            started_at: now,
+            changed: BTreeSet::new(),
+            unacknowledged: BTreeMap::new(),
+            events: Vec::new(),
+        };
+        for (accepted, progress) in jobs {
+            scheduler.restore_job(&accepted, progress, now);
+        }
+        scheduler.set_rules(rules);
+        scheduler
+    }
+
+    fn restore_job(&mut self, accepted: &Arc<AcceptedJob>, progress: JobProgress, now: Timestamp) {
+        let placed = progress.tasks.clone();
+        let job = Job::restore(Arc::clone(accepted), progress);
+        let over = job.state().is_final();
+        for task in placed {
+            let Some(life) = task.placed else { continue };
+            let run = RunId {
+                number: task.last_run,
+                task: task.task,
+            };
+            let Some(step) = job.step(run.task.step.step) else {
+                continue;
+            };
+            let inherited = ActiveRun {
+                target: life,
+                need: occupied(step),
+                intent: if over { Intent::Stop } else { Intent::Run },
+                durable: true,
+                in_flight: false,
+                maybe_sent: true,
+                started: false,
+                present: false,
+                missing_since: None,
+                stop_confirmed: false,
+                placed_at: now,
+                retry_at: now,
+                percent: 0,
+                progressed_at: now,
+                ticket: None,
+            };
+            self.active.insert(run, inherited);
+        }
+        if !over {
+            self.open.insert(accepted.id.clone());
+        }
+        self.jobs.insert(accepted.id.clone(), job);
+    }
+
+    /// Takes over what operators have ordered.
+    pub fn set_rules(&mut self, rules: SchedulingRules) {
+        for job in self.jobs.values_mut() {
+            if let Some(queue) = rules.queues.get(&job.accepted.queue) {
+                job.rules = queue.clone();
+            }
+        }
+        self.rules = rules;
+    }
+
+    /// Adds a job; it counts as accepted once it is durable.
+    pub fn submit(&mut self, accepted: Arc<AcceptedJob>) {
+        let id = accepted.id.clone();
+        self.jobs.insert(id.clone(), Job::new(accepted));
+        self.open.insert(id.clone());
+        self.changed.insert(id);
+    }
+
+    /// Cancels a job; false if it isn't known.
+    pub fn cancel(&mut self, id: &JobId) -> bool {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return false;
+        };
+        if !job.state().is_final() {
+            job.cancelled = true;
+            self.changed.insert(id.clone());
+            self.close_if_final(id);
+        }
+        true
+    }
+
+    /// Forgets a job that has ended; false if something of it may still be at work.
+    pub fn forget(&mut self, id: &JobId) -> bool {
+        let over = self.jobs.get(id).is_none_or(|job| job.state().is_final());
+        let idle = !self.active.keys().any(|run| run.task.step.job == *id);
+        if over && idle {
+            self.jobs.remove(id);
+        }
+        over && idle
+    }
+
+    /// The state of a job, as far as the scheduler knows it, durable or not.
+    #[must_use]
+    pub fn state(&self, id: &JobId) -> Option<JobState> {
+        self.jobs.get(id).map(Job::state)
+    }
+
+    /// True if something about the job waits to be made durable.
+    #[must_use]
+    pub fn has_changed(&self, id: &JobId) -> bool {
+        self.changed.contains(id)
+    }
+
+    /// What is to be written for a job.
+    #[must_use]
+    pub fn record(&self, id: &JobId) -> Option<(Arc<AcceptedJob>, JobProgress)> {
+        let job = self.jobs.get(id)?;
+        Some((Arc::clone(&job.accepted), job.progress()))
+    }
+
+    /// Every job with its queue and state.
+    pub fn states(&self) -> impl Iterator<Item = (&JobId, &QueueName, JobState)> {
+        let jobs = self.jobs.iter();
+        jobs.map(|(id, job)| (id, &job.accepted.queue, job.state()))
+    }
+
+    /// What the scheduler has decided since the last call.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// The changes since the last call, which are to be made durable.
+    pub fn take_changes(&mut self) -> Changes {
+        let runs = self.active.iter().filter(|(_, active)| !active.durable);
+        Changes {
+            runs: runs.map(|(run, _)| run.clone()).collect(),
+            jobs: std::mem::take(&mut self.changed).into_iter().collect(),
+            acknowledged: std::mem::take(&mut self.unacknowledged),
+        }
+    }
+
+    /// Notes that changes are durable: their runs may be ordered, their ends acknowledged.
+    pub fn committed(&mut self, changes: &Changes) {
+        for run in &changes.runs {
+            if let Some(active) = self.active.get_mut(run) {
+                active.durable = true;
+            }
+        }
+        for (life, &sequence) in &changes.acknowledged {
+            if let Some(target) = self.targets.get_mut(&life.target)
+                && target.description.life == *life
+            {
+                target.acknowledged = target.acknowledged.max(sequence);
+            }
+        }
+    }
+
+    /// The highest end of a target that is durable, which it may forget.
+    #[must_use]
+    pub fn acknowledged(&self, life: &TargetLife) -> u64 {
+        let target = self.targets.get(&life.target);
+        let target = target.filter(|target| target.description.life == *life);
+        target.map_or(0, |target| target.acknowledged)
+    }
+
+    /// The next question for the advisor.
+    pub fn advice_question(&mut self, now: Timestamp) -> Option<AdviceQuestion> {
+        self.advice.question(now)
+    }
+
+    /// Takes the advisor's answer, `None` if there was none.
+    pub fn advice_answered(
+        &mut self,
+        question: &AdviceQuestion,
+        answer: Option<AdviceAnswer>,
+        sent_at: Timestamp,
+        now: Timestamp,
+    ) {
+        self.advice.answered(question, answer, sent_at, now);
+    }
+
+    /// How long the advisor may take for a question, in the queue's own figures.
+    #[must_use]
+    pub fn advice_time(&self, question: &AdviceQuestion) -> Option<Duration> {
+        let job = self.jobs.get(&question.step.job)?;
+        let times = job.rules.advisor?;
+        Some(Advice::expected_time(times, question.targets.len()))
+    }
+
+    pub(crate) fn note(&mut self, event: Event) {
+        self.events.push(event);
+    }
+
+    pub(crate) fn mark_changed(&mut self, job: &JobId) {
+        self.changed.insert(job.clone());
+    }
+
+    pub(crate) fn mark_processed(&mut self, life: &TargetLife, sequence: u64) {
+        let highest = self.unacknowledged.entry(life.clone()).or_default();
+        *highest = (*highest).max(sequence);
+    }
+
+    /// Stops what is left of a job that has come to its end.
+    pub(crate) fn close_if_final(&mut self, id: &JobId) {
+        let Some(state) = self.state(id).filter(|state| state.is_final()) else {
+            return;
+        };
+        if !self.open.remove(id) {
+            return;
+        }
+        self.note(Event::Finished {
+            job: id.clone(),
+            state,
+        });
+        // The members of a gang whose job is done end by themselves.
+        if state != JobState::Completed {
+            self.stop_runs(|run| run.task.step.job == *id);
+        }
+    }
+
+    pub(crate) fn stop_runs(&mut self, affected: impl Fn(&RunId) -> bool) {
+        for (run, active) in &mut self.active {
+            if affected(run) {
+                active.intent = Intent::Stop;
+            }
+        }
+    }
+
+    pub(crate) fn step(&self, step: &StepId) -> Option<&crate::StepDescription> {
+        self.jobs.get(&step.job)?.step(step.step)
+    }
+
+    pub(crate) fn target(&self, name: &TargetName) -> Option<&Target> {
+        self.targets.get(name)
+    }
+}
+
+/// The room that a task of the step takes; a task that fills takes no processor time of its own.
+pub(crate) fn occupied(step: &crate::StepDescription) -> crate::Resources {
+    let mut need = step.need;
+    if step.fills {
+        need.cpu_millis = 0;
+    }
+    need
+}
--- a/crates/rattanwinch_types/src/timestamp.rs
+++ b/crates/rattanwinch_types/src/timestamp.rs
@@ -39,6 +39,13 @@
     }
 }
 
+impl Default for Timestamp {
+    /// [`Self::ZERO`].
+    fn default() -> Self {
+        Self::ZERO
+    }
+}
+
 impl Add<Duration> for Timestamp {
     type Output = Self;
 
