Translate the platform in platform/ and talk between fronts and agents

Cause: nothing spoke the platform's protocol.

Change: one package for each peer in platform/ (store, operators, callers, executors, advisor) with the templates of our settings; rattanwinch_fleet for JSON-RPC between fronts and agents; a clock that runs during a suspension; SIGHUP as a request to read the settings again.

--- /dev/null
+++ b/crates/rattanwinch_fleet/src/wire/mod.rs
@@ -0,0 +1,13 @@
+//! The messages and their translation.
+
+mod calls;
+mod orders;
+mod reports;
+
+pub use calls::WireAnswer;
+pub use calls::WireCall;
+pub use calls::WireLeader;
+pub use orders::WireOrders;
+pub use orders::WireResults;
+pub use reports::WireReport;
+pub use reports::WireReportAnswer;
--- /dev/null
+++ b/crates/rattanwinch_fleet/src/wire/reports.rs
@@ -0,0 +1,301 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rattanwinch_scheduling::Checkpoint;
+use rattanwinch_scheduling::EndedTask;
+use rattanwinch_scheduling::JobId;
+use rattanwinch_scheduling::Label;
+use rattanwinch_scheduling::Resources;
+use rattanwinch_scheduling::RunEnd;
+use rattanwinch_scheduling::RunId;
+use rattanwinch_scheduling::RunningTask;
+use rattanwinch_scheduling::ServiceName;
+use rattanwinch_scheduling::StepId;
+use rattanwinch_scheduling::TargetDescription;
+use rattanwinch_scheduling::TargetLife;
+use rattanwinch_scheduling::TargetReport;
+use rattanwinch_scheduling::TaskId;
+use rattanwinch_types::InvalidName;
+use rattanwinch_types::TargetName;
+use rattanwinch_types::Timestamp;
+use rattanwinch_types::ZoneName;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::AgentId;
+use crate::AgentReport;
+use crate::ReportAnswer;
+
+/// [`RunId`] on the wire: job, occurrence, step, index, number.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct WireRun(Arc<str>, u32, u32, u32, u32);
+
+impl From<&RunId> for WireRun {
+    fn from(run: &RunId) -> Self {
+        let step = &run.task.step;
+        Self(
+            Arc::from(step.job.as_str()),
+            step.occurrence,
+            step.step,
+            run.task.index,
+            run.number,
+        )
+    }
+}
+
+impl From<WireRun> for RunId {
+    fn from(wire: WireRun) -> Self {
+        Self {
+            task: TaskId {
+                step: StepId {
+                    job: JobId::from(&*wire.0),
+                    occurrence: wire.1,
+                    step: wire.2,
+                },
+                index: wire.3,
+            },
+            number: wire.4,
+        }
+    }
+}
+
+/// [`TargetLife`] on the wire: target and birth in Unix milliseconds.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct WireLife(String, u64);
+
+impl From<&TargetLife> for WireLife {
+    fn from(life: &TargetLife) -> Self {
+        Self(life.target.as_str().to_owned(), life.born_ms)
+    }
+}
+
+impl TryFrom<WireLife> for TargetLife {
+    type Error = InvalidName;
+
+    fn try_from(wire: WireLife) -> Result<Self, InvalidName> {
+        Ok(Self {
+            target: TargetName::new(wire.0)?,
+            born_ms: wire.1,
+        })
+    }
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WireEnd {
+    Done,
+    Failed,
+    Stopped,
+    Lapsed,
+    Broken,
+    Alone,
+}
+
+impl From<RunEnd> for WireEnd {
+    fn from(end: RunEnd) -> Self {
+        match end {
+            RunEnd::Done => Self::Done,
+            RunEnd::Failed => Self::Failed,
+            RunEnd::Stopped => Self::Stopped,
+            RunEnd::Lapsed => Self::Lapsed,
+            RunEnd::Broken => Self::Broken,
+            RunEnd::Alone => Self::Alone,
+        }
+    }
+}
+
+impl From<WireEnd> for RunEnd {
+    fn from(wire: WireEnd) -> Self {
+        match wire {
+            WireEnd::Done => Self::Done,
+            WireEnd::Failed => Self::Failed,
+            WireEnd::Stopped => Self::Stopped,
+            WireEnd::Lapsed => Self::Lapsed,
+            WireEnd::Broken => Self::Broken,
+            WireEnd::Alone => Self::Alone,
+        }
+    }
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct WireRunning {
+    run: WireRun,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    saved: Option<Arc<str>>,
+    percent: u32,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct WireEnded {
+    sequence: u64,
+    run: WireRun,
+    end: WireEnd,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    saved: Option<Arc<str>>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct WireTarget {
+    life: WireLife,
+    service: Arc<str>,
+    zone: String,
+    cpu_millis: u64,
+    memory_mb: u64,
+    accelerators: u64,
+    labels: Vec<Arc<str>>,
+    draining: bool,
+    running: Vec<WireRunning>,
+    ended: Vec<WireEnded>,
+}
+
+fn saved(checkpoint: Option<&Checkpoint>) -> Option<Arc<str>> {
+    checkpoint.map(|checkpoint| Arc::from(checkpoint.as_str()))
+}
+
+fn checkpoint(saved: Option<Arc<str>>) -> Option<Checkpoint> {
+    saved.map(|saved| Checkpoint::from(&*saved))
+}
+
+impl From<&TargetReport> for WireTarget {
+    fn from(report: &TargetReport) -> Self {
+        let described = &report.description;
+        let running = report.running.iter().map(|running| WireRunning {
+            run: (&running.run).into(),
+            saved: saved(running.checkpoint.as_ref()),
+            percent: running.percent,
+        });
+        let ended = report.ended.iter().map(|ended| WireEnded {
+            sequence: ended.sequence,
+            run: (&ended.run).into(),
+            end: ended.end.into(),
+            saved: saved(ended.checkpoint.as_ref()),
+        });
+        let labels = described.labels.iter();
+        Self {
+            life: (&described.life).into(),
+            service: Arc::from(described.service.as_str()),
+            zone: described.zone.as_str().to_owned(),
+            cpu_millis: described.capacity.cpu_millis,
+            memory_mb: described.capacity.memory_mb,
+            accelerators: described.capacity.accelerators,
+            labels: labels.map(|label| Arc::from(label.as_str())).collect(),
+            draining: described.draining,
+            running: running.collect(),
+            ended: ended.collect(),
+        }
+    }
+}
+
+impl TryFrom<WireTarget> for TargetReport {
+    type Error = InvalidName;
+
+    fn try_from(wire: WireTarget) -> Result<Self, InvalidName> {
+        let running = wire.running.into_iter().map(|running| RunningTask {
+            run: running.run.into(),
+            checkpoint: checkpoint(running.saved),
+            percent: running.percent,
+        });
+        let ended = wire.ended.into_iter().map(|ended| EndedTask {
+            sequence: ended.sequence,
+            run: ended.run.into(),
+            end: ended.end.into(),
+            checkpoint: checkpoint(ended.saved),
+        });
+        let labels = wire.labels.iter();
+        Ok(Self {
+            description: TargetDescription {
+                life: wire.life.try_into()?,
+                service: ServiceName::from(&*wire.service),
+                zone: ZoneName::new(wire.zone)?,
+                capacity: Resources {
+                    cpu_millis: wire.cpu_millis,
+                    memory_mb: wire.memory_mb,
+                    accelerators: wire.accelerators,
+                },
+                labels: labels.map(|label| Label::from(&**label)).collect(),
+                draining: wire.draining,
+            },
+            running: running.collect(),
+            ended: ended.collect(),
+        })
+    }
+}
+
+/// [`AgentReport`] on the wire.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireReport {
+    vm: Arc<str>,
+    incarnation: u64,
+    sequence: u64,
+    address: SocketAddr,
+    clock_ms: u64,
+    epoch: u64,
+    target: Option<WireTarget>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    left: Option<WireLife>,
+}
+
+impl From<&AgentReport> for WireReport {
+    fn from(report: &AgentReport) -> Self {
+        Self {
+            vm: Arc::clone(&report.agent.vm),
+            incarnation: report.agent.incarnation,
+            sequence: report.sequence,
+            address: report.address,
+            clock_ms: report.clock.as_millis(),
+            epoch: report.epoch,
+            target: report.target.as_ref().map(WireTarget::from),
+            left: report.left.as_ref().map(WireLife::from),
+        }
+    }
+}
+
+impl TryFrom<WireReport> for AgentReport {
+    type Error = InvalidName;
+
+    fn try_from(wire: WireReport) -> Result<Self, InvalidName> {
+        Ok(Self {
+            agent: AgentId {
+                vm: wire.vm,
+                incarnation: wire.incarnation,
+            },
+            sequence: wire.sequence,
+            address: wire.address,
+            clock: Timestamp::from_millis(wire.clock_ms),
+            epoch: wire.epoch,
+            target: wire.target.map(TargetReport::try_from).transpose()?,
+            left: wire.left.map(TargetLife::try_from).transpose()?,
+        })
+    }
+}
+
+/// [`ReportAnswer`] on the wire.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireReportAnswer {
+    epoch: u64,
+    confirmed: bool,
+    acknowledged: u64,
+    fronts: Vec<SocketAddr>,
+}
+
+impl From<ReportAnswer> for WireReportAnswer {
+    fn from(answer: ReportAnswer) -> Self {
+        Self {
+            epoch: answer.epoch,
+            confirmed: answer.confirmed,
+            acknowledged: answer.acknowledged,
+            fronts: answer.fronts,
+        }
+    }
+}
+
+impl From<WireReportAnswer> for ReportAnswer {
+    fn from(wire: WireReportAnswer) -> Self {
+        Self {
+            epoch: wire.epoch,
+            confirmed: wire.confirmed,
+            acknowledged: wire.acknowledged,
+            fronts: wire.fronts,
+        }
+    }
+}
--- a/crates/rattanwinch_runtime/src/daemon_arguments.rs
+++ b/crates/rattanwinch_runtime/src/daemon_arguments.rs
@@ -13,7 +13,8 @@
 #[derive(Debug, Args)]
 pub struct DaemonArguments {
     /// The settings file (INI).
-    #[arg(long, value_name = "FILE")]
+    /// The settings file (INI).
+    #[arg(long, value_name = "FILE", env = "RATTANWINCH_SETTINGS")]
     settings: PathBuf,
     /// Check the settings, print every error and exit.
     #[arg(long)]
--- a/crates/rattanwinch_runtime/src/lib.rs
+++ b/crates/rattanwinch_runtime/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! This package isn't for what a daemon does: see `rattanwinch_entry` and `rattanwinch_agent`.
 
+mod boot_clock;
 mod clock;
 mod daemon_arguments;
 mod logger;
@@ -15,6 +16,7 @@
 mod settings_file;
 mod shutdown;
 
+pub use boot_clock::BootClock;
 pub use clock::Clock;
 pub use daemon_arguments::DaemonArguments;
 pub use logger::discard_logger;
@@ -24,4 +26,5 @@
 pub use settings_error::SettingsError;
 pub use settings_error::SettingsErrors;
 pub use settings_file::SettingsFile;
+pub use shutdown::Hangups;
 pub use shutdown::Shutdown;
--- a/crates/rattanwinch_runtime/src/shutdown.rs
+++ b/crates/rattanwinch_runtime/src/shutdown.rs
@@ -1,10 +1,28 @@
 use std::time::Duration;
 
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+/// The operators' requests to read the settings again.
+#[derive(Debug)]
+pub struct Hangups {
+    signal: Signal,
+    requested: CancellationToken,
+}
+
+impl Hangups {
+    /// Waits for the next request; false once the daemon is asked to stop.
+    pub async fn next(&mut self) -> bool {
+        tokio::select! {
+            () = self.requested.cancelled() => false,
+            received = self.signal.recv() => received.is_some(),
+        }
+    }
+}
+
 /// Tells all tasks of a daemon to stop, and waits for them.
 #[derive(Clone, Debug, Default)]
 pub struct Shutdown {
@@ -46,6 +64,18 @@
         tokio::time::timeout(limit, self.tasks.wait()).await.is_ok()
     }
 
+    /// Watches for SIGHUP, which ends a process that doesn't.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error if the signal can't be watched.
+    pub fn watch_hangups(&self) -> std::io::Result<Hangups> {
+        Ok(Hangups {
+            signal: signal(SignalKind::hangup())?,
+            requested: self.requested.clone(),
+        })
+    }
+
     /// Asks for a stop on SIGTERM and SIGINT.
     ///
     /// # Errors
