--- /dev/null
+++ b/crates/rattanwinch_front/src/commands.rs
@@ -0,0 +1,55 @@
+use std::sync::Arc;
+
+use rattanwinch_fleet::AgentReport;
+use rattanwinch_fleet::CallerAnswer;
+use rattanwinch_fleet::OrderResults;
+use rattanwinch_fleet::ReportAnswer;
+use rattanwinch_scheduling::AcceptedJob;
+use rattanwinch_scheduling::AdviceAnswer;
+use rattanwinch_scheduling::AdviceQuestion;
+use rattanwinch_scheduling::Changes;
+use rattanwinch_scheduling::JobId;
+use rattanwinch_scheduling::RunId;
+use rattanwinch_types::Timestamp;
+use tokio::sync::oneshot;
+
+use crate::committer::Committer;
+
+/// What the coordinator is told.
+pub(crate) enum Command {
+    /// A caller hands in a job, whose body is kept as it came.
+    Submit {
+        job: Arc<AcceptedJob>,
+        body: Arc<str>,
+        reply: oneshot::Sender<CallerAnswer>,
+    },
+    /// A caller cancels a job.
+    Cancel {
+        job: JobId,
+        reply: oneshot::Sender<CallerAnswer>,
+    },
+    /// An agent reports.
+    Report {
+        report: AgentReport,
+        reply: oneshot::Sender<ReportAnswer>,
+    },
+    /// Orders have been answered, or haven't within their time.
+    Ordered {
+        runs: Vec<RunId>,
+        results: Option<OrderResults>,
+    },
+    /// Changes are durable; `None` in place of the committer if leadership is lost.
+    Committed {
+        changes: Changes,
+        forgotten: Vec<JobId>,
+        committer: Option<Committer>,
+    },
+    /// The advisor has answered, or hasn't within its time.
+    Advised {
+        question: AdviceQuestion,
+        answer: Option<AdviceAnswer>,
+        sent_at: Timestamp,
+    },
+    /// The operators' orders have been read.
+    OrdersRead,
+}
--- /dev/null
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -0,0 +1,458 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rattanwinch_fleet::AgentOrders;
+use rattanwinch_fleet::AgentReport;
+use rattanwinch_fleet::CallerAnswer;
+use rattanwinch_fleet::ORDER_TIME;
+use rattanwinch_fleet::OrderResults;
+use rattanwinch_fleet::Refusal;
+use rattanwinch_fleet::ReportAnswer;
+use rattanwinch_scheduling::AcceptedJob;
+use rattanwinch_scheduling::AdviceQuestion;
+use rattanwinch_scheduling::Changes;
+use rattanwinch_scheduling::GoneCause;
+use rattanwinch_scheduling::JobId;
+use rattanwinch_scheduling::RunId;
+use rattanwinch_scheduling::Scheduler;
+use rattanwinch_scheduling::TargetOrders;
+use rattanwinch_site_advisor::AdvisorClient;
+use rattanwinch_types::Timestamp;
+use slog::debug;
+use slog::info;
+use slog::warn;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::MissedTickBehavior;
+
+use crate::agents::Agents;
+use crate::commands::Command;
+use crate::committer::Committer;
+use crate::committer::Writes;
+use crate::explain::explain;
+use crate::front_state::FrontState;
+use crate::job_board::PublishedJob;
+use crate::leading::Leading;
+use crate::records::ACCEPTED_PREFIX;
+use crate::records::PROGRESS_PREFIX;
+use crate::records::encode_accepted;
+use crate::records::encode_progress;
+
+/// How often time-outs and due times are looked at when nothing else happens. Due times may be
+/// met late by this much.
+const TICK: Duration = Duration::from_millis(150);
+
+/// An order's answer is awaited for as long as the agent may work on it, and for its way.
+const ORDER_LIMIT: Duration = ORDER_TIME.saturating_add(Duration::from_millis(500));
+
+/// The advisor is given this much more than it says that it takes; other questions wait.
+const ADVISOR_GRACE: Duration = Duration::from_millis(700);
+
+/// The state of an ended job is kept this much longer than callers may ask for it, so that a
+/// late repetition of its submission still finds it.
+const KEEP_MARGIN: Duration = Duration::from_secs(60);
+
+/// Jobs that are forgotten in one commit.
+const FORGET_AT_ONCE: usize = 16;
+
+type Waiters = BTreeMap<JobId, Vec<(oneshot::Sender<CallerAnswer>, CallerAnswer)>>;
+
+/// Runs the scheduler of a site: takes commands one by one, makes changes durable, then sends
+/// orders.
+pub(crate) struct Coordinator {
+    state: Arc<FrontState>,
+    leading: Arc<Leading>,
+    scheduler: Scheduler,
+    agents: Agents,
+    advisor: Option<AdvisorClient>,
+    /// `None` while a commit is on its way.
+    committer: Option<Committer>,
+    /// Bodies of jobs whose acceptance isn't durable yet.
+    bodies: BTreeMap<JobId, Arc<str>>,
+    /// Callers that wait for the next commit, and for the one on its way.
+    waiting: Waiters,
+    committing: Waiters,
+    /// What the commit on its way will make public.
+    unpublished: BTreeMap<JobId, PublishedJob>,
+    /// Ended jobs and when this scheduler learnt of their end.
+    ended: BTreeMap<JobId, Timestamp>,
+}
+
+impl Coordinator {
+    pub(crate) fn new(
+        state: Arc<FrontState>,
+        leading: Arc<Leading>,
+        scheduler: Scheduler,
+        committer: Committer,
+    ) -> Self {
+        let advisor = state.settings.advisor.map(AdvisorClient::new);
+        let now = state.clock.now();
+        let states = scheduler.states();
+        let ended = states.filter(|(_, _, state)| state.is_final());
+        let ended = ended.map(|(id, _, _)| (id.clone(), now)).collect();
+        Self {
+            state,
+            leading,
+            scheduler,
+            agents: Agents::default(),
+            advisor,
+            committer: Some(committer),
+            bodies: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            committing: BTreeMap::new(),
+            unpublished: BTreeMap::new(),
+            ended,
+        }
+    }
+
+    /// Runs until leadership is lost.
+    pub(crate) async fn run(mut self, mut commands: mpsc::Receiver<Command>) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let command = tokio::select! {
+                command = commands.recv() => command,
+                _ = tick.tick() => None,
+            };
+            let mut next = command;
+            while let Some(command) = next {
+                if !self.take(command) {
+                    self.leading.lost.notify_one();
+                    return;
+                }
+                next = commands.try_recv().ok();
+            }
+            self.act();
+        }
+    }
+
+    /// Takes one command; false if leadership is lost.
+    fn take(&mut self, command: Command) -> bool {
+        let now = self.state.clock.now();
+        match command {
+            Command::Submit { job, body, reply } => self.submit(job, body, reply),
+            Command::Cancel { job, reply } => self.cancel(job, reply),
+            Command::Report { report, reply } => return self.report(&report, reply, now),
+            Command::Ordered { runs, results } => self.ordered(runs, results, now),
+            Command::Committed {
+                changes,
+                forgotten,
+                committer,
+            } => return self.committed(&changes, &forgotten, committer),
+            Command::Advised {
+                question,
+                answer,
+                sent_at,
+            } => {
+                self.scheduler
+                    .advice_answered(&question, answer, sent_at, now);
+            }
+            Command::OrdersRead => {
+                if let Some(read) = self.leading.orders.load_full() {
+                    self.scheduler.set_rules(read.orders.scheduling_rules());
+                }
+            }
+        }
+        true
+    }
+
+    fn submit(
+        &mut self,
+        job: Arc<AcceptedJob>,
+        body: Arc<str>,
+        reply: oneshot::Sender<CallerAnswer>,
+    ) {
+        let id = job.id.clone();
+        if self.scheduler.state(&id).is_none() {
+            info!(self.state.log, "job taken"; "job" => %id, "queue" => %job.queue,
+                "organisation" => %job.organisation, "priority" => job.rules.priority,
+                "steps" => job.description.steps.len(), "tasks" => job.description.task_count());
+            self.bodies.insert(id.clone(), body);
+            self.scheduler.submit(job);
+        }
+        self.answer_when_durable(id, reply, CallerAnswer::Accepted);
+    }
+
+    fn cancel(&mut self, job: JobId, reply: oneshot::Sender<CallerAnswer>) {
+        if self.scheduler.cancel(&job) {
+            info!(self.state.log, "job cancelled"; "job" => %job);
+            self.answer_when_durable(job, reply, CallerAnswer::Cancelled);
+        } else {
+            answer(reply, CallerAnswer::Refused(Refusal::UnknownJob));
+        }
+    }
+
+    /// Answers at once if nothing about the job waits to be written, else after the next commit.
+    fn answer_when_durable(
+        &mut self,
+        job: JobId,
+        reply: oneshot::Sender<CallerAnswer>,
+        what: CallerAnswer,
+    ) {
+        if self.scheduler.has_changed(&job) {
+            self.waiting.entry(job).or_default().push((reply, what));
+        } else if self.unpublished.contains_key(&job) {
+            self.committing.entry(job).or_default().push((reply, what));
+        } else {
+            answer(reply, what);
+        }
+    }
+
+    /// Takes a report; false if the agent obeys a later scheduler.
+    fn report(
+        &mut self,
+        report: &AgentReport,
+        reply: oneshot::Sender<ReportAnswer>,
+        now: Timestamp,
+    ) -> bool {
+        let epoch = self.leading.info.epoch;
+        if report.epoch > epoch {
+            self.state.note_epoch(report.epoch);
+            warn!(self.state.log, "an agent obeys a later scheduler"; "epoch" => epoch,
+                "later" => report.epoch, "vm" => &*report.agent.vm);
+            return false;
+        }
+        self.take_report(report, now);
+        let life = report
+            .target
+            .as_ref()
+            .map(|target| &target.description.life);
+        let acknowledged = life.map_or(0, |life| self.scheduler.acknowledged(life));
+        let answer = ReportAnswer {
+            epoch,
+            confirmed: self.leading.is_confirmed(now),
+            acknowledged,
+            fronts: self.fronts(),
+        };
+        // The agent has given up waiting if the answer can't be delivered; it will report again.
+        let _ = reply.send(answer);
+        true
+    }
+
+    fn fronts(&self) -> Vec<SocketAddr> {
+        let others = self.state.fronts.load();
+        let mut fronts: BTreeSet<SocketAddr> = BTreeSet::clone(&others);
+        fronts.insert(self.state.address);
+        fronts.into_iter().collect()
+    }
+
+    /// Takes what an agent knows of its target; false if it has been told newer things.
+    fn take_report(&mut self, report: &AgentReport, now: Timestamp) -> bool {
+        let noted = self.agents.note(report, now);
+        if !noted.fresh {
+            return false;
+        }
+        if let Some(life) = &noted.replaced {
+            self.scheduler.life_gone(life, GoneCause::Replaced);
+        }
+        if let Some(life) = &report.left {
+            self.scheduler.life_gone(life, GoneCause::Left);
+        }
+        if let Some(target) = &report.target {
+            self.scheduler.report(target, now);
+        }
+        true
+    }
+
+    fn ordered(&mut self, runs: Vec<RunId>, results: Option<OrderResults>, now: Timestamp) {
+        let Some(results) = results else {
+            for run in runs {
+                let unknown = rattanwinch_scheduling::OrderOutcome::Unknown;
+                self.scheduler.order_answered(&run, unknown, false, now);
+            }
+            return;
+        };
+        let reported = results.report.is_some();
+        if let Some(report) = &results.report {
+            self.take_report(report, now);
+        }
+        for (run, outcome) in results.outcomes {
+            self.scheduler.order_answered(&run, outcome, reported, now);
+        }
+    }
+
+    fn committed(
+        &mut self,
+        changes: &Changes,
+        forgotten: &[JobId],
+        committer: Option<Committer>,
+    ) -> bool {
+        let Some(committer) = committer else {
+            return false;
+        };
+        self.committer = Some(committer);
+        self.scheduler.committed(changes);
+        let published = std::mem::take(&mut self.unpublished);
+        self.leading.board.publish(published, forgotten);
+        for (reply, what) in std::mem::take(&mut self.committing).into_values().flatten() {
+            answer(reply, what);
+        }
+        true
+    }
+
+    /// Decides, writes what has to be durable, and sends the orders that are.
+    fn act(&mut self) {
+        let now = self.state.clock.now();
+        self.scheduler.expire(now);
+        if self.leading.is_confirmed(now) && self.leading.orders.load().is_some() {
+            self.scheduler.place(now, self.state.clock.wall());
+        }
+        self.commit(now);
+        for orders in self.scheduler.orders(now) {
+            self.send(orders, now);
+        }
+        if let Some(question) = self.scheduler.advice_question(now) {
+            self.ask(question, now);
+        }
+        for event in self.scheduler.take_events() {
+            if let rattanwinch_scheduling::Event::Finished { job, .. } = &event {
+                self.ended.insert(job.clone(), now);
+            }
+            explain(&self.state.log, &event);
+        }
+    }
+
+    fn commit(&mut self, now: Timestamp) {
+        let Some(mut committer) = self.committer.take() else {
+            return;
+        };
+        let changes = self.scheduler.take_changes();
+        let forgotten = self.forget_old(now);
+        if changes.is_empty() && forgotten.is_empty() {
+            self.committer = Some(committer);
+            return;
+        }
+        let writes = self.writes(&changes, &forgotten);
+        self.committing = std::mem::take(&mut self.waiting);
+        let commands = self.leading.commands.clone();
+        let log = self.state.log.clone();
+        tokio::spawn(async move {
+            let committed = committer.commit(writes).await;
+            let done = Command::Committed {
+                changes,
+                forgotten,
+                committer: committed.is_ok().then_some(committer),
+            };
+            if commands.send(done).await.is_err() {
+                debug!(log, "commit ended after the scheduler");
+            }
+        });
+    }
+
+    fn writes(&mut self, changes: &Changes, forgotten: &[JobId]) -> Writes {
+        let mut writes = Writes::default();
+        for id in &changes.jobs {
+            let Some((accepted, progress)) = self.scheduler.record(id) else {
+                continue;
+            };
+            if let Some(body) = self.bodies.remove(id) {
+                let key = format!("{ACCEPTED_PREFIX}{id}");
+                writes.puts.push((key, encode_accepted(&accepted, &body)));
+            }
+            let key = format!("{PROGRESS_PREFIX}{id}");
+            writes.puts.push((key, encode_progress(&progress)));
+            if let Some(state) = self.scheduler.state(id) {
+                let published = PublishedJob {
+                    queue: accepted.queue.clone(),
+                    organisation: accepted.organisation.clone(),
+                    state,
+                };
+                self.unpublished.insert(id.clone(), published);
+            }
+        }
+        for id in forgotten {
+            writes.deletes.push(format!("{ACCEPTED_PREFIX}{id}"));
+            writes.deletes.push(format!("{PROGRESS_PREFIX}{id}"));
+        }
+        writes
+    }
+
+    fn forget_old(&mut self, now: Timestamp) -> Vec<JobId> {
+        let keep = self.state.settings.keep_ended + KEEP_MARGIN;
+        let old = self
+            .ended
+            .iter()
+            .filter(|(_, ended_at)| now.since(**ended_at) > keep);
+        let old: Vec<_> = old.map(|(id, _)| id.clone()).take(FORGET_AT_ONCE).collect();
+        let forgotten: Vec<_> = old
+            .into_iter()
+            .filter(|id| self.scheduler.forget(id))
+            .collect();
+        for id in &forgotten {
+            self.ended.remove(id);
+        }
+        forgotten
+    }
+
+    fn send(&self, orders: TargetOrders, now: Timestamp) {
+        let starts = orders.starts.iter().map(|start| &start.run);
+        let runs: Vec<RunId> = starts.chain(&orders.stops).cloned().collect();
+        let agent = self.agents.beside(&orders.life);
+        let call = agent.map(|agent| {
+            let orders = AgentOrders {
+                epoch: self.leading.info.epoch,
+                valid_until: agent.valid_until(now),
+                acknowledged: self.scheduler.acknowledged(&orders.life),
+                orders,
+            };
+            (agent.client.clone(), orders)
+        });
+        let commands = self.leading.commands.clone();
+        let log = self.state.log.clone();
+        tokio::spawn(async move {
+            let results = match call {
+                Some((client, orders)) => {
+                    let answer = client.execute(&orders, ORDER_LIMIT).await;
+                    if let Err(error) = &answer {
+                        warn!(log, "orders unanswered"; "error" => %error,
+                            "target" => %orders.orders.life.target, "runs" => runs.len());
+                    }
+                    answer.ok()
+                }
+                None => None,
+            };
+            if commands
+                .send(Command::Ordered { runs, results })
+                .await
+                .is_err()
+            {
+                debug!(log, "orders answered after the scheduler ended");
+            }
+        });
+    }
+
+    fn ask(&self, question: AdviceQuestion, now: Timestamp) {
+        let limit = self.scheduler.advice_time(&question).unwrap_or_default() + ADVISOR_GRACE;
+        let advisor = self.advisor.clone();
+        let commands = self.leading.commands.clone();
+        let log = self.state.log.clone();
+        tokio::spawn(async move {
+            let answer = match advisor {
+                Some(advisor) => advisor
+                    .ask(&question, limit)
+                    .await
+                    .map_err(|error| error.to_string()),
+                None => Err("no advisor in the settings".to_owned()),
+            };
+            if let Err(error) = &answer {
+                warn!(log, "no advice"; "job" => %question.step.job, "error" => error);
+            }
+            let advised = Command::Advised {
+                question,
+                answer: answer.ok(),
+                sent_at: now,
+            };
+            if commands.send(advised).await.is_err() {
+                debug!(log, "advice came after the scheduler ended");
+            }
+        });
+    }
+}
+
+fn answer(reply: oneshot::Sender<CallerAnswer>, what: CallerAnswer) {
+    // The caller has given up waiting if the answer can't be delivered; what it asked for holds.
+    let _ = reply.send(what);
+}
--- /dev/null
+++ b/crates/rattanwinch_front/src/leadership.rs
@@ -0,0 +1,418 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rattanwinch_fleet::FrontClient;
+use rattanwinch_fleet::LEADER_KEY;
+use rattanwinch_fleet::LeaderInfo;
+use rattanwinch_fleet::LeaderRecord;
+use rattanwinch_fleet::silence_limit;
+use rattanwinch_scheduling::AcceptedJob;
+use rattanwinch_scheduling::JobProgress;
+use rattanwinch_scheduling::Scheduler;
+use rattanwinch_scheduling::SchedulingLimits;
+use rattanwinch_scheduling::SchedulingRules;
+use rattanwinch_site_store::Committed;
+use rattanwinch_site_store::Item;
+use rattanwinch_site_store::Lease;
+use rattanwinch_site_store::Revision;
+use rattanwinch_site_store::StoreError;
+use rattanwinch_site_store::Transaction;
+use rattanwinch_types::Timestamp;
+use slog::error;
+use slog::info;
+use slog::warn;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use crate::committer::Committer;
+use crate::coordinator::Coordinator;
+use crate::front_state::FrontState;
+use crate::job_board::JobBoard;
+use crate::job_board::PublishedJob;
+use crate::leading::Leading;
+use crate::operator_watch::watch_operators;
+use crate::records::ACCEPTED_PREFIX;
+use crate::records::PROGRESS_PREFIX;
+use crate::records::decode_accepted;
+use crate::records::decode_progress;
+
+/// What a step of the life cycle returns.
+type Result<T> = std::result::Result<T, StoreError>;
+
+/// The lease of the front that schedules. Another one can take over once it has run out, so it
+/// bounds the pause after a loss; the store's slowest answers on the users' sheets take 240 ms
+/// and still leave room for several renewals.
+const LEADER_LEASE: Duration = Duration::from_millis(1500);
+
+/// How often the lease is renewed.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(400);
+
+/// The pause after a renewal that failed.
+const RENEWAL_RETRY: Duration = Duration::from_millis(150);
+
+/// Leadership counts as unconfirmed this much before the lease can run out, for calls that are
+/// being answered then.
+const LEASE_MARGIN: Duration = Duration::from_millis(150);
+
+/// How often a front asks the one that schedules whether it still does.
+const PING_INTERVAL: Duration = Duration::from_millis(400);
+
+/// How long that may take; the answer comes from memory.
+const PING_LIMIT: Duration = Duration::from_millis(400);
+
+/// The pause between two attempts to find the scheduler or to become it.
+const SEARCH_PAUSE: Duration = Duration::from_millis(150);
+
+/// Commands that may wait for the coordinator; callers beyond that wait for room.
+const QUEUED_COMMANDS: usize = 1024;
+
+/// Keeps this front either following the one that schedules or scheduling itself, until the
+/// daemon stops.
+pub(crate) async fn take_part(state: Arc<FrontState>) {
+    let standby = Standby {
+        state: Arc::clone(&state),
+    };
+    while !state.is_stopping() {
+        let elected = match standby.step().await {
+            Step::Elected(elected) => elected,
+            Step::Wait(pause) => {
+                tokio::time::sleep(pause).await;
+                continue;
+            }
+        };
+        match elected.load().await {
+            Ok(restored) => restored.schedule().await,
+            Err(error) => warn!(state.log, "takeover failed"; "error" => %error),
+        }
+    }
+}
+
+/// A front that doesn't schedule.
+struct Standby {
+    state: Arc<FrontState>,
+}
+
+enum Step {
+    Elected(Elected),
+    Wait(Duration),
+}
+
+impl Standby {
+    async fn step(&self) -> Step {
+        if let Some(leader) = self.state.leader()
+            && self.hears(&leader.client).await
+        {
+            return Step::Wait(PING_INTERVAL);
+        }
+        match self.stand().await {
+            Ok(Some(elected)) => return Step::Elected(elected),
+            Ok(None) => {}
+            // A store that is out of reach of this VM alone may serve the others.
+            Err(error) => {
+                slog::debug!(self.state.log, "the store can't be asked who schedules";
+                    "error" => %error);
+                self.ask_fronts().await;
+            }
+        }
+        Step::Wait(SEARCH_PAUSE)
+    }
+
+    async fn hears(&self, client: &FrontClient) -> bool {
+        let answer = client.leader(PING_LIMIT).await;
+        let Ok(Some(info)) = answer else {
+            return false;
+        };
+        self.state.note_leader_heard(self.state.clock.now());
+        self.state.set_leader(Some(info));
+        true
+    }
+
+    async fn ask_fronts(&self) {
+        let fronts = self.state.fronts.load_full();
+        let mut asked = JoinSet::new();
+        for &front in fronts.iter() {
+            asked.spawn(async move { FrontClient::new(front).leader(PING_LIMIT).await });
+        }
+        let mut best: Option<LeaderInfo> = None;
+        while let Some(answer) = asked.join_next().await {
+            if let Ok(Ok(Some(info))) = answer
+                && best.is_none_or(|best| best.epoch < info.epoch)
+            {
+                best = Some(info);
+            }
+        }
+        if best.is_some() {
+            self.state.set_leader(best);
+        }
+    }
+
+    /// Reads who schedules, and takes over if nobody does.
+    async fn stand(&self) -> Result<Option<Elected>> {
+        let state = &self.state;
+        let read = state.store.get(LEADER_KEY).await?;
+        let Some(item) = read.item else {
+            return self.claim(Revision::ABSENT).await;
+        };
+        let Some(record) = LeaderRecord::decode(&item.value) else {
+            error!(state.log, "unreadable leader record, replaced");
+            return self.claim(item.changed).await;
+        };
+        if record.vm == state.settings.vm && record.incarnation == state.incarnation {
+            // A claim of this process whose answer was lost.
+            return Ok(item
+                .lease
+                .map(|lease| self.elected(record, item.changed, lease)));
+        }
+        if record.vm == state.settings.vm {
+            // The process that held it ran on this VM before this one.
+            return self.claim(item.changed).await;
+        }
+        state.set_leader(Some(record.info(item.changed.0)));
+        Ok(None)
+    }
+
+    async fn claim(&self, present: Revision) -> Result<Option<Elected>> {
+        let state = &self.state;
+        if state.is_stopping() {
+            return Ok(None);
+        }
+        let lease = state.store.grant(LEADER_LEASE).await?;
+        let record = LeaderRecord {
+            vm: Arc::clone(&state.settings.vm),
+            incarnation: state.incarnation,
+            address: state.address,
+            epoch: None,
+            change: 0,
+        };
+        let claim = Transaction {
+            conditions: vec![(LEADER_KEY.to_owned(), present)],
+            puts: vec![(LEADER_KEY.to_owned(), record.encode(), Some(lease))],
+            deletes: Vec::new(),
+        };
+        match state.store.commit(&claim).await? {
+            Committed::Done(revision) => Ok(Some(self.elected(record, revision, lease))),
+            Committed::Conflict(_) | Committed::LeaseEnded => Ok(None),
+        }
+    }
+
+    fn elected(&self, mut record: LeaderRecord, revision: Revision, lease: Lease) -> Elected {
+        let epoch = record.info(revision.0).epoch;
+        record.epoch = Some(epoch);
+        info!(self.state.log, "elected"; "epoch" => epoch);
+        self.state.note_epoch(epoch);
+        Elected {
+            state: Arc::clone(&self.state),
+            record,
+            revision,
+            lease,
+            epoch,
+        }
+    }
+}
+
+/// A front that is to schedule and doesn't know the jobs yet.
+struct Elected {
+    state: Arc<FrontState>,
+    record: LeaderRecord,
+    revision: Revision,
+    lease: Lease,
+    epoch: u64,
+}
+
+impl Elected {
+    /// Reads all jobs. Nobody else can change them any more.
+    async fn load(self) -> Result<Restored> {
+        let store = &self.state.store;
+        // A long read must not outlast the lease.
+        let (accepted, progress, renewed) = tokio::join!(
+            store.range(ACCEPTED_PREFIX),
+            store.range(PROGRESS_PREFIX),
+            store.renew(self.lease),
+        );
+        if !renewed? {
+            return Err(StoreError::lease_ended());
+        }
+        let jobs = self.read_jobs(&accepted?, &progress?);
+        info!(self.state.log, "jobs loaded"; "jobs" => jobs.len(), "epoch" => self.epoch);
+        Ok(Restored {
+            elected: self,
+            jobs,
+        })
+    }
+
+    fn read_jobs(
+        &self,
+        accepted: &[Item],
+        progress: &[Item],
+    ) -> Vec<(Arc<AcceptedJob>, JobProgress)> {
+        let progress: BTreeMap<&str, &Item> = progress
+            .iter()
+            .filter_map(|item| Some((item.key.strip_prefix(PROGRESS_PREFIX)?, item)))
+            .collect();
+        let mut jobs = Vec::new();
+        for item in accepted {
+            let Some(id) = item.key.strip_prefix(ACCEPTED_PREFIX) else {
+                continue;
+            };
+            let reached = progress
+                .get(id)
+                .map(|item| decode_progress(id, &item.value));
+            let reached = reached.transpose().map(Option::unwrap_or_default);
+            match (decode_accepted(id, &item.value), reached) {
+                (Ok(job), Ok(reached)) => jobs.push((Arc::new(job), reached)),
+                (Err(error), _) | (_, Err(error)) => {
+                    error!(self.state.log, "job left out"; "job" => id, "error" => %error);
+                }
+            }
+        }
+        jobs
+    }
+}
+
+/// A front that knows the jobs and is about to schedule.
+struct Restored {
+    elected: Elected,
+    jobs: Vec<(Arc<AcceptedJob>, JobProgress)>,
+}
+
+impl Restored {
+    /// Schedules until leadership is lost or the daemon stops.
+    async fn schedule(self) {
+        let Elected {
+            state,
+            record,
+            revision,
+            lease,
+            epoch,
+        } = self.elected;
+        let (commands, received) = mpsc::channel(QUEUED_COMMANDS);
+        let now = state.clock.now();
+        let scheduler = Scheduler::restore(
+            scheduling_limits(&state),
+            SchedulingRules::default(),
+            self.jobs,
+            now,
+        );
+        let board = JobBoard::new(published(&scheduler));
+        let leading = Arc::new(Leading::new(epoch, state.address, commands, board));
+        let committer = Committer {
+            store: state.store.clone(),
+            lease,
+            record,
+            revision,
+            log: state.log.clone(),
+        };
+        let coordinator = Coordinator::new(
+            Arc::clone(&state),
+            Arc::clone(&leading),
+            scheduler,
+            committer,
+        );
+        let mut tasks = JoinSet::new();
+        tasks.spawn(renew(Arc::clone(&state), Arc::clone(&leading), lease));
+        tasks.spawn(watch_operators(Arc::clone(&state), Arc::clone(&leading)));
+        tasks.spawn(coordinator.run(received));
+        state.set_leading(Some(Arc::clone(&leading)));
+        let mut changes = state.leader_changes();
+        loop {
+            tokio::select! {
+                () = leading.lost.notified() => break,
+                _ = changes.changed() => if state.is_stopping() { break },
+            }
+        }
+        state.set_leading(None);
+        state.set_leader(None);
+        tasks.shutdown().await;
+        info!(state.log, "no longer scheduling"; "epoch" => epoch);
+        if state.is_stopping() {
+            // The next front can take over at once instead of after the lease.
+            if let Err(error) = state.store.end(lease).await {
+                warn!(state.log, "lease not ended"; "error" => %error);
+            }
+        }
+    }
+}
+
+fn published(scheduler: &Scheduler) -> Vec<(rattanwinch_scheduling::JobId, PublishedJob)> {
+    let jobs = scheduler.states().filter_map(|(id, queue, state)| {
+        let (accepted, _) = scheduler.record(id)?;
+        let published = PublishedJob {
+            queue: queue.clone(),
+            organisation: accepted.organisation.clone(),
+            state,
+        };
+        Some((id.clone(), published))
+    });
+    jobs.collect()
+}
+
+fn scheduling_limits(state: &FrontState) -> SchedulingLimits {
+    SchedulingLimits::builder()
+        .silence(silence_limit(state.settings.longest_lease))
+        // Two reports and a half.
+        .fresh(Duration::from_millis(2500))
+        .order_retry(Duration::from_millis(300))
+        // A third of the shortest reclaim time on the users' sheets, with the stop after it.
+        .urgent_patience(Duration::from_millis(800))
+        // Progress is reported in whole per cent; the longest tasks take 11 s on a sound target.
+        .stall(Duration::from_secs(4))
+        .quarantine(Duration::from_secs(5))
+        .quarantine_most(Duration::from_secs(40))
+        .build()
+}
+
+/// Renews the lease until it has ended.
+async fn renew(state: Arc<FrontState>, leading: Arc<Leading>, lease: Lease) {
+    let mut failing = false;
+    loop {
+        let sent_at = state.clock.now();
+        match state.store.renew(lease).await {
+            Ok(true) => {
+                confirm(&state, &leading, sent_at);
+                if failing {
+                    info!(state.log, "lease renewed again"; "epoch" => leading.info.epoch);
+                }
+                failing = false;
+                tokio::time::sleep(RENEWAL_INTERVAL).await;
+            }
+            Ok(false) => {
+                warn!(state.log, "lease ended"; "epoch" => leading.info.epoch);
+                leading.lost.notify_one();
+                return;
+            }
+            Err(error) => {
+                if !failing {
+                    warn!(state.log, "lease not renewed"; "epoch" => leading.info.epoch,
+                        "error" => %error);
+                }
+                failing = true;
+                if state.highest_epoch() > leading.info.epoch {
+                    leading.lost.notify_one();
+                    return;
+                }
+                tokio::time::sleep(RENEWAL_RETRY).await;
+            }
+        }
+    }
+}
+
+/// The lease runs from the arrival of its renewal, which is after it was sent.
+fn confirm(state: &FrontState, leading: &Leading, sent_at: Timestamp) {
+    leading.confirm_until(sent_at + (LEADER_LEASE - LEASE_MARGIN));
+    state.note_leader_heard(state.clock.now());
+}
+
+/// Keeps a front that stops in touch with the one that schedules.
+pub(crate) async fn follow(state: Arc<FrontState>) {
+    let standby = Standby {
+        state: Arc::clone(&state),
+    };
+    loop {
+        // A stopping front claims nothing, so no step elects it.
+        match standby.step().await {
+            Step::Elected(_) => tokio::time::sleep(SEARCH_PAUSE).await,
+            Step::Wait(pause) => tokio::time::sleep(pause).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_front/src/records.rs
@@ -0,0 +1,200 @@
+//! The values that the scheduler keeps in the store: what was accepted, and how far it is.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rattanwinch_scheduling::AcceptedJob;
+use rattanwinch_scheduling::AdvisorTimes;
+use rattanwinch_scheduling::Checkpoint;
+use rattanwinch_scheduling::JobId;
+use rattanwinch_scheduling::JobProgress;
+use rattanwinch_scheduling::QueueName;
+use rattanwinch_scheduling::QueueRules;
+use rattanwinch_scheduling::ServiceName;
+use rattanwinch_scheduling::StepId;
+use rattanwinch_scheduling::TargetLife;
+use rattanwinch_scheduling::TaskId;
+use rattanwinch_scheduling::TaskProgress;
+use rattanwinch_site_callers::decode_job;
+use rattanwinch_types::Organisation;
+use rattanwinch_types::TargetName;
+use rattanwinch_types::Timestamp;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What reading a record gives.
+pub(crate) type Result<T> = std::result::Result<T, InvalidRecord>;
+
+/// The keys of accepted jobs; the job's id follows.
+pub(crate) const ACCEPTED_PREFIX: &str = "rattanwinch/job/";
+
+/// The keys of jobs' progress; the job's id follows.
+pub(crate) const PROGRESS_PREFIX: &str = "rattanwinch/progress/";
+
+/// A value in the store that this version can't read.
+#[derive(Debug)]
+pub(crate) struct InvalidRecord(Box<dyn std::error::Error + Send + Sync>);
+
+impl fmt::Display for InvalidRecord {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "unreadable record: {}", self.0)
+    }
+}
+
+impl std::error::Error for InvalidRecord {}
+
+fn invalid(cause: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> InvalidRecord {
+    InvalidRecord(cause.into())
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredJob {
+    queue: Arc<str>,
+    service: Arc<str>,
+    priority: u32,
+    max_attempts: u32,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    advisor_ms: Option<(u64, u64, u64)>,
+    organisation: String,
+    accepted_ms: u64,
+    /// The caller's own words, read again by the same code as at acceptance.
+    body: Arc<str>,
+}
+
+pub(crate) fn encode_accepted(job: &AcceptedJob, body: &Arc<str>) -> Vec<u8> {
+    let times = job.rules.advisor;
+    let stored = StoredJob {
+        queue: Arc::from(job.queue.as_str()),
+        service: Arc::from(job.rules.service.as_str()),
+        priority: job.rules.priority,
+        max_attempts: job.rules.max_attempts,
+        advisor_ms: times.map(|t| (millis(t.base), millis(t.each), millis(t.validity))),
+        organisation: job.organisation.as_str().to_owned(),
+        accepted_ms: job.accepted_at.as_millis(),
+        body: Arc::clone(body),
+    };
+    serde_json::to_vec(&stored).expect("a record of plain fields is valid JSON")
+}
+
+pub(crate) fn decode_accepted(id: &str, value: &[u8]) -> Result<AcceptedJob> {
+    let stored: StoredJob = serde_json::from_slice(value).map_err(invalid)?;
+    let advisor = stored
+        .advisor_ms
+        .map(|(base, each, validity)| AdvisorTimes {
+            base: Duration::from_millis(base),
+            each: Duration::from_millis(each),
+            validity: Duration::from_millis(validity),
+        });
+    Ok(AcceptedJob {
+        id: JobId::from(id),
+        queue: QueueName::from(&*stored.queue),
+        rules: QueueRules {
+            service: ServiceName::from(&*stored.service),
+            priority: stored.priority,
+            max_attempts: stored.max_attempts,
+            advisor,
+        },
+        organisation: Organisation::new(stored.organisation).map_err(invalid)?,
+        accepted_at: Timestamp::from_millis(stored.accepted_ms),
+        description: decode_job(&stored.body).map_err(invalid)?,
+    })
+}
+
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct StoredProgress {
+    #[serde(default, skip_serializing_if = "is_false")]
+    cancelled: bool,
+    #[serde(default, skip_serializing_if = "is_false")]
+    failed: bool,
+    tasks: Vec<StoredTask>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredTask {
+    /// Occurrence, step and index.
+    at: (u32, u32, u32),
+    run: u32,
+    #[serde(default, skip_serializing_if = "is_zero")]
+    failures: u32,
+    #[serde(default, skip_serializing_if = "is_false")]
+    done: bool,
+    /// The target and the life that the last run is on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    placed: Option<(String, u64)>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    saved: Option<Arc<str>>,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+const fn is_false(value: &bool) -> bool {
+    !*value
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+const fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
+
+pub(crate) fn encode_progress(progress: &JobProgress) -> Vec<u8> {
+    let tasks = progress.tasks.iter().map(|task| StoredTask {
+        at: (
+            task.task.step.occurrence,
+            task.task.step.step,
+            task.task.index,
+        ),
+        run: task.last_run,
+        failures: task.failures,
+        done: task.done,
+        placed: task
+            .placed
+            .as_ref()
+            .map(|life| (life.target.as_str().to_owned(), life.born_ms)),
+        saved: task
+            .checkpoint
+            .as_ref()
+            .map(|saved| Arc::from(saved.as_str())),
+    });
+    let stored = StoredProgress {
+        cancelled: progress.cancelled,
+        failed: progress.failed,
+        tasks: tasks.collect(),
+    };
+    serde_json::to_vec(&stored).expect("a record of plain fields is valid JSON")
+}
+
+pub(crate) fn decode_progress(id: &str, value: &[u8]) -> Result<JobProgress> {
+    let stored: StoredProgress = serde_json::from_slice(value).map_err(invalid)?;
+    let job = JobId::from(id);
+    let tasks = stored.tasks.into_iter().map(|task| {
+        let (occurrence, step, index) = task.at;
+        let placed = task.placed.map(|(target, born_ms)| {
+            let target = TargetName::new(target).map_err(invalid)?;
+            Ok(TargetLife { target, born_ms })
+        });
+        Ok(TaskProgress {
+            task: TaskId {
+                step: StepId {
+                    job: job.clone(),
+                    occurrence,
+                    step,
+                },
+                index,
+            },
+            last_run: task.run,
+            failures: task.failures,
+            done: task.done,
+            placed: placed.transpose()?,
+            checkpoint: task.saved.map(|saved| Checkpoint::from(&*saved)),
+        })
+    });
+    Ok(JobProgress {
+        cancelled: stored.cancelled,
+        failed: stored.failed,
+        tasks: tasks.collect::<Result<_>>()?,
+    })
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/rattanwinch_side/src/bin/rattanwinch-side.rs
@@ -0,0 +1,37 @@
+//! The daemon beside a target of a site: reads its settings and serves until SIGTERM.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use eyre::Result;
+use rattanwinch_runtime::DaemonArguments;
+use rattanwinch_runtime::Shutdown;
+use rattanwinch_runtime::json_logger;
+use rattanwinch_side::SideDaemon;
+use rattanwinch_side::SideSettings;
+
+/// The daemon beside a target of a site: carries out orders and reports what runs.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(flatten)]
+    daemon: DaemonArguments,
+}
+
+fn main() -> ExitCode {
+    Arguments::parse().daemon.run(SideSettings::read, run)
+}
+
+/// Two threads: a side VM has a fraction of one core, so more would only cost memory.
+#[tokio::main(flavor = "multi_thread", worker_threads = 2)]
+async fn run(settings: SideSettings) -> Result<()> {
+    let signals = Shutdown::new();
+    signals.watch_signals()?;
+    let mut hangups = signals.watch_hangups()?;
+    let daemon = SideDaemon::start(settings, json_logger("rattanwinch-side")).await?;
+    while hangups.next().await {
+        daemon.reload();
+    }
+    daemon.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/rattanwinch_side/src/leader_search.rs
@@ -0,0 +1,77 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rattanwinch_fleet::FrontClient;
+use rattanwinch_fleet::LEADER_KEY;
+use rattanwinch_fleet::LeaderInfo;
+use rattanwinch_fleet::LeaderRecord;
+use rattanwinch_site_store::StoreClient;
+use slog::debug;
+
+use crate::side_state::SideState;
+
+/// How long a front may take to say who leads; it answers from memory.
+const ASK_LIMIT: Duration = Duration::from_millis(400);
+
+/// How long the store may take; its answers are slow at times.
+const STORE_LIMIT: Duration = Duration::from_millis(1000);
+
+/// Finds the front that schedules: from any front that is known, else from the store.
+pub(crate) struct LeaderSearch {
+    store: StoreClient,
+    /// Counts searches, so that the store is asked only after the fronts have been.
+    tries: u32,
+}
+
+/// Searches among the fronts before the store is asked; a call to it is priced.
+const TRIES_BEFORE_STORE: u32 = 3;
+
+impl LeaderSearch {
+    pub(crate) fn new(store: SocketAddr) -> Self {
+        Self {
+            store: StoreClient::new(store, STORE_LIMIT),
+            tries: 0,
+        }
+    }
+
+    pub(crate) async fn find(&mut self, state: &SideState) -> Option<LeaderInfo> {
+        let fronts = state.fronts.load_full();
+        let mut asked = tokio::task::JoinSet::new();
+        for &front in fronts.iter() {
+            asked.spawn(async move { FrontClient::new(front).leader(ASK_LIMIT).await });
+        }
+        let mut best: Option<LeaderInfo> = None;
+        while let Some(answer) = asked.join_next().await {
+            if let Ok(Ok(Some(leader))) = answer
+                && best.is_none_or(|best| best.epoch < leader.epoch)
+            {
+                best = Some(leader);
+            }
+        }
+        self.tries += 1;
+        if best.is_some() {
+            self.tries = 0;
+            return best;
+        }
+        if self.tries <= TRIES_BEFORE_STORE {
+            return None;
+        }
+        self.tries = 0;
+        self.ask_store(state).await
+    }
+
+    async fn ask_store(&self, state: &SideState) -> Option<LeaderInfo> {
+        match self.store.get(LEADER_KEY).await {
+            Ok(read) => {
+                let item = read.item?;
+                LeaderRecord::decode(&item.value)?
+                    .info(item.changed.0)
+                    .into()
+            }
+            Err(error) => {
+                debug!(state.log, "the store doesn't say who leads"; "error" => %error);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanwinch_side/src/side_daemon.rs
@@ -0,0 +1,88 @@
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use poem::Server;
+use poem::listener::TcpListener;
+use rattanwinch_fleet::AgentRpcServer as _;
+use rattanwinch_fleet::RpcServer;
+use rattanwinch_site_executors::executor_endpoint;
+use slog::Logger;
+use slog::info;
+use tokio::task::JoinSet;
+
+use crate::SideSettings;
+use crate::executor_watch::watch_executor;
+use crate::orders::OrderServer;
+use crate::reporter::report_to_leader;
+use crate::side_state::SideState;
+
+/// What starting the daemon returns.
+pub type Result<T> = std::result::Result<T, eyre::Report>;
+
+/// A running side daemon.
+pub struct SideDaemon {
+    tasks: JoinSet<()>,
+    rpc: RpcServer,
+    state: Arc<SideState>,
+}
+
+impl fmt::Debug for SideDaemon {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("SideDaemon")
+            .field("vm", &self.state.settings.vm)
+            .finish_non_exhaustive()
+    }
+}
+
+impl SideDaemon {
+    /// Listens to the executor and the fronts, and starts to report.
+    ///
+    /// # Errors
+    ///
+    /// If an address can't be listened on.
+    pub async fn start(settings: SideSettings, log: Logger) -> Result<Self> {
+        let address = SocketAddr::new(settings.ip, settings.peer_port);
+        let state = Arc::new(SideState::new(settings, address, log));
+        let server = OrderServer {
+            state: Arc::clone(&state),
+        };
+        let rpc = RpcServer::start(address, server.into_rpc()).await?;
+        let mut tasks = JoinSet::new();
+        let executor = Server::new(TcpListener::bind(state.settings.executor_listen));
+        let endpoint = executor_endpoint(&state);
+        let log = state.log.clone();
+        tasks.spawn(async move {
+            if let Err(error) = executor.run(endpoint).await {
+                slog::error!(log, "the executor can't be heard"; "error" => %error);
+            }
+        });
+        tasks.spawn(watch_executor(Arc::clone(&state)));
+        tasks.spawn(report_to_leader(Arc::clone(&state)));
+        info!(state.log, "started"; "vm" => &*state.settings.vm, "address" => %address,
+            "executor_listen" => %state.settings.executor_listen);
+        Ok(Self { tasks, rpc, state })
+    }
+
+    /// Reads the settings again and takes over the seeds; all else needs a new process.
+    pub fn reload(&self) {
+        let state = &self.state;
+        match SideSettings::read(&state.settings.source) {
+            Ok(settings) => {
+                state.add_seeds(&settings.seeds);
+                info!(state.log, "settings reloaded"; "seeds" => ?settings.seeds);
+            }
+            Err(errors) => {
+                slog::error!(state.log, "settings not reloaded"; "errors" => %errors);
+            }
+        }
+    }
+
+    /// Stops at once. What runs on the target goes on under its lease until the next process of
+    /// this daemon renews it.
+    pub async fn stop(mut self) {
+        info!(self.state.log, "stopped"; "vm" => &*self.state.settings.vm);
+        self.rpc.stop().await;
+        self.tasks.shutdown().await;
+    }
+}
