Count each failed run once, however often its target lists it

A target lists an end until it is acknowledged; once a later run of the task had failed too, the earlier failure was counted again. A new scheduler counted it again as well.

Change: failures are kept by run number, durably, and ends of a life are processed once.

--- a/crates/rattanwinch_front/src/records.rs
+++ b/crates/rattanwinch_front/src/records.rs
@@ -22,6 +22,7 @@
 use rattanwinch_types::Timestamp;
 use serde::Deserialize;
 use serde::Serialize;
+use smallvec::SmallVec;
 
 /// What reading a record gives.
 pub(crate) type Result<T> = std::result::Result<T, InvalidRecord>;
@@ -115,8 +116,8 @@
     /// Occurrence, step and index.
     at: (u32, u32, u32),
     run: u32,
-    #[serde(default, skip_serializing_if = "is_zero")]
-    failures: u32,
+    #[serde(default, skip_serializing_if = "SmallVec::is_empty")]
+    failed_runs: SmallVec<[u32; 4]>,
     #[serde(default, skip_serializing_if = "is_false")]
     done: bool,
     /// The target and the life that the last run is on.
@@ -131,11 +132,6 @@
     !*value
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
-const fn is_zero(value: &u32) -> bool {
-    *value == 0
-}
-
 pub(crate) fn encode_progress(progress: &JobProgress) -> Vec<u8> {
     let tasks = progress.tasks.iter().map(|task| StoredTask {
         at: (
@@ -144,7 +140,7 @@
             task.task.index,
         ),
         run: task.last_run,
-        failures: task.failures,
+        failed_runs: task.failed_runs.clone(),
         done: task.done,
         placed: task
             .placed
@@ -182,7 +178,7 @@
                 index,
             },
             last_run: task.run,
-            failures: task.failures,
+            failed_runs: task.failed_runs,
             done: task.done,
             placed: placed.transpose()?,
             checkpoint: task.saved.map(|saved| Checkpoint::from(&*saved)),
--- a/crates/rattanwinch_scheduling/src/job.rs
+++ b/crates/rattanwinch_scheduling/src/job.rs
@@ -67,8 +67,8 @@
         pub task: TaskId,
         /// The highest run number given out.
         pub last_run: u32,
-        /// Runs that ended as failed.
-        pub failures: u32,
+        /// The runs that ended as failed; a target may list one of them again.
+        pub failed_runs: SmallVec<[u32; 4]>,
         /// Set once it is done.
         pub done: bool,
         /// Where its last run is, unless that is known to have ended.
@@ -94,9 +94,9 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Task {
     pub last_run: u32,
-    pub failures: u32,
-    /// The run whose failure was counted last, since each member of a gang reports it.
-    pub last_failed_run: u32,
+    /// The runs that failed. Each member of a gang may report the failure, and a target lists
+    /// it until it is acknowledged, so they are counted by number.
+    pub failed_runs: SmallVec<[u32; 4]>,
     pub done: bool,
     pub placed: Option<TargetLife>,
     pub checkpoint: Option<Checkpoint>,
@@ -150,7 +150,7 @@
                 continue;
             };
             task.last_run = saved.last_run;
-            task.failures = saved.failures;
+            task.failed_runs = saved.failed_runs;
             task.placed = saved.placed;
             task.checkpoint = saved.checkpoint;
             if saved.done {
@@ -165,7 +165,7 @@
             let task = self.task(&id)?;
             (task.last_run > 0).then(|| TaskProgress {
                 last_run: task.last_run,
-                failures: task.failures,
+                failed_runs: task.failed_runs.clone(),
                 done: task.done,
                 placed: task.placed.clone(),
                 checkpoint: task.checkpoint.clone().filter(|_| !task.done),
@@ -402,15 +402,14 @@
         let Some(task) = self.task_mut(&shared) else {
             return false;
         };
-        if task.last_failed_run == run.number {
+        if task.failed_runs.contains(&run.number) {
             return false;
         }
-        task.last_failed_run = run.number;
-        task.failures += 1;
+        task.failed_runs.push(run.number);
         if !task.failed_on.contains(target) {
             task.failed_on.push(target.clone());
         }
-        if task.failures >= most && !step.long_running {
+        if task.failed_runs.len() >= most as usize && !step.long_running {
             self.failed = true;
         }
         true
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -177,15 +177,19 @@
             let since = *active.missing_since.get_or_insert(now);
             if now.since(since) > MISSING_LIMIT {
                 active.intent = Intent::Stop;
-                active.stop_confirmed = false;
             }
         }
     }
 
     fn note_end(&mut self, life: &TargetLife, ended: &EndedTask, now: Timestamp) {
-        if ended.sequence <= self.acknowledged(life) {
+        // A target lists its ends until they are acknowledged, so most come several times.
+        let Some(target) = self.targets.get_mut(&life.target) else {
+            return;
+        };
+        if ended.sequence <= target.processed {
             return;
         }
+        target.processed = ended.sequence;
         self.mark_processed(life, ended.sequence);
         let run = &ended.run;
         let job_id = run.task.step.job.clone();
--- a/crates/rattanwinch_scheduling/src/target.rs
+++ b/crates/rattanwinch_scheduling/src/target.rs
@@ -104,6 +104,8 @@
     pub heard_at: Timestamp,
     /// Ends up to this number are durable and may be forgotten by the target.
     pub acknowledged: u64,
+    /// Ends up to this number have been processed, durably or not.
+    pub processed: u64,
     /// Runs there that the scheduler hasn't placed; their size is unknown.
     pub strangers: Vec<RunId>,
     /// Failures in a row, over all jobs.
@@ -118,6 +120,7 @@
             description,
             heard_at: now,
             acknowledged: 0,
+            processed: 0,
             strangers: Vec::new(),
             failures_in_row: 0,
             quarantined_until: Timestamp::ZERO,
