Believe in a scheduler only on its own word, and bear lost answers

Two followers told each other that a third schedules, and the third took their word as its own. It began when renewals and commits waited a second each for answers that were lost.

Change: a ping counts only if the front that answers says that it schedules itself; hints of an older epoch are ignored; renewals are sent at each interval whether answered or not; a further copy of a transaction is sent after 300 ms; a takeover doesn't fail on an unanswered renewal.

--- a/crates/rattanwinch_front/src/committer.rs
+++ b/crates/rattanwinch_front/src/committer.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use rattanwinch_fleet::LEADER_KEY;
@@ -11,6 +12,7 @@
 use rattanwinch_site_store::Transaction;
 use slog::Logger;
 use slog::warn;
+use tokio::task::JoinSet;
 
 /// What a commit returns.
 pub(crate) type Result<T> = std::result::Result<T, LeadershipLost>;
@@ -18,7 +20,14 @@
 /// Entries of a transaction that the leader's own key takes: its condition and its new value.
 const LEADER_ENTRIES: usize = 2;
 
-/// The pause before a transaction without an answer is sent again.
+/// A further copy of a transaction is sent if there is no answer by then: an answer that was
+/// lost never comes. The store's slowest answers on the users' sheets take 240 ms.
+const COPY_DELAY: Duration = Duration::from_millis(300);
+
+/// Copies of a transaction that are on their way at once.
+const MAX_COPIES: usize = 4;
+
+/// The pause after a copy that was refused or cut off.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
 /// The largest sum of values in one transaction, in bytes; a value alone may have 1 MB, but
@@ -80,21 +89,36 @@
             puts: std::iter::once(leader).chain(puts).collect(),
             deletes: part.deletes,
         };
-        let revision = loop {
-            match self.store.commit(&transaction).await {
-                Ok(Committed::Done(revision)) => break revision,
-                Ok(Committed::Conflict(items)) => break written_by(&record, &items)?,
-                Ok(Committed::LeaseEnded) => return Err(LeadershipLost),
-                Err(error) => {
+        self.revision = self.send(&record, Arc::new(transaction)).await?;
+        self.record = record;
+        Ok(())
+    }
+
+    /// Sends a transaction until one copy of it is known to be done.
+    async fn send(&self, record: &LeaderRecord, transaction: Arc<Transaction>) -> Result<Revision> {
+        let mut copies = JoinSet::new();
+        let mut sent = 0;
+        loop {
+            if copies.len() < MAX_COPIES {
+                let (store, transaction) = (self.store.clone(), Arc::clone(&transaction));
+                copies.spawn(async move { store.commit(&transaction).await });
+                sent += 1;
+            }
+            let answered = tokio::time::timeout(COPY_DELAY, copies.join_next()).await;
+            match answered {
+                Ok(Some(Ok(Ok(Committed::Done(revision))))) => return Ok(revision),
+                Ok(Some(Ok(Ok(Committed::Conflict(items))))) => return written_by(record, &items),
+                Ok(Some(Ok(Ok(Committed::LeaseEnded)))) => return Err(LeadershipLost),
+                Ok(Some(Ok(Err(error)))) => {
                     warn!(self.log, "commit unanswered, sent again"; "error" => %error,
-                        "change" => record.change, "may_be_done" => error.may_be_done());
+                        "change" => record.change, "may_be_done" => error.may_be_done(),
+                        "copies" => sent);
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
+                // No answer yet, or a copy that was given up: the next one is sent.
+                Ok(Some(Err(_)) | None) | Err(_) => {}
             }
-        };
-        self.revision = revision;
-        self.record = record;
-        Ok(())
+        }
     }
 }
 
--- a/crates/rattanwinch_front/src/leadership.rs
+++ b/crates/rattanwinch_front/src/leadership.rs
@@ -24,6 +24,7 @@
 use slog::warn;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
 
 use crate::committer::Committer;
 use crate::coordinator::Coordinator;
@@ -48,8 +49,8 @@
 /// How often the lease is renewed.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(400);
 
-/// The pause after a renewal that failed.
-const RENEWAL_RETRY: Duration = Duration::from_millis(150);
+/// Renewals that are on their way at once.
+const MAX_RENEWALS: usize = 4;
 
 /// Leadership counts as unconfirmed this much before the lease can run out, for calls that are
 /// being answered then.
@@ -119,13 +120,17 @@
     }
 
     async fn hears(&self, client: &FrontClient) -> bool {
-        let answer = client.leader(PING_LIMIT).await;
-        let Ok(Some(info)) = answer else {
+        let Ok(Some(info)) = client.leader(PING_LIMIT).await else {
             return false;
         };
-        self.state.note_leader_heard(self.state.clock.now());
-        self.state.set_leader(Some(info));
-        true
+        // Only a front's word on itself counts: followers that quote each other would go on
+        // believing in a scheduler that is gone.
+        let leads = info.address == client.address();
+        if leads {
+            self.state.note_leader_heard(self.state.clock.now());
+            self.state.set_leader(Some(info));
+        }
+        leads
     }
 
     async fn ask_fronts(&self) {
@@ -142,7 +147,8 @@
                 best = Some(info);
             }
         }
-        if best.is_some() {
+        let best = best.filter(|best| best.address != self.state.address);
+        if best.is_some_and(|best| best.epoch >= self.state.highest_epoch()) {
             self.state.set_leader(best);
         }
     }
@@ -230,7 +236,9 @@
             store.range(PROGRESS_PREFIX),
             store.renew(self.lease),
         );
-        if !renewed? {
+        // Without an answer the lease may or may not have been renewed; the renewals that follow
+        // will tell.
+        if matches!(renewed, Ok(false)) {
             return Err(StoreError::lease_ended());
         }
         let jobs = self.read_jobs(&accepted?, &progress?);
@@ -353,6 +361,8 @@
         // Two reports and a half.
         .fresh(Duration::from_millis(2500))
         .order_retry(Duration::from_millis(300))
+        // The longest stop on the users' sheets takes 900 ms.
+        .stop_repeat(Duration::from_millis(1500))
         // A third of the shortest reclaim time on the users' sheets, with the stop after it.
         .urgent_patience(Duration::from_millis(800))
         // Progress is reported in whole per cent; the longest tasks take 11 s on a sound target.
@@ -363,35 +373,47 @@
 }
 
 /// Renews the lease until it has ended.
+///
+/// A renewal is sent at each interval, whether the one before has been answered or not: the
+/// answer to it may be lost, and waiting for it would take most of the lease.
 async fn renew(state: Arc<FrontState>, leading: Arc<Leading>, lease: Lease) {
+    let mut interval = tokio::time::interval(RENEWAL_INTERVAL);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut renewals = JoinSet::new();
     let mut failing = false;
     loop {
-        let sent_at = state.clock.now();
-        match state.store.renew(lease).await {
-            Ok(true) => {
-                confirm(&state, &leading, sent_at);
-                if failing {
-                    info!(state.log, "lease renewed again"; "epoch" => leading.info.epoch);
+        tokio::select! {
+            _ = interval.tick() => {
+                if renewals.len() < MAX_RENEWALS {
+                    let store = state.store.clone();
+                    let sent_at = state.clock.now();
+                    renewals.spawn(async move { (sent_at, store.renew(lease).await) });
+                }
+                if !leading.is_confirmed(state.clock.now())
+                    && state.highest_epoch() > leading.info.epoch
+                {
+                    leading.lost.notify_one();
+                    return;
                 }
-                failing = false;
-                tokio::time::sleep(RENEWAL_INTERVAL).await;
-            }
-            Ok(false) => {
-                warn!(state.log, "lease ended"; "epoch" => leading.info.epoch);
-                leading.lost.notify_one();
-                return;
             }
-            Err(error) => {
-                if !failing {
-                    warn!(state.log, "lease not renewed"; "epoch" => leading.info.epoch,
-                        "error" => %error);
+            Some(Ok((sent_at, renewed))) = renewals.join_next() => match renewed {
+                Ok(true) => {
+                    confirm(&state, &leading, sent_at);
+                    if std::mem::take(&mut failing) {
+                        info!(state.log, "lease renewed again"; "epoch" => leading.info.epoch);
+                    }
                 }
-                failing = true;
-                if state.highest_epoch() > leading.info.epoch {
+                Ok(false) => {
+                    warn!(state.log, "lease ended"; "epoch" => leading.info.epoch);
                     leading.lost.notify_one();
                     return;
                 }
-                tokio::time::sleep(RENEWAL_RETRY).await;
+                Err(error) => {
+                    if !std::mem::replace(&mut failing, true) {
+                        warn!(state.log, "lease not renewed"; "epoch" => leading.info.epoch,
+                            "error" => %error);
+                    }
+                }
             }
         }
     }
