Repeat a stop while the run is still there

Cause: a confirmed stop was never sent again, so a stop that was confirmed and not carried out would have left the run at work.

--- a/crates/rattanwinch_scheduling/src/active_run.rs
+++ b/crates/rattanwinch_scheduling/src/active_run.rs
@@ -33,8 +33,6 @@
     pub present: bool,
     /// Since when reports don't show a run that had started.
     pub missing_since: Option<Timestamp>,
-    /// The target has confirmed that it stops, or never starts.
-    pub stop_confirmed: bool,
     pub placed_at: Timestamp,
     /// No order goes out before this time.
     pub retry_at: Timestamp,
--- a/crates/rattanwinch_scheduling/src/limits.rs
+++ b/crates/rattanwinch_scheduling/src/limits.rs
@@ -12,6 +12,8 @@
         pub fresh: Duration,
         /// The wait before an order is sent again.
         pub order_retry: Duration,
+        /// The wait before a stop that was confirmed is repeated, if the run is still there.
+        pub stop_repeat: Duration,
         /// A step waits this long for its best racks if its queue comes first, and this share
         /// of its estimate otherwise.
         pub urgent_patience: Duration,
--- a/crates/rattanwinch_scheduling/src/orders.rs
+++ b/crates/rattanwinch_scheduling/src/orders.rs
@@ -56,7 +56,7 @@
         let heard = target.is_some_and(|target| target.description.life == active.target);
         let wanted = match active.intent {
             Intent::Run => !active.started,
-            Intent::Stop => !active.stop_confirmed,
+            Intent::Stop => true,
         };
         heard && wanted && active.durable && !active.in_flight && now >= active.retry_at
     }
@@ -126,17 +126,18 @@
                 }
             }
             OrderOutcome::Refused(refusal) => self.refused(run, refusal, now),
-            OrderOutcome::Stopped if reported => self.stopped(run),
+            OrderOutcome::Stopped if reported => self.stopped(run, now),
             OrderOutcome::Stopped | OrderOutcome::Unknown => {}
         }
     }
 
     /// A run that was stopped and that the report after it doesn't show isn't there any more.
-    fn stopped(&mut self, run: &RunId) {
+    fn stopped(&mut self, run: &RunId, now: Timestamp) {
+        let repeat_at = now + self.limits.stop_repeat;
         let Some(active) = self.active.get_mut(run) else {
             return;
         };
-        active.stop_confirmed = true;
+        active.retry_at = repeat_at;
         if !active.present {
             self.abandon(run);
         }
--- a/crates/rattanwinch_scheduling/src/placing.rs
+++ b/crates/rattanwinch_scheduling/src/placing.rs
@@ -239,7 +239,6 @@
                 started: false,
                 present: false,
                 missing_since: None,
-                stop_confirmed: false,
                 placed_at: now,
                 retry_at: now,
                 percent: 0,
