End the runs of a VM's former target when its next one reports

After a power cut executors come back under other ids; the next scheduler knew which target a run was on, not which VM, so it waited 16 s for leases that had long gone.

Change: the life of a target names its VM, in memory and in the stored placements; a report of another life on a VM ends what ran there before.

--- a/crates/rattanwinch_fleet/src/wire/reports.rs
+++ b/crates/rattanwinch_fleet/src/wire/reports.rs
@@ -59,13 +59,14 @@
     }
 }
 
-/// [`TargetLife`] on the wire: target and birth in Unix milliseconds.
+/// [`TargetLife`] on the wire: VM, target and birth in Unix milliseconds.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct WireLife(String, u64);
+pub(crate) struct WireLife(Arc<str>, String, u64);
 
 impl From<&TargetLife> for WireLife {
     fn from(life: &TargetLife) -> Self {
-        Self(life.target.as_str().to_owned(), life.born_ms)
+        let target = life.target.as_str().to_owned();
+        Self(Arc::clone(&life.vm), target, life.born_ms)
     }
 }
 
@@ -74,8 +75,9 @@
 
     fn try_from(wire: WireLife) -> Result<Self, InvalidName> {
         Ok(Self {
-            target: TargetName::new(wire.0)?,
-            born_ms: wire.1,
+            vm: wire.0,
+            target: TargetName::new(wire.1)?,
+            born_ms: wire.2,
         })
     }
 }
--- a/crates/rattanwinch_front/src/agents.rs
+++ b/crates/rattanwinch_front/src/agents.rs
@@ -34,15 +34,6 @@
     }
 }
 
-/// What a report says that isn't in its lists.
-#[derive(Debug, Default)]
-pub(crate) struct Noted {
-    /// False if a newer report of the VM has been taken.
-    pub fresh: bool,
-    /// The life of another target that was on the VM before.
-    pub replaced: Option<TargetLife>,
-}
-
 /// The agents that have reported, by VM.
 #[derive(Debug, Default)]
 pub(crate) struct Agents {
@@ -50,7 +41,8 @@
 }
 
 impl Agents {
-    pub(crate) fn note(&mut self, report: &AgentReport, now: Timestamp) -> Noted {
+    /// Notes a report; false if a newer one of its VM has been taken.
+    pub(crate) fn note(&mut self, report: &AgentReport, now: Timestamp) -> bool {
         let life = report
             .target
             .as_ref()
@@ -68,15 +60,12 @@
                     life: life.cloned(),
                 },
             );
-            return Noted {
-                fresh: true,
-                replaced: None,
-            };
+            return true;
         };
         let incarnation = report.agent.incarnation;
         let same = incarnation == agent.id.incarnation;
         if agent.former.contains(&incarnation) || (same && report.sequence <= agent.sequence) {
-            return Noted::default();
+            return false;
         }
         if !same {
             agent.former.push(agent.id.incarnation);
@@ -87,16 +76,10 @@
         agent.id = report.agent.clone();
         agent.sequence = report.sequence;
         agent.clock = (report.clock, now);
-        let mut replaced = None;
-        if let Some(life) = life
-            && agent.life.as_ref() != Some(life)
-        {
-            replaced = agent.life.replace(life.clone());
-        }
-        Noted {
-            fresh: true,
-            replaced,
+        if life.is_some() {
+            agent.life = life.cloned();
         }
+        true
     }
 
     /// The agent beside a life of a target.
--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -241,13 +241,9 @@
 
     /// Takes what an agent knows of its target; false if it has been told newer things.
     fn take_report(&mut self, report: &AgentReport, now: Timestamp) -> bool {
-        let noted = self.agents.note(report, now);
-        if !noted.fresh {
+        if !self.agents.note(report, now) {
             return false;
         }
-        if let Some(life) = &noted.replaced {
-            self.scheduler.life_gone(life, GoneCause::Replaced);
-        }
         if let Some(life) = &report.left {
             self.scheduler.life_gone(life, GoneCause::Left);
         }
--- a/crates/rattanwinch_front/src/records.rs
+++ b/crates/rattanwinch_front/src/records.rs
@@ -120,9 +120,9 @@
     failed_runs: SmallVec<[u32; 4]>,
     #[serde(default, skip_serializing_if = "is_false")]
     done: bool,
-    /// The target and the life that the last run is on.
+    /// The VM, the target and its life that the last run is on.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    placed: Option<(String, u64)>,
+    placed: Option<(Arc<str>, String, u64)>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     saved: Option<Arc<str>>,
 }
@@ -142,10 +142,13 @@
         run: task.last_run,
         failed_runs: task.failed_runs.clone(),
         done: task.done,
-        placed: task
-            .placed
-            .as_ref()
-            .map(|life| (life.target.as_str().to_owned(), life.born_ms)),
+        placed: task.placed.as_ref().map(|life| {
+            (
+                Arc::clone(&life.vm),
+                life.target.as_str().to_owned(),
+                life.born_ms,
+            )
+        }),
         saved: task
             .checkpoint
             .as_ref()
@@ -164,9 +167,13 @@
     let job = JobId::from(id);
     let tasks = stored.tasks.into_iter().map(|task| {
         let (occurrence, step, index) = task.at;
-        let placed = task.placed.map(|(target, born_ms)| {
+        let placed = task.placed.map(|(vm, target, born_ms)| {
             let target = TargetName::new(target).map_err(invalid)?;
-            Ok(TargetLife { target, born_ms })
+            Ok(TargetLife {
+                vm,
+                target,
+                born_ms,
+            })
         });
         Ok(TaskProgress {
             task: TaskId {
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -28,11 +28,7 @@
     /// Reports of one agent have to come in the order in which they were made.
     pub fn report(&mut self, report: &TargetReport, now: Timestamp) {
         let life = &report.description.life;
-        let known = self.targets.get(&life.target);
-        if known.is_some_and(|target| target.description.life != *life) {
-            self.target_gone(&life.target, GoneCause::Replaced);
-        }
-        self.lapse_former_lives(life);
+        self.end_former_lives(life);
         let target = self
             .targets
             .entry(life.target.clone())
@@ -130,8 +126,21 @@
         }
     }
 
-    fn lapse_former_lives(&mut self, present: &TargetLife) {
-        self.lapse(|life| life.target == present.target && life != present);
+    /// Ends what the target, or another one on its VM, was before: it holds nothing of it.
+    fn end_former_lives(&mut self, present: &TargetLife) {
+        let former = |life: &TargetLife| {
+            life != present && (life.target == present.target || life.vm == present.vm)
+        };
+        let gone: Vec<_> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| former(&target.description.life))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in gone {
+            self.target_gone(&name, GoneCause::Replaced);
+        }
+        self.lapse(former);
     }
 
     fn lapse(&mut self, affected: impl Fn(&TargetLife) -> bool) {
--- a/crates/rattanwinch_scheduling/src/target.rs
+++ b/crates/rattanwinch_scheduling/src/target.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
@@ -16,6 +17,8 @@
     /// One life of a target. A target that starts again holds and knows nothing of before.
     #[derive(Hash, PartialOrd, Ord)]
     pub struct TargetLife {
+        /// The VM that it runs on; a VM has one target at a time.
+        pub vm: Arc<str>,
         /// The target.
         pub target: TargetName,
         /// When this life began, in Unix milliseconds of the target's own clock.
--- a/crates/rattanwinch_side/src/side_state.rs
+++ b/crates/rattanwinch_side/src/side_state.rs
@@ -204,6 +204,10 @@
 }
 
 impl ExecutorBackend for SideState {
+    fn vm(&self) -> &Arc<str> {
+        &self.settings.vm
+    }
+
     fn heartbeat(&self, heartbeat: ExecutorHeartbeat) {
         let life = &heartbeat.description.life;
         let mut target = self.target();
