Let urgent steps displace less urgent work whose loss is small

Change: beyond a guarantee, a step of priority 0 stops sets of less urgent runs that lose at most 120 core-seconds each.

--- a/crates/rattanwinch_scheduling/src/placing.rs
+++ b/crates/rattanwinch_scheduling/src/placing.rs
@@ -27,6 +27,11 @@
 /// Blocked steps of one pass for which room is kept free; more would leave the fleet idle.
 const RESERVED_STEPS: usize = 3;
 
+/// The most work that is thrown away for an urgent step without a guarantee, in thousandths of a
+/// core-second for each set of runs: being late costs an urgent job about as much as 300
+/// core-seconds of wasted work, by the users' price lists.
+const LOSS_FOR_URGENCY: u64 = 120_000;
+
 /// The saved states of checkpointing tasks are at most this old; the platform's own period.
 const CHECKPOINT_AGE: Duration = Duration::from_secs(2);
 
@@ -268,7 +273,7 @@
         let sets = self.run_sets(now);
         let candidates = self.candidates(waiting, demand, free, now);
         let occupants = self.occupants(&sets, |set| {
-            let gives_way = guaranteed && self.gives_way(set, &waiting.organisation);
+            let gives_way = self.gives_way(set, waiting, guaranteed);
             (set.stopping || gives_way).then_some(set.loss)
         });
         let Some(found) = plan(demand, &candidates, &occupants) else {
@@ -358,10 +363,17 @@
         sets
     }
 
-    /// True if the runs may be stopped for a guarantee of `organisation`.
-    fn gives_way(&self, set: &RunSet, organisation: &Organisation) -> bool {
+    /// True if the runs may be stopped for the waiting step.
+    ///
+    /// Within a guarantee all that has no guarantee of its own gives way. Beyond it, urgent steps
+    /// displace only less urgent runs whose loss is small against being late.
+    fn gives_way(&self, set: &RunSet, waiting: &Waiting, guaranteed: bool) -> bool {
+        if !guaranteed {
+            return waiting.priority == 0 && set.priority > 0 && set.loss <= LOSS_FOR_URGENCY;
+        }
         set.priority > 0
-            || (set.organisation != *organisation && !self.within_guarantee(&set.organisation))
+            || (set.organisation != waiting.organisation
+                && !self.within_guarantee(&set.organisation))
     }
 
     fn occupants(
