Follow a later scheduler when the store turns this one away; answer sooner

Another took over after 1.5 s, but the first one, unconfirmed, looked for nobody, held its callers for 2.85 s each and sent them away with no time left. A retry that had 100 ms left was refused without an attempt.

Change: an unconfirmed scheduler asks the other fronts for a later epoch and follows it; fronts tell their address when they ask. A call is held for 700 ms at most while no scheduler can be reached, so that the next try reaches another front; the margin before the deadline is a twentieth of it, at least 20 ms. A call whose connection failed counts as not run. Agents take a scheduler's word on itself without waiting for fronts that are dark. A commit that fails is logged once.

--- a/crates/rattanwinch_fleet/src/front_client.rs
+++ b/crates/rattanwinch_fleet/src/front_client.rs
@@ -64,13 +64,17 @@
         self.address
     }
 
-    /// Asks which front schedules.
+    /// Asks which front schedules; `asker` is the address of a front that asks.
     ///
     /// # Errors
     ///
     /// [`RpcFailure`] if no answer came within `limit`.
-    pub async fn leader(&self, limit: Duration) -> Result<Option<LeaderInfo>> {
-        let answer = within(limit, self.client.leader()).await?;
+    pub async fn leader(
+        &self,
+        asker: Option<SocketAddr>,
+        limit: Duration,
+    ) -> Result<Option<LeaderInfo>> {
+        let answer = within(limit, self.client.leader(asker)).await?;
         Ok(answer.map(LeaderInfo::from))
     }
 
--- a/crates/rattanwinch_fleet/src/rpc.rs
+++ b/crates/rattanwinch_fleet/src/rpc.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 
@@ -13,8 +15,9 @@
 #[rpc(client, server, namespace = "front")]
 pub trait FrontRpc {
     /// The front that schedules, as far as this one knows; its leadership was confirmed lately.
+    /// `asker` is where the asking front serves others, if a front asks.
     #[method(name = "leader")]
-    async fn leader(&self) -> RpcResult<Option<WireLeader>>;
+    async fn leader(&self, asker: Option<SocketAddr>) -> RpcResult<Option<WireLeader>>;
 
     /// Answers a caller's call; fails with [`crate::RpcFailure::NotLeading`] on a front that
     /// doesn't schedule, which then has done nothing.
--- a/crates/rattanwinch_fleet/src/rpc_error.rs
+++ b/crates/rattanwinch_fleet/src/rpc_error.rs
@@ -1,3 +1,4 @@
+use std::error::Error;
 use std::fmt;
 use std::time::Duration;
 
@@ -12,15 +13,17 @@
 pub enum RpcFailure {
     /// The front doesn't schedule and has done nothing.
     NotLeading,
+    /// Nothing was sent, as no connection could be made.
+    NotSent(ClientError),
     /// The call may have been carried out, or may still be.
-    Unanswered(Box<dyn std::error::Error + Send + Sync>),
+    Unanswered(Box<dyn Error + Send + Sync>),
 }
 
 impl RpcFailure {
     /// True if the call has certainly not been carried out.
     #[must_use]
     pub const fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotLeading)
+        matches!(self, Self::NotLeading | Self::NotSent(_))
     }
 }
 
@@ -28,12 +31,13 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotLeading => f.write_str("the front doesn't schedule"),
+            Self::NotSent(cause) => write!(f, "no connection: {cause}"),
             Self::Unanswered(cause) => write!(f, "no answer: {cause}"),
         }
     }
 }
 
-impl std::error::Error for RpcFailure {}
+impl Error for RpcFailure {}
 
 impl From<RpcFailure> for ErrorObjectOwned {
     fn from(failure: RpcFailure) -> Self {
@@ -45,11 +49,28 @@
     fn from(error: ClientError) -> Self {
         match &error {
             ClientError::Call(object) if object.code() == NOT_LEADING => Self::NotLeading,
+            _ if is_connect(&error) => Self::NotSent(error),
             _ => Self::Unanswered(Box::new(error)),
         }
     }
 }
 
+/// True if the error arose while connecting, before any byte of the call was sent.
+fn is_connect(error: &ClientError) -> bool {
+    let mut cause: Option<&(dyn Error + 'static)> = match error {
+        ClientError::Transport(cause) => Some(cause.as_ref()),
+        _ => None,
+    };
+    while let Some(error) = cause {
+        let http = error.downcast_ref::<hyper_util::client::legacy::Error>();
+        if http.is_some_and(hyper_util::client::legacy::Error::is_connect) {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
+
 /// Waits for a call, at most `limit`.
 pub(crate) async fn within<T>(
     limit: Duration,
--- a/crates/rattanwinch_front/src/committer.rs
+++ b/crates/rattanwinch_front/src/committer.rs
@@ -11,6 +11,7 @@
 use rattanwinch_site_store::StoreClient;
 use rattanwinch_site_store::Transaction;
 use slog::Logger;
+use slog::info;
 use slog::warn;
 use tokio::task::JoinSet;
 
@@ -28,7 +29,7 @@
 const MAX_COPIES: usize = 4;
 
 /// The pause after a copy that was refused or cut off.
-const RETRY_PAUSE: Duration = Duration::from_millis(60);
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// The largest sum of values in one transaction, in bytes; a value alone may have 1 MB, but
 /// shorter messages are carried faster by a slow store.
@@ -89,15 +90,24 @@
             puts: std::iter::once(leader).chain(puts).collect(),
             deletes: part.deletes,
         };
-        self.revision = self.send(&record, Arc::new(transaction)).await?;
+        let (revision, copies) = self.send(&record, Arc::new(transaction)).await?;
+        if copies > 1 {
+            info!(self.log, "commit done"; "change" => record.change, "copies" => copies);
+        }
+        self.revision = revision;
         self.record = record;
         Ok(())
     }
 
-    /// Sends a transaction until one copy of it is known to be done.
-    async fn send(&self, record: &LeaderRecord, transaction: Arc<Transaction>) -> Result<Revision> {
+    /// Sends a transaction until one copy of it is known to be done; gives the revision and the
+    /// number of copies.
+    async fn send(
+        &self,
+        record: &LeaderRecord,
+        transaction: Arc<Transaction>,
+    ) -> Result<(Revision, u32)> {
         let mut copies = JoinSet::new();
-        let mut sent = 0;
+        let mut sent: u32 = 0;
         loop {
             if copies.len() < MAX_COPIES {
                 let (store, transaction) = (self.store.clone(), Arc::clone(&transaction));
@@ -106,13 +116,16 @@
             }
             let answered = tokio::time::timeout(COPY_DELAY, copies.join_next()).await;
             match answered {
-                Ok(Some(Ok(Ok(Committed::Done(revision))))) => return Ok(revision),
-                Ok(Some(Ok(Ok(Committed::Conflict(items))))) => return written_by(record, &items),
+                Ok(Some(Ok(Ok(Committed::Done(revision))))) => return Ok((revision, sent)),
+                Ok(Some(Ok(Ok(Committed::Conflict(items))))) => {
+                    return Ok((written_by(record, &items)?, sent));
+                }
                 Ok(Some(Ok(Ok(Committed::LeaseEnded)))) => return Err(LeadershipLost),
                 Ok(Some(Ok(Err(error)))) => {
-                    warn!(self.log, "commit unanswered, sent again"; "error" => %error,
-                        "change" => record.change, "may_be_done" => error.may_be_done(),
-                        "copies" => sent);
+                    if sent == 1 {
+                        warn!(self.log, "commit unanswered, sent again"; "error" => %error,
+                            "change" => record.change, "may_be_done" => error.may_be_done());
+                    }
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
                 // No answer yet, or a copy that was given up: the next one is sent.
--- a/crates/rattanwinch_front/src/front_state.rs
+++ b/crates/rattanwinch_front/src/front_state.rs
@@ -28,6 +28,10 @@
 /// change of scheduler takes about 2 s, and the balancer acts after two misses a second apart.
 const READY_SILENCE: Duration = Duration::from_secs(4);
 
+/// Fronts that are remembered; replaced ones stay until the process ends, and each is asked when
+/// the scheduler is looked for.
+const MAX_FRONTS: usize = 64;
+
 /// The front that schedules, and how to call it.
 #[derive(Clone, Debug)]
 pub(crate) struct KnownLeader {
@@ -141,12 +145,20 @@
     }
 
     pub(crate) fn add_seeds(&self, seeds: &[SocketAddr]) {
-        let port = self.settings.peer_port;
-        let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
-        let seeds: Vec<_> = seeds.filter(|front| *front != self.address).collect();
+        for seed in seeds {
+            self.add_front(SocketAddr::new(seed.ip(), self.settings.peer_port));
+        }
+    }
+
+    /// Notes a front that may be asked who leads.
+    pub(crate) fn add_front(&self, front: SocketAddr) {
+        let known = self.fronts.load();
+        if front == self.address || known.contains(&front) || known.len() >= MAX_FRONTS {
+            return;
+        }
         self.fronts.rcu(|fronts| {
             let mut fronts = BTreeSet::clone(fronts);
-            fronts.extend(seeds.iter().copied());
+            fronts.insert(front);
             fronts
         });
     }
--- a/crates/rattanwinch_front/src/leadership.rs
+++ b/crates/rattanwinch_front/src/leadership.rs
@@ -113,14 +113,17 @@
             Err(error) => {
                 slog::debug!(self.state.log, "the store can't be asked who schedules";
                     "error" => %error);
-                self.ask_fronts().await;
+                if let Some(info) = ask_fronts(&self.state).await {
+                    self.state.set_leader(Some(info));
+                }
             }
         }
         Step::Wait(SEARCH_PAUSE)
     }
 
     async fn hears(&self, client: &FrontClient) -> bool {
-        let Ok(Some(info)) = client.leader(PING_LIMIT).await else {
+        let asker = Some(self.state.address);
+        let Ok(Some(info)) = client.leader(asker, PING_LIMIT).await else {
             return false;
         };
         // Only a front's word on itself counts: followers that quote each other would go on
@@ -133,26 +136,6 @@
         leads
     }
 
-    async fn ask_fronts(&self) {
-        let fronts = self.state.fronts.load_full();
-        let mut asked = JoinSet::new();
-        for &front in fronts.iter() {
-            asked.spawn(async move { FrontClient::new(front).leader(PING_LIMIT).await });
-        }
-        let mut best: Option<LeaderInfo> = None;
-        while let Some(answer) = asked.join_next().await {
-            if let Ok(Ok(Some(info))) = answer
-                && best.is_none_or(|best| best.epoch < info.epoch)
-            {
-                best = Some(info);
-            }
-        }
-        let best = best.filter(|best| best.address != self.state.address);
-        if best.is_some_and(|best| best.epoch >= self.state.highest_epoch()) {
-            self.state.set_leader(best);
-        }
-    }
-
     /// Reads who schedules, and takes over if nobody does.
     async fn stand(&self) -> Result<Option<Elected>> {
         let state = &self.state;
@@ -320,7 +303,9 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(renew(Arc::clone(&state), Arc::clone(&leading), lease));
         tasks.spawn(watch_operators(Arc::clone(&state), Arc::clone(&leading)));
+        tasks.spawn(watch_successors(Arc::clone(&state), Arc::clone(&leading)));
         tasks.spawn(coordinator.run(received));
+        state.set_leader(None);
         state.set_leading(Some(Arc::clone(&leading)));
         let mut changes = state.leader_changes();
         loop {
@@ -330,7 +315,6 @@
             }
         }
         state.set_leading(None);
-        state.set_leader(None);
         tasks.shutdown().await;
         info!(state.log, "no longer scheduling"; "epoch" => epoch);
         if state.is_stopping() {
@@ -342,6 +326,38 @@
     }
 }
 
+/// Asks the other fronts who schedules; gives the highest epoch that isn't out of date.
+async fn ask_fronts(state: &FrontState) -> Option<LeaderInfo> {
+    let fronts = state.fronts.load_full();
+    let asker = Some(state.address);
+    let mut asked = JoinSet::new();
+    for &front in fronts.iter() {
+        asked.spawn(async move { FrontClient::new(front).leader(asker, PING_LIMIT).await });
+    }
+    let answers = asked.join_all().await.into_iter();
+    let told = answers.filter_map(|answer| answer.ok().flatten());
+    let others = told.filter(|info| info.address != state.address);
+    let best = others.max_by_key(|info| info.epoch)?;
+    (best.epoch >= state.highest_epoch()).then_some(best)
+}
+
+/// Looks for a later scheduler while the store doesn't confirm this one, which may be out of
+/// reach of the store alone.
+async fn watch_successors(state: Arc<FrontState>, leading: Arc<Leading>) {
+    loop {
+        tokio::time::sleep(PING_INTERVAL).await;
+        if leading.is_confirmed(state.clock.now()) {
+            continue;
+        }
+        let later = ask_fronts(&state).await;
+        if later.is_some_and(|later| later.epoch > leading.info.epoch) {
+            state.set_leader(later);
+            leading.lost.notify_one();
+            return;
+        }
+    }
+}
+
 fn published(scheduler: &Scheduler) -> Vec<(rattanwinch_scheduling::JobId, PublishedJob)> {
     let jobs = scheduler.states().filter_map(|(id, queue, state)| {
         let (accepted, _) = scheduler.record(id)?;
--- a/crates/rattanwinch_front/src/relay.rs
+++ b/crates/rattanwinch_front/src/relay.rs
@@ -18,8 +18,13 @@
 /// The pause before the scheduler is looked for again.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 
-/// The answer leaves this much before the caller stops waiting.
-const MARGIN: Duration = Duration::from_millis(150);
+/// How long a call is held while no scheduler can be reached from here. The caller's next try
+/// comes to another front, which may reach it; with four tries more than its deadline is covered.
+const HOLD: Duration = Duration::from_millis(700);
+
+/// The answer leaves this much before the caller stops waiting, or a twentieth of its time if
+/// that is longer.
+const MARGIN: Duration = Duration::from_millis(20);
 
 /// What an attempt came to.
 enum Attempt {
@@ -33,12 +38,13 @@
     /// own id, so a repetition is no second job.
     async fn call(&self, call: CallerCall) -> CallerAnswer {
         let started = self.clock.now();
-        let limit = call.deadline.saturating_sub(MARGIN);
+        let limit = call.deadline.saturating_sub(MARGIN.max(call.deadline / 20));
         let mut may_have_run = false;
         let mut attempts = 0;
         let answer = loop {
             let left = limit.saturating_sub(self.clock.now().since(started));
-            if left.is_zero() {
+            let held = self.clock.now().since(started) >= HOLD;
+            if left.is_zero() || (held && !may_have_run) {
                 break CallerAnswer::Refused(given_up(may_have_run));
             }
             let mut changes = self.leader_changes();
--- a/crates/rattanwinch_front/src/rpc.rs
+++ b/crates/rattanwinch_front/src/rpc.rs
@@ -1,4 +1,6 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::core::async_trait;
@@ -21,7 +23,7 @@
 
 /// A follower's word on who schedules counts only if it heard the scheduler as lately as this;
 /// it asks every 400 ms.
-const LEADER_WORD: std::time::Duration = std::time::Duration::from_millis(900);
+const LEADER_WORD: Duration = Duration::from_millis(900);
 
 /// Serves other fronts and agents.
 pub(crate) struct PeerServer {
@@ -36,7 +38,10 @@
 
 #[async_trait]
 impl FrontRpcServer for PeerServer {
-    async fn leader(&self) -> RpcResult<Option<WireLeader>> {
+    async fn leader(&self, asker: Option<SocketAddr>) -> RpcResult<Option<WireLeader>> {
+        if let Some(asker) = asker {
+            self.state.add_front(asker);
+        }
         if let Some(leading) = self.state.leading() {
             return Ok(Some(leading.info.into()));
         }
--- a/crates/rattanwinch_side/src/leader_search.rs
+++ b/crates/rattanwinch_side/src/leader_search.rs
@@ -38,15 +38,23 @@
         let fronts = state.fronts.load_full();
         let mut asked = tokio::task::JoinSet::new();
         for &front in fronts.iter() {
-            asked.spawn(async move { FrontClient::new(front).leader(ASK_LIMIT).await });
+            asked.spawn(async move {
+                let answer = FrontClient::new(front).leader(None, ASK_LIMIT).await;
+                (front, answer)
+            });
         }
         let mut best: Option<LeaderInfo> = None;
         while let Some(answer) = asked.join_next().await {
-            if let Ok(Ok(Some(leader))) = answer
-                && best.is_none_or(|best| best.epoch < leader.epoch)
-            {
+            let Ok((front, Ok(Some(leader)))) = answer else {
+                continue;
+            };
+            if best.is_none_or(|best| best.epoch < leader.epoch) {
                 best = Some(leader);
             }
+            // A front's word on itself needs no other; one that is dark would hold it up.
+            if leader.address == front && leader.epoch >= state.epoch() {
+                break;
+            }
         }
         self.tries += 1;
         if best.is_some() {
