Make saved states durable, and place what is guaranteed first

Cause: (1) a checkpoint was stored only with the next change of its job, so a loss of all VMs threw away what had been saved. (3) several failures of one job that can't be done put sound targets into quarantine.

Change: saved states are written at most every 2 s; guaranteed steps come first among the urgent; only failures of different jobs count against a target; a target with a stalled run is quarantined, and a run counts as stalled after 3 s.

--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -315,7 +315,7 @@
         let Some(mut committer) = self.committer.take() else {
             return;
         };
-        let changes = self.scheduler.take_changes();
+        let changes = self.scheduler.take_changes(now);
         let forgotten = self.forget_old(now);
         if changes.is_empty() && forgotten.is_empty() {
             self.committer = Some(committer);
--- a/crates/rattanwinch_front/src/leadership.rs
+++ b/crates/rattanwinch_front/src/leadership.rs
@@ -381,8 +381,11 @@
         .stop_repeat(Duration::from_millis(1500))
         // A third of the shortest reclaim time on the users' sheets, with the stop after it.
         .urgent_patience(Duration::from_millis(800))
-        // Progress is reported in whole per cent; the longest tasks take 11 s on a sound target.
-        .stall(Duration::from_secs(4))
+        // Tasks save their state every 0.5 or 2 s, and a write costs a tenth of a start.
+        .save_interval(Duration::from_secs(2))
+        // Progress is reported in whole per cent each second; one per cent of the longest task
+        // on the slowest target of the users' sheets takes 2 s.
+        .stall(Duration::from_millis(3000))
         .quarantine(Duration::from_secs(5))
         .quarantine_most(Duration::from_secs(40))
         .build()
--- a/crates/rattanwinch_scheduling/src/job.rs
+++ b/crates/rattanwinch_scheduling/src/job.rs
@@ -347,14 +347,18 @@
         shared
     }
 
-    pub(crate) fn save(&mut self, run: &RunId, checkpoint: Option<Checkpoint>) {
+    /// Keeps a newer saved state; true if there was one.
+    pub(crate) fn save(&mut self, run: &RunId, checkpoint: Option<Checkpoint>) -> bool {
         let shared = self.shared(&run.task);
         let Some(task) = self.task_mut(&shared) else {
-            return;
+            return false;
         };
-        if checkpoint.is_some() && run.number >= task.last_run {
+        let newer =
+            checkpoint.is_some() && run.number >= task.last_run && task.checkpoint != checkpoint;
+        if newer {
             task.checkpoint = checkpoint;
         }
+        newer
     }
 
     /// Takes note of the end of a run; true if it changed what is durable.
--- a/crates/rattanwinch_scheduling/src/limits.rs
+++ b/crates/rattanwinch_scheduling/src/limits.rs
@@ -17,6 +17,8 @@
         /// A step waits this long for its best racks if its queue comes first, and this share
         /// of its estimate otherwise.
         pub urgent_patience: Duration,
+        /// How long saved states of running tasks may wait until they are made durable.
+        pub save_interval: Duration,
         /// A run without progress for so long is stopped and started elsewhere.
         pub stall: Duration,
         /// The first quarantine of a target; each further one is twice as long.
--- a/crates/rattanwinch_scheduling/src/placing.rs
+++ b/crates/rattanwinch_scheduling/src/placing.rs
@@ -44,6 +44,8 @@
     accepted_at: Timestamp,
     organisation: Organisation,
     waited: Duration,
+    /// The organisation's guarantee covers it.
+    guaranteed: bool,
 }
 
 /// Runs that end together.
@@ -64,8 +66,7 @@
         let mut free = self.free_room(now);
         let mut reserved = 0;
         for waiting in self.waiting_steps(now, wall) {
-            let guaranteed = self.is_guaranteed(&waiting);
-            let demand = self.demand(&waiting, guaranteed);
+            let demand = self.demand(&waiting);
             let candidates = self.candidates(&waiting, &demand, &free, now);
             let chosen = choose(&demand, &candidates);
             for target in &chosen {
@@ -80,7 +81,7 @@
                 reserved += 1;
                 let mut rest = demand;
                 rest.count -= chosen.len();
-                self.make_room(&waiting, &rest, guaranteed, &mut free, now);
+                self.make_room(&waiting, &rest, &mut free, now);
             }
         }
     }
@@ -98,12 +99,14 @@
                 };
                 let since = *self.ready_since.entry(step.clone()).or_insert(now);
                 ready.insert(step.clone());
+                let organisation = &job.accepted.organisation;
                 all.push(Waiting {
+                    guaranteed: job.rules.priority == 0 && self.within_guarantee(organisation),
                     described: described.clone(),
                     indices: job.waiting(&step),
                     priority: job.rules.priority,
                     accepted_at: job.accepted.accepted_at,
-                    organisation: job.accepted.organisation.clone(),
+                    organisation: organisation.clone(),
                     waited: now.since(since),
                     step,
                 });
@@ -112,7 +115,8 @@
         self.ready_since.retain(|step, _| ready.contains(step));
         self.advice.retain(|step| ready.contains(step));
         all.sort_by(|a, b| {
-            let key = |w: &Waiting| (w.priority, w.accepted_at);
+            // A step within a guarantee would displace one beyond it, so it comes first.
+            let key = |w: &Waiting| (w.priority, !w.guaranteed, w.accepted_at);
             key(a).cmp(&key(b)).then_with(|| a.step.cmp(&b.step))
         });
         all
@@ -139,8 +143,8 @@
         free
     }
 
-    fn demand(&self, waiting: &Waiting, guaranteed: bool) -> Demand {
-        let patience = if guaranteed || waiting.priority == 0 {
+    fn demand(&self, waiting: &Waiting) -> Demand {
+        let patience = if waiting.priority == 0 {
             self.limits.urgent_patience
         } else {
             waiting.described.estimate
@@ -266,14 +270,13 @@
         &mut self,
         waiting: &Waiting,
         demand: &Demand,
-        guaranteed: bool,
         free: &mut BTreeMap<TargetName, Resources>,
         now: Timestamp,
     ) {
         let sets = self.run_sets(now);
         let candidates = self.candidates(waiting, demand, free, now);
         let occupants = self.occupants(&sets, |set| {
-            let gives_way = self.gives_way(set, waiting, guaranteed);
+            let gives_way = self.gives_way(set, waiting);
             (set.stopping || gives_way).then_some(set.loss)
         });
         let Some(found) = plan(demand, &candidates, &occupants) else {
@@ -367,8 +370,8 @@
     ///
     /// Within a guarantee all that has no guarantee of its own gives way. Beyond it, urgent steps
     /// displace only less urgent runs whose loss is small against being late.
-    fn gives_way(&self, set: &RunSet, waiting: &Waiting, guaranteed: bool) -> bool {
-        if !guaranteed {
+    fn gives_way(&self, set: &RunSet, waiting: &Waiting) -> bool {
+        if !waiting.guaranteed {
             return waiting.priority == 0 && set.priority > 0 && set.loss <= LOSS_FOR_URGENCY;
         }
         set.priority > 0
@@ -411,10 +414,6 @@
         left.max().unwrap_or(0)
     }
 
-    fn is_guaranteed(&self, waiting: &Waiting) -> bool {
-        waiting.priority == 0 && self.within_guarantee(&waiting.organisation)
-    }
-
     /// True if all urgent jobs of the organisation together need no more than its guarantee.
     fn within_guarantee(&self, organisation: &Organisation) -> bool {
         let Some(&guarantee) = self.rules.guarantees.get(organisation) else {
@@ -459,6 +458,7 @@
             self.stop_runs(|other| {
                 *other == run || (gang && other.task.step == step && other.number == run.number)
             });
+            self.quarantine(&target, now);
             self.note(Event::Stalled { run, target });
         }
     }
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -15,7 +15,7 @@
 use crate::active_run::Intent;
 use crate::target::Target;
 
-/// Failures of different tasks in a row that speak against the target rather than the tasks.
+/// Failures of different jobs in a row that speak against the target rather than the jobs.
 const FAILURES_BEFORE_QUARANTINE: u32 = 2;
 
 /// A run that had started and that no report has shown for so long is looked for by a stop; a
@@ -159,8 +159,10 @@
         if !self.placed_on(&running.run, life) {
             return;
         }
-        if let Some(job) = self.jobs.get_mut(&running.run.task.step.job) {
-            job.save(&running.run, running.checkpoint.clone());
+        let job = &running.run.task.step.job;
+        let saved = self.jobs.get_mut(job);
+        if saved.is_some_and(|saved| saved.save(&running.run, running.checkpoint.clone())) {
+            self.unsaved.insert(job.clone());
         }
         let Some(active) = self.active.get_mut(&running.run) else {
             return;
@@ -219,28 +221,41 @@
     }
 
     fn judge_target(&mut self, life: &TargetLife, ended: &EndedTask, now: Timestamp) {
-        let first = self.limits.quarantine;
-        let most = self.limits.quarantine_most;
+        let job = &ended.run.task.step.job;
         let Some(target) = self.targets.get_mut(&life.target) else {
             return;
         };
         match ended.end {
             RunEnd::Done => {
                 target.failures_in_row = 0;
+                target.last_failed = None;
                 target.quarantines = 0;
             }
-            RunEnd::Failed => target.failures_in_row += 1,
+            RunEnd::Failed if target.last_failed.as_ref() != Some(job) => {
+                target.failures_in_row += 1;
+                target.last_failed = Some(job.clone());
+            }
             _ => {}
         }
         if target.failures_in_row < FAILURES_BEFORE_QUARANTINE {
             return;
         }
-        let length = (first * 2_u32.saturating_pow(target.quarantines)).min(most);
         target.failures_in_row = 0;
+        self.quarantine(&life.target, now);
+    }
+
+    /// Keeps new tasks from a target, longer each time it comes to that.
+    pub(crate) fn quarantine(&mut self, name: &TargetName, now: Timestamp) {
+        let limits = self.limits;
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        let length = limits.quarantine * 2_u32.saturating_pow(target.quarantines);
+        let length = length.min(limits.quarantine_most);
         target.quarantines = (target.quarantines + 1).min(8);
         target.quarantined_until = now + length;
         self.note(Event::Quarantined {
-            target: life.target.clone(),
+            target: name.clone(),
             for_ms: u64::try_from(length.as_millis()).unwrap_or(u64::MAX),
         });
     }
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -46,6 +46,9 @@
     /// When this scheduler took over; earlier placements count from then.
     pub(crate) started_at: Timestamp,
     changed: BTreeSet<JobId>,
+    /// Jobs with saved states that aren't durable yet.
+    pub(crate) unsaved: BTreeSet<JobId>,
+    save_at: Timestamp,
     /// Ends that have been processed but aren't durable yet.
     unacknowledged: BTreeMap<TargetLife, u64>,
     events: Vec<Event>,
@@ -88,6 +91,8 @@
             ready_since: BTreeMap::new(),
             started_at: now,
             changed: BTreeSet::new(),
+            unsaved: BTreeSet::new(),
+            save_at: now,
             unacknowledged: BTreeMap::new(),
             events: Vec::new(),
         };
@@ -207,15 +212,27 @@
     }
 
     /// The changes since the last call, which are to be made durable.
-    pub fn take_changes(&mut self) -> Changes {
+    ///
+    /// Saved states alone wait for a few others: they only spare work if a target is lost.
+    pub fn take_changes(&mut self, now: Timestamp) -> Changes {
+        if now >= self.save_at && !self.unsaved.is_empty() {
+            self.save_at = now + self.limits.save_interval;
+            self.changed.append(&mut self.unsaved);
+        }
         let runs = self.active.iter().filter(|(_, active)| !active.durable);
         Changes {
             runs: runs.map(|(run, _)| run.clone()).collect(),
-            jobs: std::mem::take(&mut self.changed).into_iter().collect(),
+            jobs: self.take_changed(),
             acknowledged: std::mem::take(&mut self.unacknowledged),
         }
     }
 
+    fn take_changed(&mut self) -> Vec<JobId> {
+        let changed = std::mem::take(&mut self.changed);
+        self.unsaved.retain(|job| !changed.contains(job));
+        changed.into_iter().collect()
+    }
+
     /// Notes that changes are durable: their runs may be ordered, their ends acknowledged.
     pub fn committed(&mut self, changes: &Changes) {
         for run in &changes.runs {
--- a/crates/rattanwinch_scheduling/src/target.rs
+++ b/crates/rattanwinch_scheduling/src/target.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 
 use crate::Checkpoint;
+use crate::JobId;
 use crate::Label;
 use crate::Resources;
 use crate::RunId;
@@ -111,8 +112,10 @@
     pub processed: u64,
     /// Runs there that the scheduler hasn't placed; their size is unknown.
     pub strangers: Vec<RunId>,
-    /// Failures in a row, over all jobs.
+    /// Jobs in a row of which a task failed here.
     pub failures_in_row: u32,
+    /// The job of the last failure; a job that can't be done fails anywhere.
+    pub last_failed: Option<JobId>,
     pub quarantined_until: Timestamp,
     pub quarantines: u32,
 }
@@ -126,6 +129,7 @@
             processed: 0,
             strangers: Vec::new(),
             failures_in_row: 0,
+            last_failed: None,
             quarantined_until: Timestamp::ZERO,
             quarantines: 0,
         }
