Test the scheduler, the translation and whole sites without the kit

Change: stand-ins for the platform's store and executors in platform/standins; whole sites on loopback (calls, changes of scheduler, lost targets); single decisions; a randomised run of the scheduler against modelled targets with losses of schedulers, targets and orders; the translation of submissions, orders of operators and heartbeats.

One fault was found: a stop right after a start waited 300 ms; it is sent at once now.

--- /dev/null
+++ b/crates/rattanwinch_front/tests/site/calls.rs
@@ -0,0 +1,109 @@
+use std::time::Duration;
+
+use reqwest::Method;
+use serde_json::json;
+
+use crate::harness::Site;
+use crate::harness::job;
+
+const SOON: Duration = Duration::from_secs(10);
+
+/// A job that is handed in twice, at two fronts, would bill twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_handed_in_twice_runs_once() {
+    let site = Site::start(2, 2).await;
+    site.submit_until_accepted(0, "00000000000000a1", 100, 4)
+        .await;
+    assert_eq!(site.submit(1, "00000000000000a1", 100, 4).await, 200);
+    site.wait_for(1, "00000000000000a1", "completed", SOON)
+        .await;
+    assert_eq!(site.submit(0, "00000000000000a1", 100, 4).await, 200);
+    let tasks: Vec<_> = (0..4)
+        .map(|index| format!("00000000000000a1.0.0.{index}"))
+        .collect();
+    assert_eq!(site.started("00000000000000a1"), tasks);
+}
+
+/// Each wrong call gets its stated answer, and nothing runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn wrong_calls_are_refused_and_run_nothing() {
+    let site = Site::start(2, 1).await;
+    site.submit_until_accepted(0, "00000000000000b0", 10, 1)
+        .await;
+    let id = "/checks/00000000000000b1";
+    for front in 0..2 {
+        let unknown_key = site.call_with_key(front, Method::POST, id, Some(job(1, 1)), "none");
+        assert_eq!(unknown_key.await.0, 401);
+        let unknown_path = site.call(front, Method::POST, "/other/1", Some(job(1, 1)));
+        assert_eq!(unknown_path.await.0, 404);
+        let no_job = site.call(front, Method::POST, id, Some(json!({ "spec": "x" })));
+        assert_eq!(no_job.await.0, 400);
+        let empty = json!({ "spec": "x", "phases": [{ "count": 0 }] });
+        assert_eq!(site.call(front, Method::POST, id, Some(empty)).await.0, 400);
+        let large = json!({ "spec": "x".repeat(300_000), "phases": [] });
+        assert_eq!(site.call(front, Method::POST, id, Some(large)).await.0, 413);
+        assert_eq!(site.call(front, Method::GET, id, None).await.0, 410);
+        assert_eq!(site.call(front, Method::DELETE, id, None).await.0, 410);
+        assert_eq!(site.call(front, Method::PUT, id, None).await.0, 405);
+    }
+    let others = site.call_with_key(
+        0,
+        Method::GET,
+        "/checks/00000000000000b0",
+        None,
+        "key-of-gait",
+    );
+    assert_eq!(others.await.0, 403);
+    assert!(site.started("00000000000000b1").is_empty());
+}
+
+/// A cancelled job that runs on, or is shown as anything else, holds room that others need.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancelled_job_stops_and_stays_cancelled() {
+    let site = Site::start(1, 1).await;
+    site.submit_until_accepted(0, "00000000000000c1", 60_000, 2)
+        .await;
+    site.wait_for(0, "00000000000000c1", "running", SOON).await;
+    let path = "/checks/00000000000000c1";
+    assert_eq!(site.call(0, Method::DELETE, path, None).await.0, 200);
+    assert_eq!(site.state(0, "00000000000000c1").await, "cancelled");
+    // The room is free again: eight tasks fill the worker.
+    site.submit_until_accepted(0, "00000000000000c2", 50, 8)
+        .await;
+    site.wait_for(0, "00000000000000c2", "completed", SOON)
+        .await;
+    assert_eq!(site.submit(0, "00000000000000c1", 60_000, 2).await, 200);
+    assert_eq!(site.state(0, "00000000000000c1").await, "cancelled");
+    assert_eq!(site.started("00000000000000c1").len(), 2);
+}
+
+/// A key that operators took away must stop working within 5 s, without a restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_that_was_taken_away_is_refused() {
+    let site = Site::start(2, 1).await;
+    site.submit_until_accepted(0, "00000000000000d1", 10, 1)
+        .await;
+    let config = site.store.value("op/config").expect("a configuration");
+    let mut config: serde_json::Value = serde_json::from_slice(&config).expect("JSON");
+    config["version"] = json!(2);
+    config["tenants"][0]["api_keys"] = json!([]);
+    site.store.put("op/config", &config);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for front in 0..2 {
+        assert_eq!(site.submit(front, "00000000000000d2", 10, 1).await, 401);
+    }
+    assert!(site.started("00000000000000d2").is_empty());
+}
+
+/// A call about a queue as a whole tells how many of its jobs have no task that has started.
+#[tokio::test(flavor = "multi_thread")]
+async fn pending_counts_jobs_that_have_not_begun() {
+    let site = Site::start(2, 1).await;
+    site.submit_until_accepted(0, "00000000000000e1", 60_000, 8)
+        .await;
+    for id in ["00000000000000e2", "00000000000000e3"] {
+        site.submit_until_accepted(1, id, 10, 8).await;
+    }
+    let (status, body) = site.call(1, Method::GET, "/checks/", None).await;
+    assert_eq!((status, &body["pending"]), (200, &json!(2)));
+}
--- a/crates/rattanwinch_scheduling/src/orders.rs
+++ b/crates/rattanwinch_scheduling/src/orders.rs
@@ -119,6 +119,8 @@
         active.retry_at = retry_at;
         match outcome {
             OrderOutcome::Started => {
+                // A stop that follows needn't wait.
+                active.retry_at = now;
                 if !active.started {
                     active.started = true;
                     active.progressed_at = now;
--- /dev/null
+++ b/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
@@ -0,0 +1,268 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rattanwinch_scheduling::AcceptedJob;
+use rattanwinch_scheduling::EndedTask;
+use rattanwinch_scheduling::JobDescription;
+use rattanwinch_scheduling::JobId;
+use rattanwinch_scheduling::OrderOutcome;
+use rattanwinch_scheduling::QueueName;
+use rattanwinch_scheduling::QueueRules;
+use rattanwinch_scheduling::Resources;
+use rattanwinch_scheduling::RunEnd;
+use rattanwinch_scheduling::RunId;
+use rattanwinch_scheduling::RunningTask;
+use rattanwinch_scheduling::Scheduler;
+use rattanwinch_scheduling::SchedulingLimits;
+use rattanwinch_scheduling::SchedulingRules;
+use rattanwinch_scheduling::ServiceName;
+use rattanwinch_scheduling::StartOrder;
+use rattanwinch_scheduling::StepDescription;
+use rattanwinch_scheduling::TargetDescription;
+use rattanwinch_scheduling::TargetLife;
+use rattanwinch_scheduling::TargetReport;
+use rattanwinch_types::Organisation;
+use rattanwinch_types::TargetName;
+use rattanwinch_types::Timestamp;
+use rattanwinch_types::ZoneName;
+
+/// A scheduler whose changes are durable at once, and targets that do as they are told.
+pub struct Fixture {
+    pub scheduler: Scheduler,
+    pub now: Timestamp,
+    pub rules: SchedulingRules,
+    /// Runs make no progress.
+    pub hung: bool,
+    reports: BTreeMap<TargetName, TargetReport>,
+    jobs: u64,
+}
+
+pub fn limits() -> SchedulingLimits {
+    SchedulingLimits::builder()
+        .silence(Duration::from_secs(16))
+        .fresh(Duration::from_millis(2500))
+        .order_retry(Duration::from_millis(300))
+        .stop_repeat(Duration::from_millis(1500))
+        .urgent_patience(Duration::from_millis(800))
+        .save_interval(Duration::from_secs(2))
+        .stall(Duration::from_secs(3))
+        .quarantine(Duration::from_secs(5))
+        .quarantine_most(Duration::from_secs(40))
+        .build()
+}
+
+pub fn queue_rules(priority: u32) -> QueueRules {
+    QueueRules {
+        service: ServiceName::from("design"),
+        priority,
+        max_attempts: 3,
+        advisor: None,
+    }
+}
+
+/// A step of tasks with `accelerators` each.
+pub fn step(count: u32, accelerators: u64) -> StepDescription {
+    StepDescription::builder()
+        .count(count)
+        .need(Resources {
+            cpu_millis: 1_000 * accelerators,
+            memory_mb: 1_000 * accelerators,
+            accelerators,
+        })
+        .estimate(Duration::from_secs(2))
+        .build()
+}
+
+impl Fixture {
+    /// Targets of 8 accelerators each, named `t0`, `t1` and so on, in racks of two.
+    pub fn new(targets: usize) -> Self {
+        let now = Timestamp::from_millis(1_000_000);
+        let queues = (0..3).map(|priority| {
+            let name = QueueName::from(format!("q{priority}").as_str());
+            (name, queue_rules(priority))
+        });
+        let rules = SchedulingRules {
+            queues: queues.collect(),
+            ..SchedulingRules::default()
+        };
+        let mut fixture = Self {
+            scheduler: Scheduler::restore(limits(), rules.clone(), [], now),
+            now,
+            rules,
+            hung: false,
+            reports: BTreeMap::new(),
+            jobs: 0,
+        };
+        for number in 0..targets {
+            fixture.add_target(number, 0);
+        }
+        fixture
+    }
+
+    pub fn add_target(&mut self, number: usize, born_ms: u64) {
+        let life = TargetLife {
+            vm: Arc::from(format!("vm{number}")),
+            target: target(number),
+            born_ms,
+        };
+        let description = TargetDescription {
+            life,
+            service: ServiceName::from("design"),
+            zone: ZoneName::new(format!("az-{}", number / 2)).expect("a name"),
+            capacity: Resources {
+                cpu_millis: 64_000,
+                memory_mb: 64_000,
+                accelerators: 8,
+            },
+            labels: ["a", &format!("r{}", number / 2)]
+                .map(Into::into)
+                .into_iter()
+                .collect(),
+            draining: false,
+        };
+        let report = TargetReport {
+            description,
+            running: Vec::new(),
+            ended: Vec::new(),
+        };
+        self.scheduler.report(&report, self.now);
+        self.reports.insert(target(number), report);
+    }
+
+    pub fn set_rules(&mut self) {
+        self.scheduler.set_rules(self.rules.clone());
+    }
+
+    pub fn guarantee(&mut self, organisation: &str, accelerators: u64) {
+        let name = Organisation::new(organisation).expect("a name");
+        self.rules.guarantees.insert(name, accelerators);
+        self.set_rules();
+    }
+
+    pub fn submit(
+        &mut self,
+        priority: u32,
+        organisation: &str,
+        steps: &[StepDescription],
+    ) -> JobId {
+        let description = JobDescription {
+            payload: Arc::from("work"),
+            steps: Arc::from(steps),
+            repeats: None,
+        };
+        self.submit_described(priority, organisation, description)
+    }
+
+    pub fn submit_described(
+        &mut self,
+        priority: u32,
+        organisation: &str,
+        description: JobDescription,
+    ) -> JobId {
+        self.jobs += 1;
+        let id = JobId::from(format!("job{}", self.jobs).as_str());
+        self.scheduler.submit(Arc::new(AcceptedJob {
+            id: id.clone(),
+            queue: QueueName::from(format!("q{priority}").as_str()),
+            rules: queue_rules(priority),
+            organisation: Organisation::new(organisation).expect("a name"),
+            accepted_at: Timestamp::from_millis(self.jobs),
+            description,
+        }));
+        id
+    }
+
+    pub fn wait(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+        for report in self.reports.values_mut() {
+            for running in report.running.iter_mut().filter(|_| !self.hung) {
+                running.percent = (running.percent + 1) % 99;
+            }
+            self.scheduler.report(report, self.now);
+        }
+    }
+
+    pub fn report_mut(&mut self, number: usize) -> &mut TargetReport {
+        self.reports.get_mut(&target(number)).expect("a target")
+    }
+
+    pub fn commit(&mut self) {
+        let changes = self.scheduler.take_changes(self.now);
+        self.scheduler.committed(&changes);
+    }
+
+    /// Places, makes that durable, and carries out all orders; gives what was started where.
+    pub fn step(&mut self) -> Vec<(TargetName, StartOrder)> {
+        self.scheduler.place(self.now, self.now);
+        self.commit();
+        let mut started = Vec::new();
+        for orders in self.scheduler.orders(self.now) {
+            let name = orders.life.target.clone();
+            let report = self.reports.get_mut(&name).expect("a target");
+            let mut outcomes = Vec::new();
+            for start in orders.starts {
+                report.running.push(RunningTask {
+                    run: start.run.clone(),
+                    checkpoint: None,
+                    percent: 0,
+                });
+                outcomes.push((start.run.clone(), OrderOutcome::Started));
+                started.push((name.clone(), start));
+            }
+            for run in orders.stops {
+                end_in(report, &run, RunEnd::Stopped);
+                outcomes.push((run, OrderOutcome::Stopped));
+            }
+            let report = report.clone();
+            self.scheduler.report(&report, self.now);
+            for (run, outcome) in outcomes {
+                self.scheduler.order_answered(&run, outcome, true, self.now);
+            }
+        }
+        started
+    }
+
+    /// Ends a run on its target and reports that.
+    pub fn end(&mut self, run: &RunId, end: RunEnd) {
+        let holder = self
+            .reports
+            .values_mut()
+            .find(|report| report.running.iter().any(|running| running.run == *run));
+        let report = holder.expect("a target runs it");
+        end_in(report, run, end);
+        let report = report.clone();
+        self.scheduler.report(&report, self.now);
+    }
+
+    /// What runs, by target and job.
+    pub fn running(&self, job: &JobId) -> Vec<TargetName> {
+        let mut targets = Vec::new();
+        for (name, report) in &self.reports {
+            let of_job = report
+                .running
+                .iter()
+                .filter(|running| running.run.task.step.job == *job);
+            targets.extend(of_job.map(|_| name.clone()));
+        }
+        targets
+    }
+}
+
+fn end_in(report: &mut TargetReport, run: &RunId, end: RunEnd) {
+    let before = report.running.len();
+    report.running.retain(|running| running.run != *run);
+    if report.running.len() < before {
+        let sequence = report.ended.last().map_or(1, |last| last.sequence + 1);
+        report.ended.push(EndedTask {
+            sequence,
+            run: run.clone(),
+            end,
+            checkpoint: None,
+        });
+    }
+}
+
+pub fn target(number: usize) -> TargetName {
+    TargetName::new(format!("t{number}")).expect("a name")
+}
--- /dev/null
+++ b/crates/rattanwinch_scheduling/tests/decisions/main.rs
@@ -0,0 +1,7 @@
+//! Single decisions of the scheduler.
+
+mod fixture;
+
+mod placing;
+mod reclaiming;
+mod runs;
--- /dev/null
+++ b/crates/rattanwinch_scheduling/tests/decisions/runs.rs
@@ -0,0 +1,214 @@
+use std::time::Duration;
+
+use rattanwinch_scheduling::Checkpoint;
+use rattanwinch_scheduling::GoneCause;
+use rattanwinch_scheduling::JobState;
+use rattanwinch_scheduling::OrderOutcome;
+use rattanwinch_scheduling::RunEnd;
+use rattanwinch_scheduling::Scheduler;
+use rattanwinch_scheduling::StartRefusal;
+
+use crate::fixture::Fixture;
+use crate::fixture::limits;
+use crate::fixture::step;
+use crate::fixture::target;
+
+/// A placement that isn't durable is unknown to the next scheduler, which would place it again.
+#[test]
+fn nothing_is_ordered_before_it_is_durable() {
+    let mut site = Fixture::new(1);
+    site.submit(1, "a", &[step(1, 1)]);
+    site.scheduler.place(site.now, site.now);
+    assert!(site.scheduler.orders(site.now).is_empty());
+    let changes = site.scheduler.take_changes(site.now);
+    assert!(site.scheduler.orders(site.now).is_empty());
+    site.scheduler.committed(&changes);
+    assert_eq!(site.scheduler.orders(site.now).len(), 1);
+}
+
+/// A target lists an end until it is acknowledged; a failure that was counted each time failed a
+/// job whose tasks had attempts left.
+#[test]
+fn a_failure_that_is_listed_again_counts_once() {
+    let mut site = Fixture::new(1);
+    let job = site.submit(1, "a", &[step(1, 1)]);
+    for _ in 0..2 {
+        let started = site.step();
+        site.end(&started[0].1.run, RunEnd::Failed);
+        site.wait(100);
+        site.wait(100);
+    }
+    assert_eq!(site.scheduler.state(&job), Some(JobState::Running));
+    let record = site.scheduler.record(&job).expect("a job");
+    let mut next = Scheduler::restore(limits(), site.rules.clone(), [record], site.now);
+    let listed = site.report_mut(0).clone();
+    next.report(&listed, site.now);
+    assert_eq!(
+        next.state(&job),
+        Some(JobState::Running),
+        "the next scheduler counts as well"
+    );
+    let started = site.step();
+    site.end(&started[0].1.run, RunEnd::Failed);
+    assert_eq!(site.scheduler.state(&job), Some(JobState::Failed));
+}
+
+/// A copy of a refused start may still be on its way; the task must not start elsewhere before a
+/// stop has made that copy impossible.
+#[test]
+fn a_refused_start_is_stopped_before_the_task_is_placed_again() {
+    let mut site = Fixture::new(2);
+    let job = site.submit(1, "a", &[step(1, 8)]);
+    site.scheduler.place(site.now, site.now);
+    site.commit();
+    let orders = site.scheduler.orders(site.now);
+    let run = orders[0].starts[0].run.clone();
+    let refused = OrderOutcome::Refused(StartRefusal::Unhealthy);
+    site.scheduler.order_answered(&run, refused, true, site.now);
+    site.scheduler.place(site.now, site.now);
+    site.commit();
+    let orders = site.scheduler.orders(site.now);
+    assert_eq!(orders.len(), 1);
+    assert_eq!(orders[0].stops, [run.clone()]);
+    assert!(orders[0].starts.is_empty());
+    site.scheduler
+        .order_answered(&run, OrderOutcome::Stopped, true, site.now);
+    assert_eq!(site.step().len(), 1);
+    assert_eq!(site.running(&job).len(), 1);
+}
+
+/// A stop that was confirmed and not carried out would leave the run at work.
+#[test]
+fn a_stop_is_repeated_while_the_run_is_there() {
+    let mut site = Fixture::new(1);
+    let job = site.submit(1, "a", &[step(1, 1)]);
+    let started = site.step();
+    let run = started[0].1.run.clone();
+    site.scheduler.cancel(&job);
+    assert_eq!(site.scheduler.orders(site.now)[0].stops, [run.clone()]);
+    site.scheduler
+        .order_answered(&run, OrderOutcome::Stopped, true, site.now);
+    assert!(site.scheduler.orders(site.now).is_empty());
+    site.wait(1_600);
+    assert_eq!(site.scheduler.orders(site.now)[0].stops, [run]);
+}
+
+/// What ran on a VM's former target is gone; waiting for its leases cost callers 16 s.
+#[test]
+fn a_new_target_on_a_vm_ends_what_ran_there_before() {
+    let mut site = Fixture::new(1);
+    let job = site.submit(1, "a", &[step(1, 1)]);
+    site.step();
+    let record = site.scheduler.record(&job).expect("a job");
+    let mut next = Scheduler::restore(limits(), site.rules.clone(), [record], site.now);
+    let mut report = site.report_mut(0).clone();
+    report.description.life.target = target(9);
+    report.description.life.born_ms = 5;
+    report.running.clear();
+    next.report(&report, site.now);
+    next.place(site.now, site.now);
+    let changes = next.take_changes(site.now);
+    next.committed(&changes);
+    let orders = next.orders(site.now);
+    assert_eq!(orders[0].starts[0].run.number, 2);
+}
+
+/// A silent target may still run what it was given; its tasks must not start elsewhere until all
+/// leases there have run out.
+#[test]
+fn work_of_a_silent_target_waits_for_its_leases() {
+    let mut site = Fixture::new(1);
+    let job = site.submit(1, "a", &[step(1, 1)]);
+    site.step();
+    let silent_since = site.now;
+    site.add_target(1, 0);
+    for _ in 0..32 {
+        site.now = site.now + Duration::from_millis(500);
+        let other = site.report_mut(1).clone();
+        site.scheduler.report(&other, site.now);
+        site.scheduler.expire(site.now);
+        site.scheduler.place(site.now, site.now);
+        site.commit();
+        assert!(
+            site.scheduler.orders(site.now).is_empty(),
+            "{:?}",
+            site.now.since(silent_since)
+        );
+    }
+    site.now = site.now + Duration::from_millis(600);
+    let other = site.report_mut(1).clone();
+    site.scheduler.report(&other, site.now);
+    site.scheduler.expire(site.now);
+    site.step();
+    assert_eq!(site.running(&job), [target(0), target(1)]);
+}
+
+/// Work that was saved before a loss need not be done again.
+#[test]
+fn a_restart_goes_on_from_the_newest_saved_state() {
+    let mut site = Fixture::new(1);
+    let mut saving = step(1, 1);
+    saving.checkpointing = true;
+    let job = site.submit(1, "a", &[saving]);
+    let started = site.step();
+    assert_eq!(started[0].1.checkpoint, None);
+    site.report_mut(0).running[0].checkpoint = Some(Checkpoint::from("half"));
+    site.wait(2_100);
+    site.commit();
+    let (_, progress) = site.scheduler.record(&job).expect("a job");
+    assert_eq!(progress.tasks[0].checkpoint, Some(Checkpoint::from("half")));
+    let life = site.report_mut(0).description.life.clone();
+    site.scheduler.life_gone(&life, GoneCause::Left);
+    site.report_mut(0).running.clear();
+    site.wait(100);
+    let again = site.step();
+    assert_eq!(again[0].1.checkpoint, Some(Checkpoint::from("half")));
+}
+
+/// Tasks that serve have no end of their own.
+#[test]
+fn long_running_tasks_are_started_again_however_they_end() {
+    let mut site = Fixture::new(1);
+    let mut serving = step(1, 1);
+    serving.long_running = true;
+    let job = site.submit(1, "a", &[serving]);
+    for end in [
+        RunEnd::Done,
+        RunEnd::Failed,
+        RunEnd::Failed,
+        RunEnd::Failed,
+        RunEnd::Lapsed,
+    ] {
+        let started = site.step();
+        assert_eq!(started.len(), 1, "after the run before {end:?}");
+        site.end(&started[0].1.run, end);
+    }
+    assert_eq!(site.step().len(), 1);
+    assert_eq!(site.scheduler.state(&job), Some(JobState::Running));
+}
+
+/// A run that nobody placed takes room of unknown size, so it is stopped and nothing is placed
+/// beside it.
+#[test]
+fn an_unknown_run_is_stopped_and_blocks_its_target() {
+    let mut site = Fixture::new(2);
+    let job = site.submit(1, "a", &[step(1, 1)]);
+    let started = site.step();
+    let mut unknown = started[0].1.run.clone();
+    unknown.task.step.job = "nobody".into();
+    let mut running = site.report_mut(0).running[0].clone();
+    running.run = unknown.clone();
+    site.report_mut(1).running.push(running);
+    site.wait(100);
+    site.submit(1, "a", &[step(7, 1)]);
+    site.scheduler.place(site.now, site.now);
+    site.commit();
+    let orders = site.scheduler.orders(site.now);
+    let second = orders
+        .iter()
+        .find(|orders| orders.life.target == target(1))
+        .expect("orders");
+    assert_eq!(second.stops, [unknown]);
+    assert!(second.starts.is_empty());
+    assert_eq!(site.scheduler.state(&job), Some(JobState::Running));
+}
--- /dev/null
+++ b/crates/rattanwinch_scheduling/tests/world/model.rs
@@ -0,0 +1,687 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use rattanwinch_scheduling::AcceptedJob;
+use rattanwinch_scheduling::Changes;
+use rattanwinch_scheduling::JobDescription;
+use rattanwinch_scheduling::JobId;
+use rattanwinch_scheduling::JobProgress;
+use rattanwinch_scheduling::JobState;
+use rattanwinch_scheduling::OrderOutcome;
+use rattanwinch_scheduling::QueueName;
+use rattanwinch_scheduling::QueueRules;
+use rattanwinch_scheduling::Resources;
+use rattanwinch_scheduling::RunEnd;
+use rattanwinch_scheduling::RunId;
+use rattanwinch_scheduling::Scheduler;
+use rattanwinch_scheduling::SchedulingLimits;
+use rattanwinch_scheduling::SchedulingRules;
+use rattanwinch_scheduling::ServiceName;
+use rattanwinch_scheduling::StartRefusal;
+use rattanwinch_scheduling::StepDescription;
+use rattanwinch_scheduling::StepId;
+use rattanwinch_scheduling::TargetLife;
+use rattanwinch_scheduling::TargetOrders;
+use rattanwinch_scheduling::TargetReport;
+use rattanwinch_scheduling::TaskId;
+use rattanwinch_types::Organisation;
+use rattanwinch_types::Timestamp;
+
+use crate::target::AUTONOMY;
+use crate::target::LEASE;
+use crate::target::ModelRun;
+use crate::target::ModelTarget;
+
+const STEP: Duration = Duration::from_millis(50);
+const FAULTS_END: Duration = Duration::from_secs(90);
+const PLAY_END: Duration = Duration::from_secs(400);
+const TARGETS: usize = 5;
+const MAX_ATTEMPTS: u32 = 3;
+const GANG_TIMEOUT: Duration = Duration::from_secs(3);
+
+type Stored = BTreeMap<JobId, (Arc<AcceptedJob>, JobProgress)>;
+
+enum Message {
+    Orders(u64, TargetOrders),
+    /// A single start that is carried out late, without an answer.
+    LateStart(u64, RunId, TargetLife, Timestamp),
+    /// Outcomes, and what the target listed after them and when.
+    Answer(
+        u64,
+        Vec<(RunId, OrderOutcome)>,
+        Option<(Timestamp, TargetReport)>,
+    ),
+}
+
+/// Schedulers, targets, and what a store would hold.
+pub struct World {
+    seed: u64,
+    rng: ChaCha8Rng,
+    now: Timestamp,
+    epoch: u64,
+    scheduler: Scheduler,
+    /// No scheduler is at work until then.
+    down_until: Timestamp,
+    stored: Stored,
+    committing: Option<(Timestamp, Changes, Stored)>,
+    targets: Vec<ModelTarget>,
+    messages: Vec<(Timestamp, Message)>,
+    /// When the newest report of each VM was made.
+    heard: BTreeMap<Arc<str>, Timestamp>,
+    /// Ends that a target was told to forget.
+    noted_done: BTreeSet<TaskId>,
+    noted_failures: BTreeMap<TaskId, BTreeSet<u32>>,
+    cancelled: BTreeSet<JobId>,
+    next_job: u32,
+}
+
+fn limits() -> SchedulingLimits {
+    SchedulingLimits::builder()
+        .silence(AUTONOMY + LEASE + Duration::from_secs(2))
+        .fresh(Duration::from_millis(2500))
+        .order_retry(Duration::from_millis(300))
+        .stop_repeat(Duration::from_millis(1500))
+        .urgent_patience(Duration::from_millis(800))
+        .save_interval(Duration::from_secs(2))
+        .stall(Duration::from_secs(30))
+        .quarantine(Duration::from_secs(5))
+        .quarantine_most(Duration::from_secs(20))
+        .build()
+}
+
+fn queue_rules(priority: u32) -> QueueRules {
+    QueueRules {
+        service: ServiceName::from("design"),
+        priority,
+        max_attempts: MAX_ATTEMPTS,
+        advisor: None,
+    }
+}
+
+fn rules() -> SchedulingRules {
+    let queues = (0..3).map(|priority| {
+        let name = QueueName::from(format!("q{priority}").as_str());
+        (name, queue_rules(priority))
+    });
+    SchedulingRules {
+        queues: queues.collect(),
+        guarantees: BTreeMap::from([(organisation("a"), 16)]),
+        ..SchedulingRules::default()
+    }
+}
+
+fn organisation(name: &str) -> Organisation {
+    Organisation::new(name).expect("a name")
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let now = Timestamp::from_millis(1_000_000);
+        Self {
+            seed,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now,
+            epoch: 1,
+            scheduler: Scheduler::restore(limits(), rules(), [], now),
+            down_until: now,
+            stored: Stored::new(),
+            committing: None,
+            targets: (0..TARGETS).map(|vm| ModelTarget::new(vm, now)).collect(),
+            messages: Vec::new(),
+            heard: BTreeMap::new(),
+            noted_done: BTreeSet::new(),
+            noted_failures: BTreeMap::new(),
+            cancelled: BTreeSet::new(),
+            next_job: 0,
+        }
+    }
+
+    fn chance(&mut self, percent: f64) -> bool {
+        self.rng.random_bool(percent / 100.0)
+    }
+
+    fn millis(&mut self, least: u64, most: u64) -> Duration {
+        Duration::from_millis(self.rng.random_range(least..=most))
+    }
+
+    /// Plays until all jobs have ended after the faults; gives the number of steps.
+    pub fn play(mut self) -> u64 {
+        let begun = self.now;
+        let mut steps = 0;
+        while self.now.since(begun) < PLAY_END {
+            let faults = self.now.since(begun) < FAULTS_END;
+            if faults {
+                self.disturb();
+            }
+            self.now = self.now + STEP;
+            steps += 1;
+            self.deliver();
+            self.work();
+            self.report();
+            self.schedule(faults);
+            let open = self.stored.keys().any(|id| !self.is_over(id));
+            if !faults && !open && self.scheduler.states().all(|(.., state)| state.is_final()) {
+                return steps;
+            }
+        }
+        for (id, _, state) in self.scheduler.states() {
+            assert!(
+                state.is_final(),
+                "seed {}: job {id} is still {state:?}",
+                self.seed
+            );
+        }
+        steps
+    }
+
+    fn is_over(&self, id: &JobId) -> bool {
+        self.scheduler.state(id).is_some_and(JobState::is_final)
+    }
+
+    fn disturb(&mut self) {
+        if self.chance(4.0) {
+            self.submit();
+        }
+        if self.chance(0.5) {
+            self.cancel();
+        }
+        if self.chance(0.4) {
+            self.lose_scheduler();
+        }
+        for vm in 0..TARGETS {
+            if self.chance(0.1) {
+                self.targets[vm].cut_until = self.now + self.millis(500, 25_000);
+            }
+            if self.chance(0.05) {
+                self.targets[vm] = ModelTarget::new(vm, self.now);
+            }
+        }
+    }
+
+    fn submit(&mut self) {
+        self.next_job += 1;
+        let priority = self.rng.random_range(0..3);
+        let steps = self.rng.random_range(1..=2_u32);
+        let steps: Vec<_> = (0..steps).map(|number| self.random_step(number)).collect();
+        let accepted = AcceptedJob {
+            id: JobId::from(format!("job-{}", self.next_job).as_str()),
+            queue: QueueName::from(format!("q{priority}").as_str()),
+            rules: queue_rules(priority),
+            organisation: organisation(if self.chance(50.0) { "a" } else { "b" }),
+            accepted_at: self.now,
+            description: JobDescription {
+                payload: Arc::from("work"),
+                steps: Arc::from(steps),
+                repeats: None,
+            },
+        };
+        if self.now >= self.down_until {
+            self.scheduler.submit(Arc::new(accepted));
+        }
+    }
+
+    fn random_step(&mut self, number: u32) -> StepDescription {
+        let after = (0..number).collect();
+        StepDescription::builder()
+            .count(self.rng.random_range(1..=4))
+            .need(Resources {
+                cpu_millis: 8_000,
+                memory_mb: 16_000,
+                accelerators: [1, 1, 2, 4, 8][self.rng.random_range(0..5)],
+            })
+            .estimate(Duration::from_secs(2))
+            .gang(self.chance(40.0))
+            .same_rack(self.chance(20.0))
+            .after(after)
+            .build()
+    }
+
+    fn cancel(&mut self) {
+        let ids: Vec<_> = self.stored.keys().cloned().collect();
+        if ids.is_empty() || self.now < self.down_until {
+            return;
+        }
+        let id = ids[self.rng.random_range(0..ids.len())].clone();
+        self.scheduler.cancel(&id);
+        self.cancelled.insert(id);
+    }
+
+    /// The scheduler is gone; another one starts from what is stored. What was being written may
+    /// or may not have been.
+    fn lose_scheduler(&mut self) {
+        if let Some((_, _, records)) = self.committing.take()
+            && self.chance(50.0)
+        {
+            self.stored.extend(records);
+        }
+        self.epoch += 1;
+        self.down_until = self.now + self.millis(100, 3_000);
+    }
+
+    fn schedule(&mut self, faults: bool) {
+        if self.now < self.down_until {
+            return;
+        }
+        if self.down_until > Timestamp::ZERO {
+            let jobs: Vec<_> = self.stored.values().cloned().collect();
+            self.scheduler = Scheduler::restore(limits(), rules(), jobs, self.now);
+            self.down_until = Timestamp::ZERO;
+        }
+        self.scheduler.expire(self.now);
+        self.scheduler.place(self.now, self.now);
+        self.commit();
+        let epoch = self.epoch;
+        for orders in self.scheduler.orders(self.now) {
+            let lost = faults && self.chance(5.0);
+            let at = self.now + self.millis(1, 60);
+            if lost {
+                let starts = orders.starts.iter().map(|start| &start.run);
+                let runs = starts.chain(&orders.stops).cloned();
+                let unknown = runs.map(|run| (run, OrderOutcome::Unknown)).collect();
+                let answer = Message::Answer(epoch, unknown, None);
+                self.messages.push((at + Duration::from_secs(2), answer));
+            } else {
+                self.messages.push((at, Message::Orders(epoch, orders)));
+            }
+        }
+        self.scheduler.take_events();
+    }
+
+    fn commit(&mut self) {
+        match self.committing.take() {
+            Some((done_at, changes, records)) if self.now >= done_at => {
+                self.stored.extend(records);
+                self.scheduler.committed(&changes);
+            }
+            Some(waiting) => self.committing = Some(waiting),
+            None => {}
+        }
+        if self.committing.is_some() {
+            return;
+        }
+        let changes = self.scheduler.take_changes(self.now);
+        if changes.is_empty() {
+            return;
+        }
+        let records = changes.jobs.iter().filter_map(|id| {
+            let record = self.scheduler.record(id)?;
+            Some((id.clone(), record))
+        });
+        let records = records.collect();
+        let done_at = self.now + self.millis(1, 400);
+        self.committing = Some((done_at, changes, records));
+    }
+
+    fn report(&mut self) {
+        for vm in 0..TARGETS {
+            let target = &mut self.targets[vm];
+            if self.now < target.next_report || target.is_cut(self.now) {
+                continue;
+            }
+            target.next_report = self.now + Duration::from_millis(300);
+            if self.now < self.down_until {
+                continue;
+            }
+            target.epoch = target.epoch.max(self.epoch);
+            target.contact = self.now;
+            let report = target.report(self.now);
+            self.hear(self.now, &report);
+            let target = &self.targets[vm];
+            let acknowledged = self.scheduler.acknowledged(&target.life);
+            self.forget(vm, acknowledged);
+        }
+    }
+
+    /// The target forgets ends that are durable; from then on they count.
+    fn forget(&mut self, vm: usize, acknowledged: u64) {
+        let target = &mut self.targets[vm];
+        let (noted, kept) = std::mem::take(&mut target.ended)
+            .into_iter()
+            .partition(|ended| ended.sequence <= acknowledged);
+        target.ended = kept;
+        let noted: Vec<rattanwinch_scheduling::EndedTask> = noted;
+        for ended in noted {
+            let mut task = ended.run.task.clone();
+            match ended.end {
+                RunEnd::Done => {
+                    // Once its lease has run out, a target that nobody reached may find its work
+                    // done a second time elsewhere; the platform's rules allow that.
+                    let target = &self.targets[vm];
+                    if target.lapsed_at < target.ended_at[&ended.sequence] {
+                        self.noted_done.insert(task);
+                    }
+                }
+                RunEnd::Failed => {
+                    if self.step(&task.step).gang {
+                        task.index = 0;
+                    }
+                    let failed = self.noted_failures.entry(task).or_default();
+                    failed.insert(ended.run.number);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.messages)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.messages = later;
+        let due: Vec<(Timestamp, Message)> = due;
+        for (_, message) in due {
+            match message {
+                Message::Orders(epoch, orders) => self.carry_out(epoch, &orders),
+                Message::LateStart(epoch, run, life, until) => {
+                    let vm = self.targets.iter().position(|target| target.life == life);
+                    if let Some(vm) = vm.filter(|_| self.now <= until) {
+                        self.take_start(epoch, &run, vm, until);
+                    }
+                }
+                Message::Answer(epoch, outcomes, report) => {
+                    if epoch == self.epoch && self.now >= self.down_until {
+                        self.answer(&outcomes, report.as_ref());
+                    }
+                }
+            }
+        }
+    }
+
+    fn answer(
+        &mut self,
+        outcomes: &[(RunId, OrderOutcome)],
+        report: Option<&(Timestamp, TargetReport)>,
+    ) {
+        if let Some((made_at, report)) = report {
+            self.hear(*made_at, report);
+        }
+        for (run, outcome) in outcomes {
+            self.scheduler
+                .order_answered(run, *outcome, report.is_some(), self.now);
+        }
+    }
+
+    /// Gives a report to the scheduler, unless a newer one of that VM has come before it.
+    fn hear(&mut self, made_at: Timestamp, report: &TargetReport) {
+        let heard = self
+            .heard
+            .entry(Arc::clone(&report.description.life.vm))
+            .or_default();
+        if made_at >= *heard {
+            *heard = made_at;
+            self.scheduler.report(report, self.now);
+        }
+    }
+
+    fn carry_out(&mut self, epoch: u64, orders: &TargetOrders) {
+        let found = self
+            .targets
+            .iter()
+            .position(|target| target.life == orders.life);
+        let Some(vm) = found.filter(|&vm| !self.targets[vm].is_cut(self.now)) else {
+            return self.leave_unanswered(epoch, orders);
+        };
+        let mut outcomes = Vec::new();
+        for start in &orders.starts {
+            let until = self.now + LEASE;
+            let outcome = if self.chance(4.0) {
+                let at = self.now + self.millis(500, 12_000);
+                let life = orders.life.clone();
+                let late = Message::LateStart(epoch, start.run.clone(), life, until);
+                self.messages.push((at, late));
+                OrderOutcome::Unknown
+            } else {
+                self.take_start(epoch, &start.run, vm, until)
+            };
+            outcomes.push((start.run.clone(), outcome));
+        }
+        for run in &orders.stops {
+            let target = &mut self.targets[vm];
+            let obeyed = epoch >= target.epoch;
+            if obeyed {
+                target.stop(run, self.now);
+            }
+            let fence = OrderOutcome::Refused(StartRefusal::Fence);
+            let outcome = if obeyed { OrderOutcome::Stopped } else { fence };
+            outcomes.push((run.clone(), outcome));
+        }
+        let report = self.targets[vm].report(self.now);
+        let at = self.now + STEP;
+        let report = Some((self.now, report));
+        self.messages
+            .push((at, Message::Answer(epoch, outcomes, report)));
+    }
+
+    fn leave_unanswered(&mut self, epoch: u64, orders: &TargetOrders) {
+        let starts = orders.starts.iter().map(|start| &start.run);
+        let runs = starts.chain(&orders.stops).cloned();
+        let unknown = runs.map(|run| (run, OrderOutcome::Unknown)).collect();
+        let at = self.now + Duration::from_secs(2);
+        self.messages
+            .push((at, Message::Answer(epoch, unknown, None)));
+    }
+
+    fn take_start(&mut self, epoch: u64, run: &RunId, vm: usize, until: Timestamp) -> OrderOutcome {
+        let target = &mut self.targets[vm];
+        if epoch < target.epoch {
+            return OrderOutcome::Refused(StartRefusal::Fence);
+        }
+        target.epoch = epoch;
+        target.lease_until = target.lease_until.max(until);
+        if target
+            .running
+            .get(&run.task)
+            .is_some_and(|there| there.number == run.number)
+        {
+            return OrderOutcome::Started;
+        }
+        if target
+            .over
+            .get(&run.task)
+            .is_some_and(|over| run.number <= *over)
+        {
+            return OrderOutcome::Refused(StartRefusal::Old);
+        }
+        self.check_start(run, vm);
+        let step = self.step(&run.task.step);
+        let work = self.millis(300, 6_000);
+        let fails = self.chance(12.0);
+        let started = ModelRun {
+            number: run.number,
+            need: step.need,
+            present_at: self.now,
+            begun_at: (!step.gang).then_some(self.now),
+            work,
+            fails,
+        };
+        self.targets[vm].running.insert(run.task.clone(), started);
+        OrderOutcome::Started
+    }
+
+    fn step(&self, step: &StepId) -> StepDescription {
+        let record = self.stored.get(&step.job);
+        let (accepted, _) = record.expect("nothing starts before its job is stored");
+        accepted.description.steps[step.step as usize].clone()
+    }
+
+    fn check_start(&self, run: &RunId, vm: usize) {
+        let task = &run.task;
+        let seed = self.seed;
+        let step = self.step(&task.step);
+        let elsewhere = self
+            .targets
+            .iter()
+            .filter(|target| target.running.contains_key(task));
+        assert_eq!(
+            elsewhere.count(),
+            0,
+            "seed {seed}: {run:?} runs twice at {:?}",
+            self.now
+        );
+        assert!(
+            !self.noted_done.contains(task),
+            "seed {seed}: {run:?} starts after its end was acknowledged"
+        );
+        let mut shared = task.clone();
+        if step.gang {
+            shared.index = 0;
+        }
+        let failures = self.noted_failures.get(&shared).map_or(0, BTreeSet::len);
+        assert!(
+            failures < MAX_ATTEMPTS as usize,
+            "seed {seed}: {run:?} starts after {failures} failures"
+        );
+        let target = &self.targets[vm];
+        let used = target.used().plus(step.need);
+        assert!(
+            target.capacity.fits(used),
+            "seed {seed}: {run:?} brings {:?} over its room",
+            target.life.target
+        );
+        for &earlier in &step.after {
+            let mut before = task.step.clone();
+            before.step = earlier;
+            let count = self.step(&before).count;
+            let gang = self.step(&before).gang;
+            let done = (0..count)
+                .filter(|&index| self.is_done(&before, index))
+                .count();
+            let enough = if gang { 1 } else { count as usize };
+            assert!(
+                done >= enough,
+                "seed {seed}: {run:?} starts before step {earlier} is done"
+            );
+        }
+    }
+
+    fn is_done(&self, step: &StepId, index: u32) -> bool {
+        let task = TaskId {
+            step: step.clone(),
+            index,
+        };
+        let listed = self.targets.iter().flat_map(|target| &target.ended);
+        self.noted_done.contains(&task)
+            || listed
+                .clone()
+                .any(|ended| ended.run.task == task && ended.end == RunEnd::Done)
+            || self.stored.get(&step.job).is_some_and(|(_, progress)| {
+                progress
+                    .tasks
+                    .iter()
+                    .any(|saved| saved.task == task && saved.done)
+            })
+    }
+
+    /// Lets the targets work, and ends what is over.
+    fn work(&mut self) {
+        for vm in 0..TARGETS {
+            self.targets[vm].keep_lease(self.now);
+        }
+        self.begin_gangs();
+        self.break_gangs();
+        for vm in 0..TARGETS {
+            let over: Vec<_> = self.targets[vm]
+                .running
+                .iter()
+                .filter(|(_, run)| {
+                    run.begun_at
+                        .is_some_and(|at| self.now.since(at) >= run.work)
+                })
+                .map(|(task, run)| (task.clone(), run.clone()))
+                .collect();
+            for (task, run) in over {
+                let end = if run.fails {
+                    RunEnd::Failed
+                } else {
+                    RunEnd::Done
+                };
+                if self.step(&task.step).gang {
+                    self.end_gang(&task, &run, end);
+                } else {
+                    self.targets[vm].end(&task, end, self.now);
+                }
+            }
+        }
+    }
+
+    fn members(&self, step: &StepId, number: u32) -> usize {
+        self.targets
+            .iter()
+            .map(|target| target.has(step, number))
+            .sum()
+    }
+
+    fn begin_gangs(&mut self) {
+        for vm in 0..TARGETS {
+            let waiting: Vec<_> = self.targets[vm]
+                .running
+                .iter()
+                .filter(|(_, run)| run.begun_at.is_none())
+                .map(|(task, run)| (task.clone(), run.clone()))
+                .collect();
+            for (task, run) in waiting {
+                let complete = self.members(&task.step, run.number);
+                if complete == self.step(&task.step).count as usize {
+                    self.begin_gang(&task.step, run.number, run.work);
+                } else if self.now.since(run.present_at) > GANG_TIMEOUT {
+                    self.targets[vm].end(&task, RunEnd::Alone, self.now);
+                }
+            }
+        }
+    }
+
+    fn begin_gang(&mut self, step: &StepId, number: u32, work: Duration) {
+        for target in &mut self.targets {
+            let members = target.running.iter_mut();
+            for (_, run) in members.filter(|(task, run)| task.step == *step && run.number == number)
+            {
+                run.begun_at = Some(self.now);
+                run.work = work;
+            }
+        }
+    }
+
+    /// A member that is missing ends the others.
+    fn break_gangs(&mut self) {
+        for vm in 0..TARGETS {
+            let begun: Vec<_> = self.targets[vm]
+                .running
+                .iter()
+                .filter(|(_, run)| run.begun_at.is_some())
+                .map(|(task, run)| (task.clone(), run.number))
+                .collect();
+            for (task, number) in begun {
+                let step = self.step(&task.step);
+                if step.gang && self.members(&task.step, number) < step.count as usize {
+                    self.targets[vm].end(&task, RunEnd::Broken, self.now);
+                }
+            }
+        }
+    }
+
+    fn end_gang(&mut self, task: &TaskId, run: &ModelRun, end: RunEnd) {
+        let others = if end == RunEnd::Done {
+            RunEnd::Done
+        } else {
+            RunEnd::Broken
+        };
+        for target in &mut self.targets {
+            let members: Vec<_> = target
+                .running
+                .iter()
+                .filter(|(other, there)| other.step == task.step && there.number == run.number)
+                .map(|(other, _)| other.clone())
+                .collect();
+            for member in members {
+                let how = if member == *task { end } else { others };
+                target.end(&member, how, self.now);
+            }
+        }
+    }
+}
