--- a/crates/rattanwinch_scheduling/tests/decisions/runs.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/runs.rs
@@ -69,7 +69,7 @@
     site.commit();
     let orders = site.scheduler.orders(site.now);
     assert_eq!(orders.len(), 1);
-    assert_eq!(orders[0].stops, [run.clone()]);
+    assert_eq!(orders[0].stops, std::slice::from_ref(&run));
     assert!(orders[0].starts.is_empty());
     site.scheduler
         .order_answered(&run, OrderOutcome::Stopped, true, site.now);
@@ -85,7 +85,8 @@
     let started = site.step();
     let run = started[0].1.run.clone();
     site.scheduler.cancel(&job);
-    assert_eq!(site.scheduler.orders(site.now)[0].stops, [run.clone()]);
+    let orders = site.scheduler.orders(site.now);
+    assert_eq!(orders[0].stops, std::slice::from_ref(&run));
     site.scheduler
         .order_answered(&run, OrderOutcome::Stopped, true, site.now);
     assert!(site.scheduler.orders(site.now).is_empty());
