Let a wide urgent step displace as much as it can

A step of twelve tasks before it in the queue could not displace work for all twelve at once, so it displaced none and took the room that the later step had made.

Change: a step that is no gang makes room for as many of its tasks as it can.

The test fails without the change.

--- a/crates/rattanwinch_scheduling/src/placement.rs
+++ b/crates/rattanwinch_scheduling/src/placement.rs
@@ -1,3 +1,4 @@
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
@@ -151,7 +152,8 @@
     }
 }
 
-/// Plans room for all tasks of a step at the least loss; `None` if there is no way.
+/// Plans room for the tasks of a step at the least loss: for a gang all or none, else as many as
+/// there can be room for. `None` if there is no way.
 pub(crate) fn plan(
     demand: &Demand,
     candidates: &[Candidate],
@@ -161,7 +163,7 @@
     let plans = groups
         .iter()
         .filter_map(|group| plan_group(demand, group, occupants));
-    plans.min_by_key(|plan| (plan.loss, plan.sets.len()))
+    plans.min_by_key(|plan| (Reverse(plan.slots.len()), plan.loss, plan.sets.len()))
 }
 
 fn plan_group(
@@ -184,13 +186,17 @@
             let (sets, loss) = slot(demand, candidate, taken, here, &plan.sets)?;
             Some((loss, candidate.free.accelerators, *candidate, sets))
         });
-        let (loss, _, candidate, sets) = options.min_by_key(|option| (option.0, option.1))?;
+        let best = options.min_by_key(|option| (option.0, option.1));
+        let Some((loss, _, candidate, sets)) = best else {
+            break;
+        };
         *taken.entry(&candidate.name).or_default() += 1;
         plan.slots.push(candidate.name.clone());
         plan.sets.extend(sets);
         plan.loss += loss;
     }
-    Some(plan)
+    let enough = if demand.gang { demand.count } else { 1 };
+    (plan.slots.len() >= enough).then_some(plan)
 }
 
 /// The further sets that must end for one more task on a target, and what is lost with them.
--- a/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
@@ -4,6 +4,24 @@
 use crate::fixture::Fixture;
 use crate::fixture::step;
 
+/// A wide step that could only displace work for all of its tasks at once displaced nothing,
+/// and took the room that later steps had made for themselves.
+#[test]
+fn a_wide_step_displaces_what_it_can() {
+    let mut site = Fixture::new(3);
+    let dear = site.submit(1, "b", &[step(1, 8)]);
+    site.step();
+    site.wait(60_000);
+    let cheap = site.submit(2, "b", &[step(2, 8)]);
+    site.step();
+    let wide = site.submit(0, "a", &[step(3, 8)]);
+    site.step();
+    site.step();
+    assert_eq!(site.running(&wide).len(), 2);
+    assert_eq!(site.running(&dear).len(), 1);
+    assert!(site.running(&cheap).is_empty());
+}
+
 /// A guarantee that can't be reclaimed from borrowers is worth nothing.
 #[test]
 fn a_guaranteed_step_takes_the_place_of_borrowers() {
