--- a/crates/rattanwinch_front/src/bin/rattanwinch-front.rs
+++ b/crates/rattanwinch_front/src/bin/rattanwinch-front.rs
@@ -8,7 +8,7 @@
 use rattanwinch_front::FrontSettings;
 use rattanwinch_runtime::DaemonArguments;
 use rattanwinch_runtime::Shutdown;
-use rattanwinch_runtime::json_logger;
+use rattanwinch_runtime::stdout_logger;
 
 /// The front of a site: takes callers' calls and, on one VM, schedules.
 #[derive(Debug, Parser)]
@@ -28,7 +28,7 @@
     let signals = Shutdown::new();
     signals.watch_signals()?;
     let mut hangups = signals.watch_hangups()?;
-    let daemon = FrontDaemon::start(settings, json_logger("rattanwinch-front")).await?;
+    let daemon = FrontDaemon::start(settings, stdout_logger("rattanwinch-front")).await?;
     while hangups.next().await {
         daemon.reload();
     }
--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -14,8 +14,10 @@
 use rattanwinch_scheduling::AcceptedJob;
 use rattanwinch_scheduling::AdviceQuestion;
 use rattanwinch_scheduling::Changes;
+use rattanwinch_scheduling::Event;
 use rattanwinch_scheduling::GoneCause;
 use rattanwinch_scheduling::JobId;
+use rattanwinch_scheduling::OrderOutcome;
 use rattanwinch_scheduling::RunId;
 use rattanwinch_scheduling::Scheduler;
 use rattanwinch_scheduling::TargetOrders;
@@ -239,10 +241,10 @@
         fronts.into_iter().collect()
     }
 
-    /// Takes what an agent knows of its target; false if it has been told newer things.
-    fn take_report(&mut self, report: &AgentReport, now: Timestamp) -> bool {
+    /// Takes what an agent knows of its target, unless newer things have been told.
+    fn take_report(&mut self, report: &AgentReport, now: Timestamp) {
         if !self.agents.note(report, now) {
-            return false;
+            return;
         }
         if let Some(life) = &report.left {
             self.scheduler.life_gone(life, GoneCause::Left);
@@ -250,14 +252,13 @@
         if let Some(target) = &report.target {
             self.scheduler.report(target, now);
         }
-        true
     }
 
     fn ordered(&mut self, runs: Vec<RunId>, results: Option<OrderResults>, now: Timestamp) {
         let Some(results) = results else {
             for run in runs {
-                let unknown = rattanwinch_scheduling::OrderOutcome::Unknown;
-                self.scheduler.order_answered(&run, unknown, false, now);
+                self.scheduler
+                    .order_answered(&run, OrderOutcome::Unknown, false, now);
             }
             return;
         };
@@ -304,7 +305,7 @@
             self.ask(question, now);
         }
         for event in self.scheduler.take_events() {
-            if let rattanwinch_scheduling::Event::Finished { job, .. } = &event {
+            if let Event::Finished { job, .. } = &event {
                 self.ended.insert(job.clone(), now);
             }
             explain(&self.state.log, &event);
--- a/crates/rattanwinch_front/src/explain.rs
+++ b/crates/rattanwinch_front/src/explain.rs
@@ -22,7 +22,7 @@
         Event::Reclaimed { step, victims } => {
             count("reclaimed");
             info!(log, "guarantee reclaimed"; "job" => %step.job, "step" => step.step,
-                "victims" => victims.iter().map(run_name).collect::<Vec<_>>().join(","));
+                "victims" => victims.iter().map(full_name).collect::<Vec<_>>().join(","));
         }
         Event::Started(run) => {
             count("started");
@@ -83,6 +83,11 @@
         "target" => %target, "reason" => reason);
 }
 
+/// The name of a run of another job than the line's own.
+fn full_name(run: &RunId) -> String {
+    format!("{}.{}", run.task.step.job, run_name(run))
+}
+
 /// Occurrence, step, index and run number; the job stands in a field of its own.
 fn run_name(run: &RunId) -> String {
     let step = &run.task.step;
--- a/crates/rattanwinch_front/src/front_daemon.rs
+++ b/crates/rattanwinch_front/src/front_daemon.rs
@@ -24,7 +24,6 @@
 use crate::FrontSettings;
 use crate::front_state::FrontState;
 use crate::leadership::take_part;
-use crate::relay::Backend;
 use crate::rpc::PeerServer;
 
 /// What starting the daemon returns.
@@ -42,7 +41,7 @@
 
 /// A running front daemon.
 pub struct FrontDaemon {
-    state: Backend,
+    state: Arc<FrontState>,
     servers: JoinSet<()>,
     leadership: JoinSet<()>,
     rpc: RpcServer,
--- a/crates/rattanwinch_front/src/leadership.rs
+++ b/crates/rattanwinch_front/src/leadership.rs
@@ -6,8 +6,10 @@
 use rattanwinch_fleet::LEADER_KEY;
 use rattanwinch_fleet::LeaderInfo;
 use rattanwinch_fleet::LeaderRecord;
+use rattanwinch_fleet::REPORT_INTERVAL;
 use rattanwinch_fleet::silence_limit;
 use rattanwinch_scheduling::AcceptedJob;
+use rattanwinch_scheduling::JobId;
 use rattanwinch_scheduling::JobProgress;
 use rattanwinch_scheduling::Scheduler;
 use rattanwinch_scheduling::SchedulingLimits;
@@ -139,8 +141,7 @@
     /// Reads who schedules, and takes over if nobody does.
     async fn stand(&self) -> Result<Option<Elected>> {
         let state = &self.state;
-        let read = state.store.get(LEADER_KEY).await?;
-        let Some(item) = read.item else {
+        let Some(item) = state.store.get(LEADER_KEY).await? else {
             return self.claim(Revision::ABSENT).await;
         };
         let Some(record) = LeaderRecord::decode(&item.value) else {
@@ -358,7 +359,7 @@
     }
 }
 
-fn published(scheduler: &Scheduler) -> Vec<(rattanwinch_scheduling::JobId, PublishedJob)> {
+fn published(scheduler: &Scheduler) -> Vec<(JobId, PublishedJob)> {
     let jobs = scheduler.states().filter_map(|(id, queue, state)| {
         let (accepted, _) = scheduler.record(id)?;
         let published = PublishedJob {
@@ -375,7 +376,7 @@
     SchedulingLimits::builder()
         .silence(silence_limit(state.settings.longest_lease))
         // Two reports and a half.
-        .fresh(Duration::from_millis(2500))
+        .fresh(REPORT_INTERVAL * 5 / 2)
         .order_retry(Duration::from_millis(300))
         // The longest stop on the users' sheets takes 900 ms.
         .stop_repeat(Duration::from_millis(1500))
--- a/crates/rattanwinch_front/src/relay.rs
+++ b/crates/rattanwinch_front/src/relay.rs
@@ -1,4 +1,3 @@
-use std::sync::Arc;
 use std::time::Duration;
 
 use rattanwinch_fleet::CallerAnswer;
@@ -108,6 +107,3 @@
         answer => Attempt::Answered(answer),
     }
 }
-
-/// Calls come through the endpoint as shared references to the state.
-pub(crate) type Backend = Arc<FrontState>;
--- a/crates/rattanwinch_runtime/src/lib.rs
+++ b/crates/rattanwinch_runtime/src/lib.rs
@@ -21,6 +21,7 @@
 pub use daemon_arguments::DaemonArguments;
 pub use logger::discard_logger;
 pub use logger::json_logger;
+pub use logger::stdout_logger;
 pub use metrics_text::MetricsText;
 pub use metrics_text::install_metrics;
 pub use settings_error::SettingsError;
--- a/crates/rattanwinch_runtime/src/logger.rs
+++ b/crates/rattanwinch_runtime/src/logger.rs
@@ -12,9 +12,19 @@
 
 /// Makes a logger that writes one JSON object a line to standard error.
 ///
-/// Each line has `ts_unix_ms`, `level`, `msg` and `process`, then the fields of the record.
+/// Each line has `ts_unix_ms`, `level`, `msg` and `process`, then the fields of the record. A
+/// thread of its own writes them; records that it can't keep up with are dropped and counted.
 pub fn json_logger(process: &str) -> Logger {
-    let drain = slog_json::Json::new(io::stderr())
+    logger(process, io::stderr())
+}
+
+/// As [`json_logger`], to standard output, where the users' platform collects logs.
+pub fn stdout_logger(process: &str) -> Logger {
+    logger(process, io::stdout())
+}
+
+fn logger(process: &str, out: impl io::Write + Send + 'static) -> Logger {
+    let drain = slog_json::Json::new(out)
         .add_key_value(o!(
             "ts_unix_ms" => FnValue(|_| {
                 let since = std::time::UNIX_EPOCH.elapsed().unwrap_or_default();
--- a/crates/rattanwinch_scheduling/src/limits.rs
+++ b/crates/rattanwinch_scheduling/src/limits.rs
@@ -14,8 +14,8 @@
         pub order_retry: Duration,
         /// The wait before a stop that was confirmed is repeated, if the run is still there.
         pub stop_repeat: Duration,
-        /// A step waits this long for its best racks if its queue comes first, and this share
-        /// of its estimate otherwise.
+        /// A step waits this long for its best racks if its queue comes first, and as long as
+        /// its estimate otherwise.
         pub urgent_patience: Duration,
         /// How long saved states of running tasks may wait until they are made durable.
         pub save_interval: Duration,
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -14,9 +14,11 @@
 use crate::JobProgress;
 use crate::JobState;
 use crate::QueueName;
+use crate::Resources;
 use crate::RunId;
 use crate::SchedulingLimits;
 use crate::SchedulingRules;
+use crate::StepDescription;
 use crate::StepId;
 use crate::TargetLife;
 use crate::active_run::ActiveRun;
@@ -320,7 +322,7 @@
         }
     }
 
-    pub(crate) fn step(&self, step: &StepId) -> Option<&crate::StepDescription> {
+    pub(crate) fn step(&self, step: &StepId) -> Option<&StepDescription> {
         self.jobs.get(&step.job)?.step(step.step)
     }
 
@@ -330,7 +332,7 @@
 }
 
 /// The room that a task of the step takes; a task that fills takes no processor time of its own.
-pub(crate) fn occupied(step: &crate::StepDescription) -> crate::Resources {
+pub(crate) fn occupied(step: &StepDescription) -> Resources {
     let mut need = step.need;
     if step.fills {
         need.cpu_millis = 0;
--- a/crates/rattanwinch_side/src/bin/rattanwinch-side.rs
+++ b/crates/rattanwinch_side/src/bin/rattanwinch-side.rs
@@ -6,7 +6,7 @@
 use eyre::Result;
 use rattanwinch_runtime::DaemonArguments;
 use rattanwinch_runtime::Shutdown;
-use rattanwinch_runtime::json_logger;
+use rattanwinch_runtime::stdout_logger;
 use rattanwinch_side::SideDaemon;
 use rattanwinch_side::SideSettings;
 
@@ -28,7 +28,7 @@
     let signals = Shutdown::new();
     signals.watch_signals()?;
     let mut hangups = signals.watch_hangups()?;
-    let daemon = SideDaemon::start(settings, json_logger("rattanwinch-side")).await?;
+    let daemon = SideDaemon::start(settings, stdout_logger("rattanwinch-side")).await?;
     while hangups.next().await {
         daemon.reload();
     }
--- a/crates/rattanwinch_side/src/leader_search.rs
+++ b/crates/rattanwinch_side/src/leader_search.rs
@@ -70,11 +70,10 @@
 
     async fn ask_store(&self, state: &SideState) -> Option<LeaderInfo> {
         match self.store.get(LEADER_KEY).await {
-            Ok(read) => {
-                let item = read.item?;
-                LeaderRecord::decode(&item.value)?
-                    .info(item.changed.0)
-                    .into()
+            Ok(item) => {
+                let item = item?;
+                let record = LeaderRecord::decode(&item.value)?;
+                Some(record.info(item.changed.0))
             }
             Err(error) => {
                 debug!(state.log, "the store doesn't say who leads"; "error" => %error);
--- a/crates/rattanwinch_side/src/reporter.rs
+++ b/crates/rattanwinch_side/src/reporter.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rattanwinch_fleet::AgentReport;
 use rattanwinch_fleet::FrontClient;
 use rattanwinch_fleet::LeaderInfo;
 use rattanwinch_fleet::REPORT_INTERVAL;
@@ -66,7 +67,7 @@
     }
 }
 
-fn take_answer(state: &SideState, report: &rattanwinch_fleet::AgentReport, answer: &ReportAnswer) {
+fn take_answer(state: &SideState, report: &AgentReport, answer: &ReportAnswer) {
     if let Some(target) = &report.target {
         state.acknowledge(&target.description.life, answer.acknowledged);
     }
