Listen before a daemon counts as started; one JSON-RPC server type

One test counted pending jobs before the first had begun. The fleet package had a copy of the peers package's server.

Change: the daemons bind their addresses before they return. The test waits for the first job to run, as its check assumes.

--- a/crates/rattanwinch_fleet/src/front_client.rs
+++ b/crates/rattanwinch_fleet/src/front_client.rs
@@ -13,7 +13,7 @@
 use crate::RpcFailure;
 use crate::rpc::FrontRpcClient;
 use crate::rpc_error::within;
-use crate::server::MAX_MESSAGE_BYTES;
+use crate::sizes::MAX_MESSAGE_BYTES;
 
 /// What a call to a front returns.
 pub type Result<T> = std::result::Result<T, RpcFailure>;
--- a/crates/rattanwinch_fleet/src/lib.rs
+++ b/crates/rattanwinch_fleet/src/lib.rs
@@ -17,7 +17,7 @@
 mod leader_record;
 mod rpc;
 mod rpc_error;
-mod server;
+mod sizes;
 mod wire;
 
 pub use agent_client::AgentClient;
@@ -37,7 +37,7 @@
 pub use rpc::AgentRpcServer;
 pub use rpc::FrontRpcServer;
 pub use rpc_error::RpcFailure;
-pub use server::RpcServer;
+pub use sizes::MAX_PEER_CONNECTIONS;
 pub use wire::WireAnswer;
 pub use wire::WireCall;
 pub use wire::WireLeader;
--- a/crates/rattanwinch_front/src/front_daemon.rs
+++ b/crates/rattanwinch_front/src/front_daemon.rs
@@ -9,9 +9,11 @@
 use poem::Server;
 use poem::endpoint::make_sync;
 use poem::get;
+use poem::listener::Listener as _;
 use poem::listener::TcpListener;
 use rattanwinch_fleet::FrontRpcServer as _;
-use rattanwinch_fleet::RpcServer;
+use rattanwinch_fleet::MAX_PEER_CONNECTIONS;
+use rattanwinch_peers::RpcServer;
 use rattanwinch_runtime::MetricsText;
 use rattanwinch_runtime::install_metrics;
 use rattanwinch_site_callers::caller_endpoint;
@@ -67,7 +69,7 @@
         let peers = PeerServer {
             state: Arc::clone(&state),
         };
-        let rpc = RpcServer::start(state.address, peers.into_rpc()).await?;
+        let rpc = RpcServer::start(state.address, MAX_PEER_CONNECTIONS, peers.into_rpc()).await?;
         let mut daemon = Self {
             servers: JoinSet::new(),
             leadership: JoinSet::new(),
@@ -76,28 +78,28 @@
             state,
         };
         let state = Arc::clone(&daemon.state);
-        daemon.serve(
-            "callers",
-            state.settings.caller_listen,
-            caller_endpoint(&state),
-        );
-        daemon.serve(
-            "readiness",
-            state.settings.ready_listen,
-            readiness_endpoint(&state),
-        );
+        let callers = state.settings.caller_listen;
+        daemon
+            .serve("callers", callers, caller_endpoint(&state))
+            .await?;
+        let ready = state.settings.ready_listen;
+        daemon
+            .serve("readiness", ready, readiness_endpoint(&state))
+            .await?;
         let metrics = SocketAddr::new(
             state.address.ip(),
             state.address.port() + METRICS_PORT_OFFSET,
         );
-        daemon.serve("metrics", metrics, metrics_route(install_metrics()));
+        let route = metrics_route(install_metrics());
+        daemon.serve("metrics", metrics, route).await?;
         daemon.leadership.spawn(take_part(Arc::clone(&state)));
         info!(state.log, "started"; "vm" => &*state.settings.vm, "address" => %state.address,
             "callers" => %state.settings.caller_listen, "store" => %state.settings.store);
         Ok(daemon)
     }
 
-    fn serve<E>(&mut self, what: &'static str, address: SocketAddr, endpoint: E)
+    /// Listens before it returns, so that callers can connect and errors end the start.
+    async fn serve<E>(&mut self, what: &'static str, address: SocketAddr, endpoint: E) -> Result<()>
     where
         E: IntoEndpoint + Send + 'static,
         E::Endpoint: Endpoint + 'static,
@@ -105,8 +107,9 @@
         let closing = self.closing.clone();
         let log = self.state.log.clone();
         let grace = self.state.settings.grace;
+        let acceptor = TcpListener::bind(address).into_acceptor().await?;
         self.servers.spawn(async move {
-            let server = Server::new(TcpListener::bind(address));
+            let server = Server::new_with_acceptor(acceptor);
             let closed = closing.cancelled_owned();
             let ended = server.run_with_graceful_shutdown(endpoint, closed, Some(grace));
             if let Err(error) = ended.await {
@@ -114,6 +117,7 @@
                     "error" => %error);
             }
         });
+        Ok(())
     }
 
     /// Reads the settings again and takes over the seeds; all else needs a new process.
--- a/crates/rattanwinch_front/tests/site/calls.rs
+++ b/crates/rattanwinch_front/tests/site/calls.rs
@@ -101,6 +101,7 @@
     let site = Site::start(2, 1).await;
     site.submit_until_accepted(0, "00000000000000e1", 60_000, 8)
         .await;
+    site.wait_for(0, "00000000000000e1", "running", SOON).await;
     for id in ["00000000000000e2", "00000000000000e3"] {
         site.submit_until_accepted(1, id, 10, 8).await;
     }
--- /dev/null
+++ b/crates/rattanwinch_scheduling/tests/world/model/faults.rs
@@ -0,0 +1,98 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng as _;
+use rattanwinch_scheduling::AcceptedJob;
+use rattanwinch_scheduling::JobDescription;
+use rattanwinch_scheduling::JobId;
+use rattanwinch_scheduling::QueueName;
+use rattanwinch_scheduling::Resources;
+use rattanwinch_scheduling::StepDescription;
+
+use super::TARGETS;
+use super::World;
+use super::organisation;
+use super::queue_rules;
+use crate::target::ModelTarget;
+
+impl World {
+    pub(super) fn disturb(&mut self) {
+        if self.chance(4.0) {
+            self.submit();
+        }
+        if self.chance(0.5) {
+            self.cancel();
+        }
+        if self.chance(0.4) {
+            self.lose_scheduler();
+        }
+        for vm in 0..TARGETS {
+            if self.chance(0.1) {
+                self.targets[vm].cut_until = self.now + self.millis(500, 25_000);
+            }
+            if self.chance(0.05) {
+                self.targets[vm] = ModelTarget::new(vm, self.now);
+            }
+        }
+    }
+
+    fn submit(&mut self) {
+        self.next_job += 1;
+        let priority = self.rng.random_range(0..3);
+        let steps = self.rng.random_range(1..=2_u32);
+        let steps: Vec<_> = (0..steps).map(|number| self.random_step(number)).collect();
+        let accepted = AcceptedJob {
+            id: JobId::from(format!("job-{}", self.next_job).as_str()),
+            queue: QueueName::from(format!("q{priority}").as_str()),
+            rules: queue_rules(priority),
+            organisation: organisation(if self.chance(50.0) { "a" } else { "b" }),
+            accepted_at: self.now,
+            description: JobDescription {
+                payload: Arc::from("work"),
+                steps: Arc::from(steps),
+                repeats: None,
+            },
+        };
+        if self.now >= self.down_until {
+            self.scheduler.submit(Arc::new(accepted));
+        }
+    }
+
+    fn random_step(&mut self, number: u32) -> StepDescription {
+        let after = (0..number).collect();
+        StepDescription::builder()
+            .count(self.rng.random_range(1..=4))
+            .need(Resources {
+                cpu_millis: 8_000,
+                memory_mb: 16_000,
+                accelerators: [1, 1, 2, 4, 8][self.rng.random_range(0..5)],
+            })
+            .estimate(Duration::from_secs(2))
+            .gang(self.chance(40.0))
+            .same_rack(self.chance(20.0))
+            .after(after)
+            .build()
+    }
+
+    fn cancel(&mut self) {
+        let ids: Vec<_> = self.stored.keys().cloned().collect();
+        if ids.is_empty() || self.now < self.down_until {
+            return;
+        }
+        let id = ids[self.rng.random_range(0..ids.len())].clone();
+        self.scheduler.cancel(&id);
+        self.cancelled.insert(id);
+    }
+
+    /// The scheduler is gone; another one starts from what is stored. What was being written may
+    /// or may not have been.
+    fn lose_scheduler(&mut self) {
+        if let Some((_, _, records)) = self.committing.take()
+            && self.chance(50.0)
+        {
+            self.stored.extend(records);
+        }
+        self.epoch += 1;
+        self.down_until = self.now + self.millis(100, 3_000);
+    }
+}
--- a/crates/rattanwinch_side/src/side_daemon.rs
+++ b/crates/rattanwinch_side/src/side_daemon.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 
 use poem::Server;
+use poem::listener::Listener as _;
 use poem::listener::TcpListener;
 use rattanwinch_fleet::AgentRpcServer as _;
-use rattanwinch_fleet::RpcServer;
+use rattanwinch_fleet::MAX_PEER_CONNECTIONS;
+use rattanwinch_peers::RpcServer;
 use rattanwinch_site_executors::executor_endpoint;
 use slog::Logger;
 use slog::info;
@@ -47,9 +49,11 @@
         let server = OrderServer {
             state: Arc::clone(&state),
         };
-        let rpc = RpcServer::start(address, server.into_rpc()).await?;
+        let rpc = RpcServer::start(address, MAX_PEER_CONNECTIONS, server.into_rpc()).await?;
         let mut tasks = JoinSet::new();
-        let executor = Server::new(TcpListener::bind(state.settings.executor_listen));
+        // Listening before anything else, so that an error ends the start.
+        let listener = TcpListener::bind(state.settings.executor_listen);
+        let executor = Server::new_with_acceptor(listener.into_acceptor().await?);
         let endpoint = executor_endpoint(&state);
         let log = state.log.clone();
         tasks.spawn(async move {
