--- a/crates/rattanwinch_fleet/src/agent_client.rs
+++ b/crates/rattanwinch_fleet/src/agent_client.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use jsonrpsee::http_client::HttpClient;
+use rattanwinch_types::InvalidName;
 
 use crate::AgentOrders;
 use crate::OrderResults;
@@ -55,6 +56,8 @@
     /// until they go out of date.
     pub async fn execute(&self, orders: &AgentOrders, limit: Duration) -> Result<OrderResults> {
         let answer = within(limit, self.client.execute(orders.into())).await?;
-        Ok(answer.into())
+        answer
+            .try_into()
+            .map_err(|error: InvalidName| RpcFailure::Unanswered(Box::new(error)))
     }
 }
--- a/crates/rattanwinch_fleet/src/wire/orders.rs
+++ b/crates/rattanwinch_fleet/src/wire/orders.rs
@@ -172,17 +172,16 @@
     }
 }
 
-impl From<WireResults> for OrderResults {
-    fn from(wire: WireResults) -> Self {
+impl TryFrom<WireResults> for OrderResults {
+    type Error = InvalidName;
+
+    fn try_from(wire: WireResults) -> Result<Self, InvalidName> {
         let outcomes = wire.outcomes.into_iter();
-        Self {
+        Ok(Self {
             outcomes: outcomes
                 .map(|(run, outcome)| (run.into(), outcome.into()))
                 .collect(),
-            // An unreadable report is none; the agent's own reports follow every second.
-            report: wire
-                .report
-                .and_then(|report| AgentReport::try_from(report).ok()),
-        }
+            report: wire.report.map(AgentReport::try_from).transpose()?,
+        })
     }
 }
--- a/crates/rattanwinch_front/src/operator_watch.rs
+++ b/crates/rattanwinch_front/src/operator_watch.rs
@@ -69,6 +69,9 @@
         info!(state.log, "operators' orders taken over"; "version" => read.orders.version,
             "closed_zones" => ?read.orders.closed_zones, "queues" => read.orders.queues.len());
     }
+    if changed && !read.orders.unreadable_keys.is_empty() {
+        warn!(state.log, "operators' keys without effect"; "keys" => ?read.orders.unreadable_keys);
+    }
     leading.orders.store(Some(Arc::new(read)));
     leading.orders_read.notify_waiters();
     if changed && leading.commands.send(Command::OrdersRead).await.is_err() {
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -252,7 +252,7 @@
         };
         let length = limits.quarantine * 2_u32.saturating_pow(target.quarantines);
         let length = length.min(limits.quarantine_most);
-        target.quarantines = (target.quarantines + 1).min(8);
+        target.quarantines = target.quarantines.saturating_add(1);
         target.quarantined_until = now + length;
         self.note(Event::Quarantined {
             target: name.clone(),
--- a/crates/rattanwinch_side/src/leader_search.rs
+++ b/crates/rattanwinch_side/src/leader_search.rs
@@ -7,6 +7,7 @@
 use rattanwinch_fleet::LeaderRecord;
 use rattanwinch_site_store::StoreClient;
 use slog::debug;
+use slog::warn;
 
 use crate::side_state::SideState;
 
@@ -72,8 +73,11 @@
         match self.store.get(LEADER_KEY).await {
             Ok(item) => {
                 let item = item?;
-                let record = LeaderRecord::decode(&item.value)?;
-                Some(record.info(item.changed.0))
+                let record = LeaderRecord::decode(&item.value);
+                if record.is_none() {
+                    warn!(state.log, "unreadable leader record");
+                }
+                record.map(|record| record.info(item.changed.0))
             }
             Err(error) => {
                 debug!(state.log, "the store doesn't say who leads"; "error" => %error);
