Read the settings that both site daemons share in one place

Cause: the read-through found the VM, its peers, the store and the lease read twice, with the same keys and words, and no test of the templates; three limits without a source; a comment that gave another figure than its constant; a clock read twice for one decision.

Change: VmSettings in rattanwinch_runtime; a test that fills in the templates and one that asks for all errors at once; sources for the limits.

--- a/crates/rattanwinch_front/src/front_daemon.rs
+++ b/crates/rattanwinch_front/src/front_daemon.rs
@@ -53,7 +53,7 @@
 impl fmt::Debug for FrontDaemon {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("FrontDaemon")
-            .field("vm", &self.state.settings.vm)
+            .field("vm", &self.state.settings.vm.name)
             .finish_non_exhaustive()
     }
 }
@@ -93,8 +93,8 @@
         let route = metrics_route(install_metrics());
         daemon.serve("metrics", metrics, route).await?;
         daemon.leadership.spawn(take_part(Arc::clone(&state)));
-        info!(state.log, "started"; "vm" => &*state.settings.vm, "address" => %state.address,
-            "callers" => %state.settings.caller_listen, "store" => %state.settings.store);
+        info!(state.log, "started"; "vm" => &*state.settings.vm.name, "address" => %state.address,
+            "callers" => %state.settings.caller_listen, "store" => %state.settings.vm.store);
         Ok(daemon)
     }
 
@@ -123,10 +123,13 @@
     /// Reads the settings again and takes over the seeds; all else needs a new process.
     pub fn reload(&self) {
         let state = &self.state;
-        match FrontSettings::read(&state.settings.source) {
+        match FrontSettings::read(&state.settings.vm.source) {
             Ok(settings) => {
-                state.add_seeds(&settings.seeds);
-                info!(state.log, "settings reloaded"; "seeds" => ?settings.seeds);
+                settings
+                    .vm
+                    .seed_addresses()
+                    .for_each(|seed| state.add_front(seed));
+                info!(state.log, "settings reloaded"; "seeds" => ?settings.vm.seeds);
             }
             Err(errors) => {
                 slog::error!(state.log, "settings not reloaded"; "errors" => %errors);
@@ -139,7 +142,7 @@
     pub async fn stop(mut self) {
         let grace = self.state.settings.grace.saturating_sub(EXIT_MARGIN);
         let deadline = tokio::time::Instant::now() + grace;
-        info!(self.state.log, "stopping"; "vm" => &*self.state.settings.vm);
+        info!(self.state.log, "stopping"; "vm" => &*self.state.settings.vm.name);
         self.state.stop();
         while self.leadership.join_next().await.is_some() {}
         // Calls still come and have to reach the next scheduler.
@@ -151,7 +154,7 @@
         let finished = tokio::time::timeout_at(deadline, finished).await.is_ok();
         self.leadership.shutdown().await;
         self.rpc.stop().await;
-        info!(self.state.log, "stopped"; "vm" => &*self.state.settings.vm, "finished" => finished);
+        info!(self.state.log, "stopped"; "vm" => &*self.state.settings.vm.name, "finished" => finished);
     }
 }
 
--- a/crates/rattanwinch_front/src/front_state.rs
+++ b/crates/rattanwinch_front/src/front_state.rs
@@ -62,16 +62,14 @@
 impl FrontState {
     pub(crate) fn new(settings: FrontSettings, log: Logger) -> Self {
         let clock = BootClock;
-        let port = settings.peer_port;
-        let address = SocketAddr::new(settings.ip, port);
-        let seeds = settings.seeds.iter();
-        let fronts = seeds.map(|seed| SocketAddr::new(seed.ip(), port));
+        let address = settings.vm.peer_address();
+        let fronts = settings.vm.seed_addresses();
         Self {
             address,
             incarnation: clock.wall().as_millis(),
             clock,
             log,
-            store: StoreClient::new(settings.store, STORE_LIMIT),
+            store: StoreClient::new(settings.vm.store, STORE_LIMIT),
             leading: ArcSwapOption::empty(),
             leader: ArcSwapOption::empty(),
             leader_changes: watch::Sender::new(0),
@@ -144,12 +142,6 @@
         now.since(heard)
     }
 
-    pub(crate) fn add_seeds(&self, seeds: &[SocketAddr]) {
-        for seed in seeds {
-            self.add_front(SocketAddr::new(seed.ip(), self.settings.peer_port));
-        }
-    }
-
     /// Notes a front that may be asked who leads.
     pub(crate) fn add_front(&self, front: SocketAddr) {
         let known = self.fronts.load();
--- a/crates/rattanwinch_front/src/leadership.rs
+++ b/crates/rattanwinch_front/src/leadership.rs
@@ -148,13 +148,13 @@
             error!(state.log, "unreadable leader record, replaced");
             return self.claim(item.changed).await;
         };
-        if record.vm == state.settings.vm && record.incarnation == state.incarnation {
+        if record.vm == state.settings.vm.name && record.incarnation == state.incarnation {
             // A claim of this process whose answer was lost.
             return Ok(item
                 .lease
                 .map(|lease| self.elected(record, item.changed, lease)));
         }
-        if record.vm == state.settings.vm {
+        if record.vm == state.settings.vm.name {
             // The process that held it ran on this VM before this one.
             return self.claim(item.changed).await;
         }
@@ -169,7 +169,7 @@
         }
         let lease = state.store.grant(LEADER_LEASE).await?;
         let record = LeaderRecord {
-            vm: Arc::clone(&state.settings.vm),
+            vm: Arc::clone(&state.settings.vm.name),
             incarnation: state.incarnation,
             address: state.address,
             epoch: None,
@@ -374,9 +374,10 @@
 
 fn scheduling_limits(state: &FrontState) -> SchedulingLimits {
     SchedulingLimits::builder()
-        .silence(silence_limit(state.settings.longest_lease))
+        .silence(silence_limit(state.settings.vm.longest_lease))
         // Two reports and a half.
         .fresh(REPORT_INTERVAL * 5 / 2)
+        // Many times the way of an order and its answer, which is a few milliseconds.
         .order_retry(Duration::from_millis(300))
         // The longest stop on the users' sheets takes 900 ms.
         .stop_repeat(Duration::from_millis(1500))
@@ -387,6 +388,8 @@
         // Progress is reported in whole per cent each second; one per cent of the longest task
         // on the slowest target of the users' sheets takes 2 s.
         .stall(Duration::from_millis(3000))
+        // Targets that fail all they start do so for 6.5 s on the users' sheets; one that goes on
+        // is tried again less and less often.
         .quarantine(Duration::from_secs(5))
         .quarantine_most(Duration::from_secs(40))
         .build()
--- a/crates/rattanwinch_front/src/relay.rs
+++ b/crates/rattanwinch_front/src/relay.rs
@@ -41,9 +41,9 @@
         let mut may_have_run = false;
         let mut attempts = 0;
         let answer = loop {
-            let left = limit.saturating_sub(self.clock.now().since(started));
-            let held = self.clock.now().since(started) >= HOLD;
-            if left.is_zero() || (held && !may_have_run) {
+            let held = self.clock.now().since(started);
+            let left = limit.saturating_sub(held);
+            if left.is_zero() || (held >= HOLD && !may_have_run) {
                 break CallerAnswer::Refused(given_up(may_have_run));
             }
             let mut changes = self.leader_changes();
--- /dev/null
+++ b/crates/rattanwinch_front/tests/settings.rs
@@ -0,0 +1,72 @@
+//! Settings of the daemons of a site.
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use rattanwinch_front::FrontSettings;
+use rattanwinch_side::SideSettings;
+
+fn repository() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// Fills in a template of the platform as it does itself.
+fn render(template: &str) -> String {
+    let path = repository().join("platform/settings").join(template);
+    let text = std::fs::read_to_string(path).expect("a template");
+    let values = [
+        ("{{node}}", "vm-1"),
+        ("{{ip}}", "10.1.0.19"),
+        ("{{port_range.0}}", "7000"),
+        ("{{listen.front}}", "10.1.0.19:8521"),
+        ("{{listen.ready}}", "10.1.0.19:8523"),
+        ("{{listen.control}}", "10.1.0.20:8526"),
+        ("{{seeds}}", "10.1.0.19:8526,10.2.0.35:8526"),
+        ("{{platform.addr}}", "10.200.1.7:8524"),
+        ("{{advisor}}", ""),
+        ("{{bounds.hold_max_ms}}", "6000"),
+        ("{{bounds.status_s}}", "120"),
+        ("{{bounds.grace_s}}", "6"),
+    ];
+    values
+        .iter()
+        .fold(text, |text, (name, value)| text.replace(name, value))
+}
+
+fn write(name: &str, text: &str) -> PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
+/// A template that the daemon can't read would keep a whole site from starting.
+#[test]
+fn the_templates_make_valid_settings() {
+    let path = write("front.ini", &render("front.ini"));
+    let front = FrontSettings::read(&path).expect("valid settings");
+    assert_eq!(front.vm.peer_address().to_string(), "10.1.0.19:7000");
+    let seeds: Vec<_> = front
+        .vm
+        .seed_addresses()
+        .map(|seed| seed.to_string())
+        .collect();
+    assert_eq!(seeds, ["10.1.0.19:7000", "10.2.0.35:7000"]);
+    assert_eq!(front.advisor, None);
+    let path = write("side.ini", &render("side.ini"));
+    let side = SideSettings::read(&path).expect("valid settings");
+    assert_eq!(side.executor_listen.to_string(), "10.1.0.20:8526");
+    assert_eq!(side.vm.longest_lease.as_millis(), 6000);
+}
+
+/// An operator who is told of one error at a time restarts as often as there are errors.
+#[test]
+fn all_errors_are_reported_at_once() {
+    let text = render("front.ini")
+        .replace("ip = 10.1.0.19", "ip = nowhere")
+        .replace("grace_s = 6", "grace_s = soon\nunknown = 1")
+        .replace("name = vm-1\n", "");
+    let errors = FrontSettings::read(&write("wrong.ini", &text)).expect_err("errors");
+    let mut keys: Vec<_> = errors.0.iter().map(|error| error.key.as_str()).collect();
+    keys.sort_unstable();
+    assert_eq!(keys, ["grace_s", "ip", "name", "unknown"]);
+}
--- a/crates/rattanwinch_front/tests/site/harness.rs
+++ b/crates/rattanwinch_front/tests/site/harness.rs
@@ -10,6 +10,7 @@
 
 use rattanwinch_front::FrontDaemon;
 use rattanwinch_front::FrontSettings;
+use rattanwinch_runtime::VmSettings;
 use rattanwinch_runtime::discard_logger;
 use rattanwinch_side::SideDaemon;
 use rattanwinch_side::SideSettings;
@@ -63,7 +64,7 @@
         let process = u8::try_from(std::process::id() % 200).expect("below 256");
         let subnet = next_subnet();
         let ip = |vm: u8| IpAddr::V4(Ipv4Addr::new(127, 20 + process, subnet, vm));
-        let seeds: Vec<_> = (1..=fronts).map(|vm| SocketAddr::new(ip(vm), 1)).collect();
+        let seeds: Vec<_> = (1..=fronts).map(ip).collect();
         let mut site = Self {
             store,
             fronts: Vec::new(),
@@ -82,20 +83,14 @@
         site
     }
 
-    async fn start_front(&mut self, ip: IpAddr, seeds: &[SocketAddr]) {
+    async fn start_front(&mut self, ip: IpAddr, seeds: &[IpAddr]) {
         let door = self.store.open().await;
         let callers = SocketAddr::new(ip, CALLER_PORT);
         let settings = FrontSettings {
-            source: PathBuf::new(),
-            vm: Arc::from(format!("front-{ip}")),
-            ip,
-            peer_port: PEER_PORT,
+            vm: vm_settings(format!("front-{ip}"), ip, seeds, &door),
             caller_listen: callers,
             ready_listen: SocketAddr::new(ip, READY_PORT),
-            seeds: seeds.to_vec(),
-            store: door.address(),
             advisor: None,
-            longest_lease: Duration::from_secs(6),
             keep_ended: Duration::from_secs(120),
             grace: Duration::from_secs(6),
         };
@@ -109,17 +104,11 @@
         });
     }
 
-    async fn start_worker(&mut self, ip: IpAddr, seeds: &[SocketAddr]) {
+    async fn start_worker(&mut self, ip: IpAddr, seeds: &[IpAddr]) {
         let door = self.store.open().await;
         let settings = SideSettings {
-            source: PathBuf::new(),
-            vm: Arc::from(format!("side-{ip}")),
-            ip,
-            peer_port: PEER_PORT,
+            vm: vm_settings(format!("side-{ip}"), ip, seeds, &door),
             executor_listen: SocketAddr::new(ip, EXECUTOR_PORT),
-            seeds: seeds.to_vec(),
-            store: door.address(),
-            longest_lease: Duration::from_secs(6),
         };
         let options = ExecutorOptions {
             id: format!("i-{ip}"),
@@ -275,6 +264,18 @@
     }
 }
 
+fn vm_settings(name: String, ip: IpAddr, seeds: &[IpAddr], door: &StoreDoor) -> VmSettings {
+    VmSettings {
+        source: PathBuf::new(),
+        name: Arc::from(name),
+        ip,
+        peer_port: PEER_PORT,
+        seeds: seeds.to_vec(),
+        store: door.address(),
+        longest_lease: Duration::from_secs(6),
+    }
+}
+
 pub fn job(work_ms: u64, count: u32) -> Value {
     json!({
         "spec": format!("work_ms={work_ms}"),
--- a/crates/rattanwinch_runtime/src/lib.rs
+++ b/crates/rattanwinch_runtime/src/lib.rs
@@ -1,7 +1,7 @@
 //! Command line, settings, logs, metrics, clock and graceful shutdown of the daemons.
 //!
 //! [`DaemonArguments`] is the command line. [`SettingsFile`] reads INI and collects every error
-//! before anything starts. [`json_logger`] makes the JSON-line logger, [`install_metrics`] the recorder whose text a daemon serves,
+//! before anything starts, [`VmSettings`] takes the keys that all daemons of a site share. [`json_logger`] makes the JSON-line logger, [`install_metrics`] the recorder whose text a daemon serves,
 //! [`Shutdown`] tells all tasks of a daemon to stop, and [`Clock`] is the one place that reads
 //! the time; deciding functions take it as an argument.
 //!
@@ -15,6 +15,7 @@
 mod settings_error;
 mod settings_file;
 mod shutdown;
+mod vm_settings;
 
 pub use boot_clock::BootClock;
 pub use clock::Clock;
@@ -29,3 +30,4 @@
 pub use settings_file::SettingsFile;
 pub use shutdown::Hangups;
 pub use shutdown::Shutdown;
+pub use vm_settings::VmSettings;
--- a/crates/rattanwinch_scheduling/src/placing.rs
+++ b/crates/rattanwinch_scheduling/src/placing.rs
@@ -28,11 +28,12 @@
 const RESERVED_STEPS: usize = 3;
 
 /// The most work that is thrown away for an urgent step without a guarantee, in thousandths of a
-/// core-second for each set of runs: being late costs an urgent job about as much as 300
-/// core-seconds of wasted work, by the users' price lists.
+/// core-second for each set of runs. Being late costs an urgent job about as much as a few hundred
+/// core-seconds of wasted work, by the users' price lists, and what is displaced may come late too.
 const LOSS_FOR_URGENCY: u64 = 120_000;
 
-/// The saved states of checkpointing tasks are at most this old; the platform's own period.
+/// The saved states of checkpointing tasks are at most this old: the longest period on the users'
+/// sheets.
 const CHECKPOINT_AGE: Duration = Duration::from_secs(2);
 
 /// A step with waiting tasks.
--- a/crates/rattanwinch_side/src/leader_search.rs
+++ b/crates/rattanwinch_side/src/leader_search.rs
@@ -17,6 +17,9 @@
 /// How long the store may take; its answers are slow at times.
 const STORE_LIMIT: Duration = Duration::from_millis(1000);
 
+/// Searches among the fronts before the store is asked; a call to it is priced.
+const TRIES_BEFORE_STORE: u32 = 3;
+
 /// Finds the front that schedules: from any front that is known, else from the store.
 pub(crate) struct LeaderSearch {
     store: StoreClient,
@@ -24,9 +27,6 @@
     tries: u32,
 }
 
-/// Searches among the fronts before the store is asked; a call to it is priced.
-const TRIES_BEFORE_STORE: u32 = 3;
-
 impl LeaderSearch {
     pub(crate) fn new(store: SocketAddr) -> Self {
         Self {
--- a/crates/rattanwinch_side/src/reporter.rs
+++ b/crates/rattanwinch_side/src/reporter.rs
@@ -23,7 +23,7 @@
 
 /// Reports to the front that schedules for as long as the daemon runs.
 pub(crate) async fn report_to_leader(state: Arc<SideState>) {
-    let mut search = LeaderSearch::new(state.settings.store);
+    let mut search = LeaderSearch::new(state.settings.vm.store);
     loop {
         let Some(leader) = search.find(&state).await else {
             tokio::time::sleep(SEARCH_PAUSE).await;
--- a/crates/rattanwinch_side/src/side_daemon.rs
+++ b/crates/rattanwinch_side/src/side_daemon.rs
@@ -1,5 +1,4 @@
 use std::fmt;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use poem::Server;
@@ -32,7 +31,7 @@
 impl fmt::Debug for SideDaemon {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("SideDaemon")
-            .field("vm", &self.state.settings.vm)
+            .field("vm", &self.state.settings.vm.name)
             .finish_non_exhaustive()
     }
 }
@@ -44,7 +43,7 @@
     ///
     /// If an address can't be listened on.
     pub async fn start(settings: SideSettings, log: Logger) -> Result<Self> {
-        let address = SocketAddr::new(settings.ip, settings.peer_port);
+        let address = settings.vm.peer_address();
         let state = Arc::new(SideState::new(settings, address, log));
         let server = OrderServer {
             state: Arc::clone(&state),
@@ -63,7 +62,7 @@
         });
         tasks.spawn(watch_executor(Arc::clone(&state)));
         tasks.spawn(report_to_leader(Arc::clone(&state)));
-        info!(state.log, "started"; "vm" => &*state.settings.vm, "address" => %address,
+        info!(state.log, "started"; "vm" => &*state.settings.vm.name, "address" => %address,
             "executor_listen" => %state.settings.executor_listen);
         Ok(Self { tasks, rpc, state })
     }
@@ -71,10 +70,10 @@
     /// Reads the settings again and takes over the seeds; all else needs a new process.
     pub fn reload(&self) {
         let state = &self.state;
-        match SideSettings::read(&state.settings.source) {
+        match SideSettings::read(&state.settings.vm.source) {
             Ok(settings) => {
-                state.add_seeds(&settings.seeds);
-                info!(state.log, "settings reloaded"; "seeds" => ?settings.seeds);
+                state.add_seeds(&settings);
+                info!(state.log, "settings reloaded"; "seeds" => ?settings.vm.seeds);
             }
             Err(errors) => {
                 slog::error!(state.log, "settings not reloaded"; "errors" => %errors);
@@ -85,7 +84,7 @@
     /// Stops at once. What runs on the target goes on under its lease until the next process of
     /// this daemon renews it.
     pub async fn stop(mut self) {
-        info!(self.state.log, "stopped"; "vm" => &*self.state.settings.vm);
+        info!(self.state.log, "stopped"; "vm" => &*self.state.settings.vm.name);
         self.rpc.stop().await;
         self.tasks.shutdown().await;
     }
--- a/crates/rattanwinch_side/src/side_state.rs
+++ b/crates/rattanwinch_side/src/side_state.rs
@@ -61,12 +61,10 @@
 impl SideState {
     pub(crate) fn new(settings: SideSettings, address: SocketAddr, log: Logger) -> Self {
         let clock = BootClock;
-        let port = settings.peer_port;
-        let seeds = settings.seeds.iter();
-        let fronts = seeds.map(|seed| SocketAddr::new(seed.ip(), port)).collect();
+        let fronts = settings.vm.seed_addresses().collect();
         Self {
             id: AgentId {
-                vm: Arc::clone(&settings.vm),
+                vm: Arc::clone(&settings.vm.name),
                 incarnation: clock.wall().as_millis(),
             },
             address,
@@ -85,11 +83,9 @@
         }
     }
 
-    pub(crate) fn add_seeds(&self, seeds: &[SocketAddr]) {
-        let port = self.settings.peer_port;
+    pub(crate) fn add_seeds(&self, settings: &SideSettings) {
         let mut fronts = self.fronts.load().to_vec();
-        for seed in seeds {
-            let front = SocketAddr::new(seed.ip(), port);
+        for front in settings.vm.seed_addresses() {
             if !fronts.contains(&front) {
                 fronts.push(front);
             }
@@ -205,7 +201,7 @@
 
 impl ExecutorBackend for SideState {
     fn vm(&self) -> &Arc<str> {
-        &self.settings.vm
+        &self.settings.vm.name
     }
 
     fn heartbeat(&self, heartbeat: ExecutorHeartbeat) {
