Answer errors over HTTP from one package

Cause: the interfaces towards callers and operators each had a copy of the error body, its conversion and the table of HTTP statuses.

Change: rattanwinch_http_errors has the one copy. The response of a change that was based on an old revision stays with the operators.

--- a/crates/rattanwinch_callers/src/job_routes.rs
+++ b/crates/rattanwinch_callers/src/job_routes.rs
@@ -10,6 +10,7 @@
 use poem::http::StatusCode;
 use poem::post;
 use poem::web::Json;
+use rattanwinch_http_errors::error_response;
 use rattanwinch_types::ErrorKind;
 use rattanwinch_types::JobSpec;
 use rattanwinch_types::Organisation;
@@ -23,7 +24,6 @@
 use crate::WireExplanation;
 use crate::WireJobRequest;
 use crate::WireJobStatus;
-use crate::error_response;
 use crate::plain_routes::read_body;
 
 /// The longest wait for a job's end in one request; callers ask again after it.
--- a/crates/rattanwinch_callers/src/lib.rs
+++ b/crates/rattanwinch_callers/src/lib.rs
@@ -8,7 +8,6 @@
 //! This package isn't for routing or placement: see `rattanwinch_entry`.
 
 mod backend;
-mod error_response;
 mod job_routes;
 mod plain_routes;
 mod wire;
@@ -16,15 +15,11 @@
 pub use backend::JobBackend;
 pub use backend::PlainBackend;
 pub use backend::Result;
-pub use error_response::error_response;
-pub use error_response::status_of;
 pub use job_routes::MAX_STATUS_WAIT;
 pub use job_routes::job_routes;
 pub use plain_routes::MAX_BODY_BYTES;
 pub use plain_routes::plain_routes;
 pub use wire::InvalidBody;
-pub use wire::WireError;
-pub use wire::WireErrorBody;
 pub use wire::WireExplanation;
 pub use wire::WireJobRequest;
 pub use wire::WireJobStatus;
--- a/crates/rattanwinch_callers/src/plain_routes.rs
+++ b/crates/rattanwinch_callers/src/plain_routes.rs
@@ -8,6 +8,7 @@
 use poem::endpoint::make;
 use poem::post;
 use poem::web::Json;
+use rattanwinch_http_errors::error_response;
 use rattanwinch_types::ErrorKind;
 use rattanwinch_types::PlainRequest;
 use rattanwinch_types::RequestError;
@@ -17,7 +18,6 @@
 use crate::Result;
 use crate::WirePlainAnswer;
 use crate::WirePlainRequest;
-use crate::error_response;
 
 /// The largest body of a request: a payload of 256 KiB can grow in JSON by escapes.
 pub const MAX_BODY_BYTES: usize = 1024 * 1024;
--- a/crates/rattanwinch_callers/src/wire.rs
+++ b/crates/rattanwinch_callers/src/wire.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rattanwinch_http_errors::WireError;
 use rattanwinch_types::Adjacency;
 use rattanwinch_types::Answer;
 use rattanwinch_types::ErrorKind;
@@ -269,33 +270,3 @@
         }
     }
 }
-
-rattanwinch_types::value! { wire
-    /// An error with its verdict.
-    pub struct WireError {
-        /// `not_run`, `may_have_run` or `ran`.
-        pub verdict: String,
-        /// The class of the error.
-        pub kind: String,
-        /// What was wrong, where, and what was expected.
-        pub message: String,
-    }
-}
-
-impl From<RequestError> for WireError {
-    fn from(error: RequestError) -> Self {
-        Self {
-            verdict: error.verdict.as_str().to_owned(),
-            kind: error.kind.as_str().to_owned(),
-            message: error.message.to_string(),
-        }
-    }
-}
-
-rattanwinch_types::value! { wire
-    /// The body of every response that isn't a success.
-    pub struct WireErrorBody {
-        /// The error.
-        pub error: WireError,
-    }
-}
--- a/crates/rattanwinch_cli/src/client.rs
+++ b/crates/rattanwinch_cli/src/client.rs
@@ -1,8 +1,8 @@
 use std::path::Path;
 use std::time::Duration;
 
-use rattanwinch_operators::WireError;
-use rattanwinch_operators::WireErrorBody;
+use rattanwinch_http_errors::WireError;
+use rattanwinch_http_errors::WireErrorBody;
 use rattanwinch_operators::WireStale;
 use rattanwinch_runtime::SettingsFile;
 use rattanwinch_types::ErrorKind;
--- a/crates/rattanwinch_cli/src/command_error.rs
+++ b/crates/rattanwinch_cli/src/command_error.rs
@@ -1,7 +1,7 @@
 use std::fmt;
 use std::io;
 
-use rattanwinch_operators::WireError;
+use rattanwinch_http_errors::WireError;
 use rattanwinch_operators::WireStale;
 use rattanwinch_runtime::SettingsErrors;
 use rattanwinch_types::Verdict;
--- a/crates/rattanwinch_cli/src/commands/jobs.rs
+++ b/crates/rattanwinch_cli/src/commands/jobs.rs
@@ -6,7 +6,7 @@
 use rattanwinch_callers::WireJobStatus;
 use rattanwinch_callers::WirePlainAnswer;
 use rattanwinch_callers::WirePlainRequest;
-use rattanwinch_operators::WireError;
+use rattanwinch_http_errors::WireError;
 use rattanwinch_types::Verdict;
 use reqwest::Method;
 use tokio::time::Instant;
--- a/crates/rattanwinch_callers/src/error_response.rs
+++ b/crates/rattanwinch_http_errors/src/status.rs
@@ -5,7 +5,6 @@
 use rattanwinch_types::ErrorKind;
 use rattanwinch_types::RequestError;
 
-use crate::WireError;
 use crate::WireErrorBody;
 
 /// The HTTP status of a class of errors.
@@ -26,12 +25,11 @@
     }
 }
 
-/// The response that tells a caller of an error.
+/// The response that tells a client of an error.
 #[must_use]
 pub fn error_response(error: RequestError) -> Response {
     let status = status_of(error.kind);
-    let body = WireErrorBody {
-        error: WireError::from(error),
-    };
-    Json(body).with_status(status).into_response()
+    Json(WireErrorBody::from(error))
+        .with_status(status)
+        .into_response()
 }
--- a/crates/rattanwinch_operators/src/wire/error.rs
+++ b/crates/rattanwinch_http_errors/src/wire_error.rs
@@ -3,7 +3,7 @@
 rattanwinch_types::value! { wire
     /// An error with its verdict.
     pub struct WireError {
-        /// `not_run`, `may_have_run` or `ran`: whether the change was made.
+        /// `not_run`, `may_have_run` or `ran`: what became of the request or change.
         pub verdict: String,
         /// The class of the error.
         pub kind: String,
@@ -29,3 +29,11 @@
         pub error: WireError,
     }
 }
+
+impl From<RequestError> for WireErrorBody {
+    fn from(error: RequestError) -> Self {
+        Self {
+            error: WireError::from(error),
+        }
+    }
+}
--- a/crates/rattanwinch_operators/src/routes.rs
+++ b/crates/rattanwinch_operators/src/routes.rs
@@ -30,7 +30,7 @@
 use crate::WireTargetReport;
 use crate::WireZoneReport;
 use crate::burn_table;
-use crate::error_response;
+use crate::failure_response;
 
 /// The largest body of a change: a reason of 1000 bytes and a few names leave much room.
 pub const MAX_BODY_BYTES: usize = 16 * 1024;
@@ -97,7 +97,7 @@
         let api = Arc::clone(&api);
         async move {
             let response = handler(api, req).await;
-            Ok::<Response, poem::Error>(response.unwrap_or_else(error_response))
+            Ok::<Response, poem::Error>(response.unwrap_or_else(failure_response))
         }
     })
 }
--- a/crates/rattanwinch_operators/src/wire/config.rs
+++ b/crates/rattanwinch_operators/src/wire/config.rs
@@ -1,7 +1,7 @@
+use rattanwinch_http_errors::WireError;
 use rattanwinch_platform::records::WireChangeRecord;
 use rattanwinch_platform::records::WireFleetConfig;
 
-use super::WireError;
 use crate::CurrentConfig;
 use crate::HistoryPage;
 use crate::StaleChange;
--- a/crates/rattanwinch_operators/src/wire/mod.rs
+++ b/crates/rattanwinch_operators/src/wire/mod.rs
@@ -3,7 +3,6 @@
 mod change;
 mod config;
 mod config_change;
-mod error;
 mod reports;
 
 pub use change::WireChangeAnswer;
@@ -13,8 +12,6 @@
 pub use config::WireHistoryItem;
 pub use config::WireStale;
 pub use config_change::WireConfigChange;
-pub use error::WireError;
-pub use error::WireErrorBody;
 pub use reports::WireBurn;
 pub use reports::WireBurnReport;
 pub use reports::WireBurnWindow;
