--- /dev/null
+++ b/crates/rattanwinch_entry/src/control_read.rs
@@ -0,0 +1,60 @@
+use rattanwinch_platform::Result;
+use rattanwinch_platform::Snapshot;
+use rattanwinch_platform::SnapshotPart;
+use rattanwinch_platform::SnapshotRange;
+use rattanwinch_platform::Store;
+use rattanwinch_platform::StoreError;
+use rattanwinch_platform::Versioned;
+use rattanwinch_platform::keys;
+use rattanwinch_types::Revision;
+
+/// The configuration, the deciders and the entries, all from one moment of the store.
+pub(crate) struct ControlRead {
+    /// The store's revision at the time of the read.
+    pub revision: Revision,
+    /// Identifies the store's data; another id means another, for example restored, store.
+    pub cluster: u64,
+    /// The configuration document, if it is newer than the one that was known.
+    pub config: Option<Versioned>,
+    /// Whether there is a configuration document at all.
+    pub has_config: bool,
+    /// The decider keys of all zones.
+    pub deciders: Vec<Versioned>,
+    /// The registrations of all entries.
+    pub entries: Vec<Versioned>,
+}
+
+impl ControlRead {
+    /// Reads in one call what isn't known yet of the configuration, and all deciders and entries.
+    pub(crate) async fn read(store: &impl Store, known: Revision) -> Result<Self> {
+        let ranges = [
+            SnapshotRange::KeyAfter {
+                key: keys::config(),
+                known,
+            },
+            SnapshotRange::Prefix(keys::deciders()),
+            SnapshotRange::Prefix(keys::entries()),
+        ];
+        store.read_snapshot(&ranges).await?.try_into()
+    }
+}
+
+impl TryFrom<Snapshot> for ControlRead {
+    type Error = StoreError;
+
+    fn try_from(snapshot: Snapshot) -> Result<Self> {
+        let parts = <[SnapshotPart; 3]>::try_from(snapshot.parts);
+        // A read writes nothing, so that it wasn't applied is certain.
+        let [config, deciders, entries] = parts.map_err(|parts| {
+            StoreError::not_applied(format!("{} parts in place of 3", parts.len()))
+        })?;
+        Ok(Self {
+            revision: snapshot.revision,
+            cluster: snapshot.cluster,
+            has_config: config.count > 0,
+            config: config.items.into_iter().next(),
+            deciders: deciders.items,
+            entries: entries.items,
+        })
+    }
+}
--- a/crates/rattanwinch_entry/src/control_reads.rs
+++ b/crates/rattanwinch_entry/src/control_reads.rs
@@ -8,7 +8,6 @@
 use metrics::counter;
 use metrics::gauge;
 use rand::Rng as _;
-use rattanwinch_platform::ControlRead;
 use rattanwinch_platform::Store;
 use rattanwinch_platform::Versioned;
 use rattanwinch_platform::records::ConfigDocument;
@@ -24,6 +23,7 @@
 use slog::warn;
 use tokio::task::JoinSet;
 
+use crate::control_read::ControlRead;
 use crate::control_view::ControlView;
 use crate::entry_state::EntryState;
 use crate::zones::decode_deciders;
@@ -64,7 +64,7 @@
     async fn read_control_once(&self) {
         let sent_at = self.clock.now();
         let known = self.control.load().revision;
-        let read = tokio::time::timeout(READ_TIMEOUT, self.store.read_control(known)).await;
+        let read = tokio::time::timeout(READ_TIMEOUT, ControlRead::read(&*self.store, known)).await;
         match read {
             Ok(Ok(read)) => self.apply_control(sent_at, &read),
             Ok(Err(error)) => {
--- a/crates/rattanwinch_entry/src/lib.rs
+++ b/crates/rattanwinch_entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod burn;
 mod claims;
 mod config_copies;
+mod control_read;
 mod control_reads;
 mod control_view;
 mod entry_daemon;
--- a/crates/rattanwinch_operators/tests/operators/memory_store.rs
+++ b/crates/rattanwinch_operators/tests/operators/memory_store.rs
@@ -6,9 +6,11 @@
 use std::sync::MutexGuard;
 
 use rattanwinch_platform::Condition;
-use rattanwinch_platform::ControlRead;
 use rattanwinch_platform::Page;
 use rattanwinch_platform::Result;
+use rattanwinch_platform::Snapshot;
+use rattanwinch_platform::SnapshotPart;
+use rattanwinch_platform::SnapshotRange;
 use rattanwinch_platform::Store;
 use rattanwinch_platform::StoreError;
 use rattanwinch_platform::Transaction;
@@ -182,15 +184,29 @@
         })
     }
 
-    async fn read_control(&self, known: Revision) -> Result<ControlRead> {
-        let config = self.read(&keys::config()).await?;
-        Ok(ControlRead {
-            revision: Revision(self.contents().revision),
+    async fn read_snapshot(&self, ranges: &[SnapshotRange]) -> Result<Snapshot> {
+        let mut contents = self.contents();
+        read_fault(contents.next_fault())?;
+        let parts = ranges.iter().map(|range| {
+            let in_range = |item: &&Versioned| match range {
+                SnapshotRange::KeyAfter { key, .. } => item.key == *key,
+                SnapshotRange::Prefix(prefix) => item.key.starts_with(&**prefix),
+            };
+            let found: Vec<_> = contents.values.values().filter(in_range).cloned().collect();
+            let count = u64::try_from(found.len()).expect("a count of keys fits");
+            let is_news = |item: &Versioned| match range {
+                SnapshotRange::KeyAfter { known, .. } => item.revision > *known,
+                SnapshotRange::Prefix(_) => true,
+            };
+            SnapshotPart {
+                items: found.into_iter().filter(is_news).collect(),
+                count,
+            }
+        });
+        Ok(Snapshot {
+            parts: parts.collect(),
+            revision: Revision(contents.revision),
             cluster: 1,
-            has_config: config.is_some(),
-            config: config.filter(|found| found.revision > known),
-            deciders: Vec::new(),
-            entries: Vec::new(),
         })
     }
 }
--- a/crates/rattanwinch_platform/src/etcd/call_kind.rs
+++ b/crates/rattanwinch_platform/src/etcd/call_kind.rs
@@ -3,8 +3,8 @@
     pub(crate) enum CallKind {
         /// A read of keys.
         Read,
-        /// The control read.
-        Control,
+        /// A read of several ranges at one moment.
+        Snapshot,
         /// A read of keys whose writes were lost.
         ReadBack,
         /// A group of transactions.
@@ -23,7 +23,7 @@
     pub const fn label(self) -> &'static str {
         match self {
             Self::Read => "read",
-            Self::Control => "control",
+            Self::Snapshot => "snapshot",
             Self::ReadBack => "read_back",
             Self::Commit => "commit",
             Self::LeaseGrant => "lease_grant",
@@ -34,11 +34,11 @@
 
     /// Whether the call counts as a read; renewals of leases count as writes.
     pub const fn is_read(self) -> bool {
-        matches!(self, Self::Read | Self::Control | Self::ReadBack)
+        matches!(self, Self::Read | Self::Snapshot | Self::ReadBack)
     }
 
-    /// Whether a call whose response is late is sent a second time. Control reads aren't: the
-    /// next one follows anyway.
+    /// Whether a call whose response is late is sent a second time. Snapshots aren't:
+    /// their readers repeat them at an interval anyway.
     pub const fn is_sent_twice(self) -> bool {
         matches!(self, Self::Read | Self::ReadBack)
     }
@@ -47,7 +47,7 @@
     pub const fn path(self) -> &'static str {
         match self {
             Self::Read => "/v3/kv/range",
-            Self::Control | Self::ReadBack | Self::Commit => "/v3/kv/txn",
+            Self::Snapshot | Self::ReadBack | Self::Commit => "/v3/kv/txn",
             Self::LeaseGrant => "/v3/lease/grant",
             Self::LeaseKeepAlive => "/v3/lease/keepalive",
             Self::LeaseRevoke => "/v3/lease/revoke",
--- a/crates/rattanwinch_platform/src/etcd/etcd_store.rs
+++ b/crates/rattanwinch_platform/src/etcd/etcd_store.rs
@@ -23,10 +23,12 @@
 use super::prefix_end;
 use super::range_of;
 use super::range_of_prefix;
-use crate::ControlRead;
 use crate::Page;
 use crate::ProcessLease;
 use crate::Result;
+use crate::Snapshot;
+use crate::SnapshotPart;
+use crate::SnapshotRange;
 use crate::Store;
 use crate::StoreError;
 use crate::StoreSettings;
@@ -35,7 +37,6 @@
 use crate::TransactionOutcome;
 use crate::Versioned;
 use crate::Write;
-use crate::keys;
 use crate::keys::Key;
 use crate::wire::JsonBytes;
 use crate::wire::JsonInt;
@@ -198,26 +199,17 @@
         })
     }
 
-    async fn read_control(&self, known: Revision) -> Result<ControlRead> {
-        let config = WireRange {
-            min_mod_revision: JsonInt(known.0.saturating_add(1)),
-            ..range_of(&keys::config())
-        };
-        let ranges = [
-            config,
-            range_of_prefix(&keys::deciders()),
-            range_of_prefix(&keys::entries()),
-        ];
+    async fn read_snapshot(&self, ranges: &[SnapshotRange]) -> Result<Snapshot> {
         let body = WireTxn {
-            success: ranges.into_iter().map(WireRequestOp::Range).collect(),
+            success: ranges.iter().map(snapshot_range).collect(),
             ..WireTxn::default()
         };
         let response: WireTxnResponse = self
             .gateway
-            .call(CallKind::Control, &body)
+            .call(CallKind::Snapshot, &body)
             .await
             .map_err(|error| error.of_read())?;
-        control_read(response)
+        snapshot(response, ranges.len())
     }
 }
 
@@ -228,24 +220,33 @@
     }
 }
 
-fn control_read(response: WireTxnResponse) -> Result<ControlRead> {
-    let mut ranges = response.responses.into_iter().map(|op| match op {
-        WireResponseOp::Range(range) => Ok(range),
+fn snapshot_range(range: &SnapshotRange) -> WireRequestOp {
+    WireRequestOp::Range(match range {
+        SnapshotRange::KeyAfter { key, known } => WireRange {
+            min_mod_revision: JsonInt(known.0.saturating_add(1)),
+            ..range_of(key)
+        },
+        SnapshotRange::Prefix(prefix) => range_of_prefix(prefix),
+    })
+}
+
+fn snapshot(response: WireTxnResponse, ranges: usize) -> Result<Snapshot> {
+    let parts = response.responses.into_iter().map(|op| match op {
+        WireResponseOp::Range(range) => Ok(SnapshotPart {
+            count: u64::try_from(range.count.0)
+                .map_err(|_| unexpected("a negative count of keys"))?,
+            items: items(range.kvs)?,
+        }),
         _ => Err(unexpected("a response that isn't of a range")),
     });
-    let mut next = || {
-        ranges
-            .next()
-            .unwrap_or_else(|| Err(unexpected("fewer than three ranges")))
-    };
-    let (config, deciders, entries) = (next()?, next()?, next()?);
-    Ok(ControlRead {
+    let parts = parts.collect::<Result<Vec<_>>>()?;
+    if parts.len() != ranges {
+        return Err(unexpected("another number of ranges than asked for"));
+    }
+    Ok(Snapshot {
         revision: Revision(response.header.revision.0),
         cluster: response.header.cluster_id.0,
-        has_config: config.count.0 > 0,
-        config: items(config.kvs)?.into_iter().next(),
-        deciders: items(deciders.kvs)?,
-        entries: items(entries.kvs)?,
+        parts,
     })
 }
 
--- a/crates/rattanwinch_platform/src/store.rs
+++ b/crates/rattanwinch_platform/src/store.rs
@@ -45,25 +45,47 @@
         limit: u32,
     ) -> impl Future<Output = Result<Page>> + Send;
 
-    /// Reads in one call the configuration document, if it is newer than `known`, and all
-    /// decider and entry keys.
-    fn read_control(&self, known: Revision) -> impl Future<Output = Result<ControlRead>> + Send;
+    /// Reads several ranges in one call, all from one moment of the store. The parts of the
+    /// snapshot are in the order of the ranges.
+    fn read_snapshot(
+        &self,
+        ranges: &[SnapshotRange],
+    ) -> impl Future<Output = Result<Snapshot>> + Send;
+}
+
+rattanwinch_types::value! {
+    /// A range of keys that is read as a part of a snapshot.
+    pub enum SnapshotRange {
+        /// One key, whose value is left out unless it was written after a revision.
+        KeyAfter {
+            /// The key.
+            key: Key,
+            /// The revision that the reader knows; 0 for none.
+            known: Revision,
+        },
+        /// All keys that begin with this.
+        Prefix(Key),
+    }
 }
 
 rattanwinch_types::value! {
-    /// What a control read returned, all from one moment of the store.
-    pub struct ControlRead {
+    /// Several ranges, all from one moment of the store.
+    pub struct Snapshot {
         /// The store's revision at the time of the read.
         pub revision: Revision,
         /// Identifies the store's data; another id means another, for example restored, store.
         pub cluster: u64,
-        /// The configuration document, if it is newer than the one that was known.
-        pub config: Option<Versioned>,
-        /// Whether there is a configuration document at all.
-        pub has_config: bool,
-        /// The decider keys of all zones.
-        pub deciders: Vec<Versioned>,
-        /// The registrations of all entries.
-        pub entries: Vec<Versioned>,
+        /// What was read of each range, in the order in which they were asked for.
+        pub parts: Vec<SnapshotPart>,
+    }
+}
+
+rattanwinch_types::value! {
+    /// What a snapshot holds of one range.
+    pub struct SnapshotPart {
+        /// The keys and values, in the order of the keys, without those that the reader knows.
+        pub items: Vec<Versioned>,
+        /// How many keys the range has, those that were left out included.
+        pub count: u64,
     }
 }
--- a/crates/rattanwinch_platform/tests/store/lost_answers.rs
+++ b/crates/rattanwinch_platform/tests/store/lost_answers.rs
@@ -6,6 +6,7 @@
 
 use crate::support::applied;
 use crate::support::client;
+use crate::support::everything;
 use crate::support::key;
 use crate::support::settings;
 use crate::support::start_store;
@@ -22,7 +23,6 @@
 use rattanwinch_standins::StoreFaults;
 use rattanwinch_standins::StoreLimits;
 use rattanwinch_standins::StoreMode;
-use rattanwinch_types::Revision;
 use rattanwinch_types::Verdict;
 
 fn put(name: &str, value: &str) -> Transaction {
@@ -191,10 +191,10 @@
         cut_off: ["entry-a".to_owned()].into(),
         ..StoreFaults::default()
     });
-    first.read_control(Revision(0)).await.unwrap_err();
-    second.read_control(Revision(0)).await.unwrap();
+    first.read_snapshot(&everything()).await.unwrap_err();
+    second.read_snapshot(&everything()).await.unwrap();
     store.set_faults(StoreFaults::default());
-    first.read_control(Revision(0)).await.unwrap();
+    first.read_snapshot(&everything()).await.unwrap();
 }
 
 /// Guards against a restored store that goes unnoticed, and against comparing its revisions with
@@ -205,9 +205,9 @@
     let client = client(settings(&store));
     let snapshot = store.snapshot();
     applied(client.transact(put("a", "1")).await.unwrap());
-    let before = client.read_control(Revision(0)).await.unwrap();
+    let before = client.read_snapshot(&everything()).await.unwrap();
     assert!(store.restore(snapshot));
-    let after = client.read_control(Revision(0)).await.unwrap();
+    let after = client.read_snapshot(&everything()).await.unwrap();
     assert_ne!(after.cluster, before.cluster);
     assert!(after.revision < before.revision);
     assert_eq!(
--- a/crates/rattanwinch_platform/tests/store/support.rs
+++ b/crates/rattanwinch_platform/tests/store/support.rs
@@ -7,6 +7,7 @@
 
 use rattanwinch_platform::EtcdStore;
 use rattanwinch_platform::Retention;
+use rattanwinch_platform::SnapshotRange;
 use rattanwinch_platform::StoreSettings;
 use rattanwinch_platform::Transaction;
 use rattanwinch_platform::TransactionOutcome;
@@ -65,3 +66,8 @@
         TransactionOutcome::Conflict(found) => panic!("expected Applied, found {found:?}"),
     }
 }
+
+/// The one range of all keys.
+pub fn everything() -> [SnapshotRange; 1] {
+    [SnapshotRange::Prefix(Arc::from("/"))]
+}
--- a/crates/rattanwinch_platform/tests/store/transactions.rs
+++ b/crates/rattanwinch_platform/tests/store/transactions.rs
@@ -13,6 +13,7 @@
 use rattanwinch_platform::Condition;
 use rattanwinch_platform::MAX_VALUE_BYTES;
 use rattanwinch_platform::Retention;
+use rattanwinch_platform::SnapshotRange;
 use rattanwinch_platform::Store as _;
 use rattanwinch_platform::Transaction;
 use rattanwinch_platform::TransactionOutcome;
@@ -136,28 +137,41 @@
     applied(client.transact(largest).await.unwrap());
 }
 
-/// Guards against a control read that misses a change or costs more than one call.
+/// Guards against a snapshot that misses a change or costs more than one call.
 #[tokio::test(flavor = "multi_thread")]
-async fn the_control_read_is_one_call_and_leaves_out_a_known_document() {
+async fn a_snapshot_is_one_call_and_leaves_out_a_known_value() {
     let store = start_store().await;
     let client = client(settings(&store));
-    let none = client.read_control(Revision(0)).await.unwrap();
-    assert!(!none.has_config && none.config.is_none());
     let zone = ZoneName::new("zone-a").unwrap();
     let entry = EntryName::new("entry-a").unwrap();
+    let ranges = |known| {
+        [
+            SnapshotRange::KeyAfter {
+                key: keys::config(),
+                known,
+            },
+            SnapshotRange::Prefix(keys::deciders()),
+            SnapshotRange::Prefix(keys::entries()),
+        ]
+    };
+    let none = client.read_snapshot(&ranges(Revision(0))).await.unwrap();
+    assert!(none.parts[0].count == 0 && none.parts[0].items.is_empty());
     let write = Transaction::new()
         .with_put(keys::config(), *b"document", Retention::Permanent)
         .with_put(keys::decider(&zone), *b"entry-a", Retention::Permanent)
         .with_put(keys::entry(&entry), *b"address", Retention::Permanent);
     let revision = applied(client.transact(write).await.unwrap());
     store.reset_counts();
-    let newer = client.read_control(Revision(0)).await.unwrap();
-    assert_eq!(newer.config.unwrap().revision, revision);
-    assert_eq!(newer.deciders[0].key, keys::decider(&zone));
-    assert_eq!(newer.entries[0].key, keys::entry(&entry));
+    let newer = client.read_snapshot(&ranges(Revision(0))).await.unwrap();
+    let [config, deciders, entries] = &newer.parts[..] else {
+        panic!("{} parts in place of 3", newer.parts.len());
+    };
+    assert_eq!(config.items[0].revision, revision);
+    assert_eq!(deciders.items[0].key, keys::decider(&zone));
+    assert_eq!(entries.items[0].key, keys::entry(&entry));
     assert_eq!(Some(newer.cluster), client.view().map(|view| view.cluster));
-    let known = client.read_control(revision).await.unwrap();
-    assert!(known.has_config && known.config.is_none());
+    let known = client.read_snapshot(&ranges(revision)).await.unwrap();
+    assert!(known.parts[0].count == 1 && known.parts[0].items.is_empty());
     assert_eq!(store.counts().of("txn_read"), 2);
     assert_eq!(store.counts().calls.values().sum::<u64>(), 2);
 }
