--- a/crates/rattanwinch_decisions/src/policy/guarantees/guarantee_plan.rs
+++ b/crates/rattanwinch_decisions/src/policy/guarantees/guarantee_plan.rs
@@ -4,29 +4,21 @@
 use rattanwinch_types::Organisation;
 use smallvec::SmallVec;
 
-use crate::policy::blocks;
-use crate::policy::job::JobId;
-use crate::policy::solver;
-use crate::policy::solver::Pricing;
-use crate::policy::solver::Slots;
-use crate::policy::solver::Wanted;
-use crate::policy::worker::Worker;
-use crate::policy::worker::WorkerId;
-use crate::policy::worker_pool::WorkerPool;
-
-rattanwinch_types::value! { copy
-    /// Number of a guaranteed block, with the number of its owner, so that a search over many
-    /// workers tells an organisation's own blocks without a look-up.
-    pub(super) struct BlockId {
-        /// Number of the owner.
-        pub owner: u32,
-        number: u32,
-    }
-}
+use crate::policy::placement::Pricing;
+use crate::policy::placement::Wanted;
+use crate::policy::placement::solver;
+use crate::policy::workers::BlockId;
+use crate::policy::workers::JobId;
+use crate::policy::workers::Slot;
+use crate::policy::workers::Slots;
+use crate::policy::workers::Worker;
+use crate::policy::workers::WorkerId;
+use crate::policy::workers::WorkerPool;
+use crate::policy::workers::blocks;
 
 /// One block of a guarantee.
 #[derive(Clone, Debug)]
-pub(super) struct Block {
+pub(crate) struct Block {
     /// The owner.
     pub organisation: Organisation,
     /// Its accelerators.
@@ -44,7 +36,7 @@
 /// work within a guarantee runs only in its owner's homes and everything else can be evicted. A
 /// home may move while its owner doesn't use it, so that borrowers need not be evicted.
 #[derive(Clone, Debug, Default)]
-pub(super) struct GuaranteePlan {
+pub(crate) struct GuaranteePlan {
     blocks: BTreeMap<BlockId, Block>,
     by_organisation: BTreeMap<Organisation, Vec<BlockId>>,
     next: u32,
@@ -74,27 +66,27 @@
 }
 
 impl GuaranteePlan {
-    pub(super) fn block(&self, id: BlockId) -> &Block {
+    pub(crate) fn block(&self, id: BlockId) -> &Block {
         &self.blocks[&id]
     }
 
-    pub(super) fn iter(&self) -> impl Iterator<Item = (BlockId, &Block)> {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (BlockId, &Block)> {
         self.blocks.iter().map(|(id, block)| (*id, block))
     }
 
-    pub(super) fn of(&self, organisation: &Organisation) -> &[BlockId] {
+    pub(crate) fn of(&self, organisation: &Organisation) -> &[BlockId] {
         self.by_organisation
             .get(organisation)
             .map_or(&[], Vec::as_slice)
     }
 
-    pub(super) fn organisations(&self) -> impl Iterator<Item = &Organisation> {
+    pub(crate) fn organisations(&self) -> impl Iterator<Item = &Organisation> {
         self.by_organisation.keys()
     }
 
     /// Changes the blocks to `counts`: the number of blocks by owner and accelerators. Returns
     /// the jobs that lost their block and are borrowers from now on.
-    pub(super) fn set_counts(
+    pub(crate) fn set_counts(
         &mut self,
         counts: &BTreeMap<(Organisation, u32), u32>,
         pool: &mut WorkerPool,
@@ -151,7 +143,7 @@
     }
 
     /// The number of an organisation with a guarantee.
-    pub(super) fn owner(&self, organisation: &Organisation) -> Option<u32> {
+    pub(crate) fn owner(&self, organisation: &Organisation) -> Option<u32> {
         self.owners.get(organisation).copied()
     }
 
@@ -172,7 +164,7 @@
 
     /// Gives homes to blocks that have none. If that fails, all unused homes are placed anew,
     /// largest first, and the outcome with more guaranteed accelerators in place is kept.
-    pub(super) fn place_missing(&mut self, pool: &mut WorkerPool) {
+    pub(crate) fn place_missing(&mut self, pool: &mut WorkerPool) {
         if self.place_unplaced(pool) || !self.has_space_for_unplaced(pool) {
             return;
         }
@@ -243,12 +235,12 @@
     }
 
     /// Moves an unused block to another home.
-    pub(super) fn move_home(&mut self, id: BlockId, home: Slots, pool: &mut WorkerPool) {
+    pub(crate) fn move_home(&mut self, id: BlockId, home: Slots, pool: &mut WorkerPool) {
         self.clear_home(id, pool);
         self.set_home(id, home, pool);
     }
 
-    pub(super) fn set_home(&mut self, id: BlockId, home: Slots, pool: &mut WorkerPool) {
+    pub(crate) fn set_home(&mut self, id: BlockId, home: Slots, pool: &mut WorkerPool) {
         for slot in &home {
             let worker = pool.get_mut(slot.worker);
             worker.homes |= slot.bits;
@@ -260,7 +252,7 @@
         }
     }
 
-    pub(super) fn clear_home(&mut self, id: BlockId, pool: &mut WorkerPool) {
+    pub(crate) fn clear_home(&mut self, id: BlockId, pool: &mut WorkerPool) {
         let Some(block) = self.blocks.get_mut(&id) else {
             return;
         };
@@ -276,7 +268,7 @@
 
     /// Takes the homes of unused blocks off workers that can't be used, and away from where
     /// their parts are no longer adjacent because a rack is new in the row.
-    pub(super) fn leave_unusable(&mut self, pool: &mut WorkerPool) {
+    pub(crate) fn leave_unusable(&mut self, pool: &mut WorkerPool) {
         for id in pool.ids() {
             if !pool.get(id).is_usable() {
                 self.leave(pool, id);
@@ -298,7 +290,7 @@
     }
 
     /// Takes the homes of unused blocks off the worker.
-    pub(super) fn leave(&mut self, pool: &mut WorkerPool, worker: WorkerId) {
+    pub(crate) fn leave(&mut self, pool: &mut WorkerPool, worker: WorkerId) {
         let blocks = pool.get(worker).blocks.iter();
         let unused: Vec<BlockId> = blocks
             .map(|(block, _)| *block)
@@ -310,7 +302,7 @@
     }
 
     /// Marks the blocks as used by the job.
-    pub(super) fn bind(&mut self, job: JobId, ids: &[BlockId]) {
+    pub(crate) fn bind(&mut self, job: JobId, ids: &[BlockId]) {
         for id in ids {
             if let Some(block) = self.blocks.get_mut(id) {
                 block.users.push(job);
@@ -320,14 +312,14 @@
 
     /// Ends the job's use of the blocks. A block that becomes unused gives up a home that has a
     /// worker that can't be used; true if one did.
-    pub(super) fn unbind(&mut self, job: JobId, ids: &[BlockId], pool: &mut WorkerPool) -> bool {
+    pub(crate) fn unbind(&mut self, job: JobId, ids: &[BlockId], pool: &mut WorkerPool) -> bool {
         let mut cleared = false;
         for id in ids {
             let Some(block) = self.blocks.get_mut(id) else {
                 continue;
             };
             block.users.retain(|user| *user != job);
-            let broken = |slot: &solver::Slot| !pool.get(slot.worker).is_usable();
+            let broken = |slot: &Slot| !pool.get(slot.worker).is_usable();
             if block.users.is_empty() && block.home.iter().any(broken) {
                 self.clear_home(*id, pool);
                 cleared = true;
@@ -337,7 +329,7 @@
     }
 
     /// The sentence for a block that can't be reclaimed now, or `None` if it can.
-    pub(super) fn unmet_cause(&self, block: &Block, pool: &WorkerPool) -> Option<Arc<str>> {
+    pub(crate) fn unmet_cause(&self, block: &Block, pool: &WorkerPool) -> Option<Arc<str>> {
         if block.home.is_empty() {
             let size = block.accelerators;
             return Some(Arc::from(format!(
@@ -345,7 +337,7 @@
                  lost, excluded or quarantined, or the guarantees exceed the availability zone"
             )));
         }
-        let broken = |slot: &&solver::Slot| !pool.get(slot.worker).is_usable();
+        let broken = |slot: &&Slot| !pool.get(slot.worker).is_usable();
         let slot = block.home.iter().find(broken)?;
         let target = &pool.get(slot.worker).info.target;
         Some(Arc::from(format!(
--- /dev/null
+++ b/crates/rattanwinch_decisions/src/policy/guarantees/mod.rs
@@ -0,0 +1,6 @@
+//! Where each guaranteed block lies.
+
+mod guarantee_plan;
+
+pub(crate) use guarantee_plan::Block;
+pub(crate) use guarantee_plan::GuaranteePlan;
--- a/crates/rattanwinch_decisions/src/policy/outcomes/decision.rs
+++ b/crates/rattanwinch_decisions/src/policy/outcomes/decision.rs
@@ -4,7 +4,7 @@
 use rattanwinch_types::RequestKey;
 use rattanwinch_types::StopMode;
 
-use crate::policy::placement::Placement;
+use crate::policy::outcomes::placement::Placement;
 
 rattanwinch_types::value! {
     /// What the caller of [`ZonePolicy::decide`](crate::ZonePolicy::decide) carries out.
--- /dev/null
+++ b/crates/rattanwinch_decisions/src/policy/outcomes/mod.rs
@@ -0,0 +1,13 @@
+//! What the policy tells its users, with the reasons in words.
+
+mod decision;
+mod job_end;
+mod placement;
+pub(crate) mod reasons;
+mod zone_capacity;
+
+pub use decision::Decision;
+pub use job_end::JobEnd;
+pub use placement::Placement;
+pub use placement::TaskPlacement;
+pub use zone_capacity::ZoneCapacity;
--- a/crates/rattanwinch_decisions/src/policy/outcomes/reasons.rs
+++ b/crates/rattanwinch_decisions/src/policy/outcomes/reasons.rs
@@ -15,7 +15,7 @@
     format!("{tasks} x {each} accelerators within one {adjacency}")
 }
 
-pub(super) fn guaranteed_start(job: &JobSpec, waited: Duration) -> Arc<str> {
+pub(crate) fn guaranteed_start(job: &JobSpec, waited: Duration) -> Arc<str> {
     let shape = shape_text(job.shape);
     let owner = &job.key.organisation;
     let waited = waited.as_secs();
@@ -25,7 +25,7 @@
     ))
 }
 
-pub(super) fn reclaimed_start(job: &JobSpec, waited: Duration) -> Arc<str> {
+pub(crate) fn reclaimed_start(job: &JobSpec, waited: Duration) -> Arc<str> {
     let shape = shape_text(job.shape);
     let owner = &job.key.organisation;
     let waited = waited.as_secs();
@@ -35,7 +35,7 @@
     ))
 }
 
-pub(super) fn borrowed_start(
+pub(crate) fn borrowed_start(
     job: &JobSpec,
     waited: Duration,
     is_urgent: bool,
@@ -54,14 +54,14 @@
     ))
 }
 
-pub(super) fn move_eviction(head: &RequestKey) -> Arc<str> {
+pub(crate) fn move_eviction(head: &RequestKey) -> Arc<str> {
     Arc::from(format!(
         "Evicted to be moved: it fits free accelerators elsewhere in the availability zone, and \
          {head} needs adjacent ones and has waited longer."
     ))
 }
 
-pub(super) fn reclaim_eviction(
+pub(crate) fn reclaim_eviction(
     owner: &Organisation,
     claimant: &RequestKey,
     lost_work: u64,
@@ -75,14 +75,14 @@
     ))
 }
 
-pub(super) fn let_in_eviction(head: &RequestKey) -> Arc<str> {
+pub(crate) fn let_in_eviction(head: &RequestKey) -> Arc<str> {
     Arc::from(format!(
         "Evicted, because it was let in for a short run on accelerators that are kept for {head}, \
          which is first in the queue and now waits for nothing else."
     ))
 }
 
-pub(super) fn closing_eviction(closure: &str, is_guaranteed: bool) -> Arc<str> {
+pub(crate) fn closing_eviction(closure: &str, is_guaranteed: bool) -> Arc<str> {
     let order = if is_guaranteed {
         "it is work within a guarantee, which leaves after borrowed work"
     } else {
@@ -94,13 +94,13 @@
     ))
 }
 
-pub(super) fn exclusion_eviction(target: &str, exclusion: &str) -> Arc<str> {
+pub(crate) fn exclusion_eviction(target: &str, exclusion: &str) -> Arc<str> {
     Arc::from(format!(
         "Evicted, because operators have excluded worker {target}: {exclusion}."
     ))
 }
 
-pub(super) fn stop(reason: &str, limit: Duration) -> Arc<str> {
+pub(crate) fn stop(reason: &str, limit: Duration) -> Arc<str> {
     let limit = limit.as_secs();
     Arc::from(format!(
         "Stopped, because the checkpoint took longer than its limit of {limit} s. {reason}"
--- a/crates/rattanwinch_decisions/src/policy/placement/solver.rs
+++ b/crates/rattanwinch_decisions/src/policy/placement/solver.rs
@@ -5,32 +5,20 @@
 
 use rattanwinch_types::Adjacency;
 use rattanwinch_types::GangShape;
-use smallvec::SmallVec;
 
-use crate::policy::blocks;
-use crate::policy::worker::Worker;
-use crate::policy::worker::WorkerId;
-use crate::policy::worker_pool::WorkerPool;
+use crate::policy::workers::Slot;
+use crate::policy::workers::Slots;
+use crate::policy::workers::Worker;
+use crate::policy::workers::WorkerId;
+use crate::policy::workers::WorkerPool;
+use crate::policy::workers::blocks;
 
 /// The workers of an ordinary rack; larger blocks are measured in racks of this size.
 const RACK_WORKERS: u32 = 3;
 
-rattanwinch_types::value! { copy
-    /// Some accelerators of one worker.
-    pub(super) struct Slot {
-        /// The worker.
-        pub worker: WorkerId,
-        /// The accelerators.
-        pub bits: u8,
-    }
-}
-
-/// The accelerators of a job's tasks, in the order of the tasks.
-pub(super) type Slots = SmallVec<[Slot; 4]>;
-
 /// What to find: the blocks of a gang, or of a guaranteed block.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Wanted {
+pub(crate) struct Wanted {
     /// The number of blocks.
     pub count: u32,
     /// Accelerators of each: 1, 2, 4 or 8.
@@ -40,7 +28,7 @@
 }
 
 impl Wanted {
-    pub(super) fn of_shape(shape: GangShape) -> Self {
+    pub(crate) fn of_shape(shape: GangShape) -> Self {
         Self {
             count: u32::from(shape.tasks()),
             size: shape.accelerators_per_task(),
@@ -49,7 +37,7 @@
     }
 
     /// What a guaranteed block of so many accelerators needs; `None` if it is no block.
-    pub(super) fn of_guarantee(accelerators: u32) -> Option<Self> {
+    pub(crate) fn of_guarantee(accelerators: u32) -> Option<Self> {
         let (count, size, adjacency) = match accelerators {
             1 | 2 | 4 | 8 => (1, u8::try_from(accelerators).ok()?, Adjacency::Worker),
             large if large > 0 && large.is_multiple_of(8) && large / 8 <= RACK_WORKERS => {
@@ -67,7 +55,7 @@
 
     /// Whether every place for `larger` has a place for `self`, so that if `self` doesn't fit,
     /// `larger` doesn't either.
-    pub(super) fn fits_within(self, larger: Self) -> bool {
+    pub(crate) fn fits_within(self, larger: Self) -> bool {
         let is_looser = match (self.adjacency, larger.adjacency) {
             (Adjacency::Racks, Adjacency::Racks) => self.longest_run() >= larger.longest_run(),
             (own, other) => own <= other,
@@ -77,14 +65,14 @@
 
     /// The longest run of neighbouring racks that the blocks may lie in: twice the fewest
     /// ordinary racks that hold them, so that a failed worker in the run doesn't rule it out.
-    pub(super) fn longest_run(self) -> usize {
+    pub(crate) fn longest_run(self) -> usize {
         let workers = (self.count * u32::from(self.size)).div_ceil(8);
         2 * workers.div_ceil(RACK_WORKERS) as usize
     }
 }
 
 /// What a search may use and what it pays.
-pub(super) trait Pricing {
+pub(crate) trait Pricing {
     /// The accelerators of the worker that may be used.
     fn allowed(&self, id: WorkerId, worker: &Worker) -> u8;
 
@@ -116,7 +104,7 @@
 /// The cost is the lowest possible within a worker, a rack or the whole zone, and for runs of
 /// racks while there are at most [`EXACT_RUN_WORK`] blocks to compare; above that the runs are
 /// ranked by the mean cost of the blocks in the shortest run that holds the gang.
-pub(super) fn solve(pool: &WorkerPool, wanted: Wanted, pricing: &impl Pricing) -> Option<Slots> {
+pub(crate) fn solve(pool: &WorkerPool, wanted: Wanted, pricing: &impl Pricing) -> Option<Slots> {
     if wanted.count == 1 || wanted.adjacency == Adjacency::Zone {
         return cheapest_anywhere(pool, wanted, pricing);
     }
@@ -131,7 +119,7 @@
 }
 
 /// Whether the slots are as close together as wanted.
-pub(super) fn is_adjacent(pool: &WorkerPool, slots: &[Slot], wanted: Wanted) -> bool {
+pub(crate) fn is_adjacent(pool: &WorkerPool, slots: &[Slot], wanted: Wanted) -> bool {
     let racks = || slots.iter().map(|slot| pool.get(slot.worker).rack);
     let (Some(first), Some(last)) = (racks().min(), racks().max()) else {
         return false;
--- a/crates/rattanwinch_decisions/src/policy/queue/job.rs
+++ b/crates/rattanwinch_decisions/src/policy/queue/job.rs
@@ -8,18 +8,14 @@
 use rattanwinch_types::Timestamp;
 use smallvec::SmallVec;
 
-use crate::policy::guarantee_plan::BlockId;
-use crate::policy::solver::Slots;
-use crate::policy::wait_cause::WaitCause;
-
-rattanwinch_types::value! { copy
-    /// Number of a job at this decider, in the order of submission.
-    pub(super) struct JobId(pub u64);
-}
+use crate::policy::queue::wait_cause::WaitCause;
+use crate::policy::workers::BlockId;
+use crate::policy::workers::JobId;
+use crate::policy::workers::Slots;
 
 rattanwinch_types::value! {
     /// The accelerators of a job.
-    pub(super) struct Allocation {
+    pub(crate) struct Allocation {
         /// One slot for each task.
         pub slots: Slots,
         /// The guaranteed blocks that the slots lie in; empty if the work is borrowed.
@@ -28,14 +24,14 @@
 }
 
 impl Allocation {
-    pub(super) fn is_guaranteed(&self) -> bool {
+    pub(crate) fn is_guaranteed(&self) -> bool {
         !self.blocks.is_empty()
     }
 }
 
 /// A job in the state `S`.
 #[derive(Clone, Debug)]
-pub(super) struct Job<S> {
+pub(crate) struct Job<S> {
     /// Its number.
     pub id: JobId,
     /// What the caller asked for.
@@ -50,7 +46,7 @@
 
 /// It waits.
 #[derive(Clone, Debug)]
-pub(super) struct Queued {
+pub(crate) struct Queued {
     /// It isn't tried before then.
     pub not_before: Timestamp,
     /// What it waits for.
@@ -59,21 +55,21 @@
 
 /// Its accelerators are chosen, and borrowers are being evicted from them.
 #[derive(Clone, Debug)]
-pub(super) struct Reclaiming {
+pub(crate) struct Reclaiming {
     /// The chosen accelerators.
     pub allocation: Allocation,
 }
 
 /// Its start was decided; its accelerators are taken.
 #[derive(Clone, Debug)]
-pub(super) struct Holding {
+pub(crate) struct Holding {
     /// Its accelerators.
     pub allocation: Allocation,
 }
 
 /// Its tasks run.
 #[derive(Clone, Debug)]
-pub(super) struct Running {
+pub(crate) struct Running {
     /// Its accelerators.
     pub allocation: Allocation,
     /// When the tasks were released.
@@ -82,7 +78,7 @@
 
 /// Its tasks are being checkpointed or stopped.
 #[derive(Clone, Debug)]
-pub(super) struct Evicting {
+pub(crate) struct Evicting {
     /// Its accelerators.
     pub allocation: Allocation,
     /// When the tasks were released.
@@ -106,7 +102,7 @@
 }
 
 impl Job<Queued> {
-    pub(super) fn new(id: JobId, spec: Arc<JobSpec>, queued_at: Timestamp) -> Self {
+    pub(crate) fn new(id: JobId, spec: Arc<JobSpec>, queued_at: Timestamp) -> Self {
         Self {
             id,
             spec,
@@ -119,27 +115,27 @@
         }
     }
 
-    pub(super) fn reclaim(self, allocation: Allocation) -> Job<Reclaiming> {
+    pub(crate) fn reclaim(self, allocation: Allocation) -> Job<Reclaiming> {
         self.with_state(Reclaiming { allocation })
     }
 
-    pub(super) fn hold(self, allocation: Allocation) -> Job<Holding> {
+    pub(crate) fn hold(self, allocation: Allocation) -> Job<Holding> {
         self.with_state(Holding { allocation })
     }
 
     /// A job that was running when this decider took over.
-    pub(super) fn restore(self, allocation: Allocation, since: Timestamp) -> Job<Running> {
+    pub(crate) fn restore(self, allocation: Allocation, since: Timestamp) -> Job<Running> {
         self.with_state(Running { allocation, since })
     }
 }
 
 impl Job<Reclaiming> {
-    pub(super) fn hold(self) -> Job<Holding> {
+    pub(crate) fn hold(self) -> Job<Holding> {
         let allocation = self.state.allocation.clone();
         self.with_state(Holding { allocation })
     }
 
-    pub(super) fn give_up(self, now: Timestamp) -> Job<Queued> {
+    pub(crate) fn give_up(self, now: Timestamp) -> Job<Queued> {
         self.with_state(Queued {
             not_before: now,
             cause: WaitCause::New,
@@ -148,7 +144,7 @@
 }
 
 impl Job<Holding> {
-    pub(super) fn run(self, now: Timestamp) -> Job<Running> {
+    pub(crate) fn run(self, now: Timestamp) -> Job<Running> {
         let allocation = self.state.allocation.clone();
         self.with_state(Running {
             allocation,
@@ -157,7 +153,7 @@
     }
 
     /// Back into the queue after a start that failed.
-    pub(super) fn back_off(mut self, now: Timestamp) -> Job<Queued> {
+    pub(crate) fn back_off(mut self, now: Timestamp) -> Job<Queued> {
         self.start_failures += 1;
         let not_before = now + back_off_span(self.start_failures);
         self.with_state(Queued {
@@ -168,7 +164,7 @@
 }
 
 impl Job<Running> {
-    pub(super) fn evict(self, stop_at: Timestamp, reason: Arc<str>) -> Job<Evicting> {
+    pub(crate) fn evict(self, stop_at: Timestamp, reason: Arc<str>) -> Job<Evicting> {
         let Running { allocation, since } = self.state.clone();
         self.with_state(Evicting {
             allocation,
@@ -188,7 +184,7 @@
 
 /// A started job in whichever state it is.
 #[derive(Clone, Debug)]
-pub(super) enum ActiveJob {
+pub(crate) enum ActiveJob {
     /// Its start was decided.
     Holding(Job<Holding>),
     /// It runs.
@@ -198,7 +194,7 @@
 }
 
 impl ActiveJob {
-    pub(super) fn spec(&self) -> &Arc<JobSpec> {
+    pub(crate) fn spec(&self) -> &Arc<JobSpec> {
         match self {
             Self::Holding(job) => &job.spec,
             Self::Running(job) => &job.spec,
@@ -206,7 +202,7 @@
         }
     }
 
-    pub(super) fn allocation(&self) -> &Allocation {
+    pub(crate) fn allocation(&self) -> &Allocation {
         match self {
             Self::Holding(job) => &job.state.allocation,
             Self::Running(job) => &job.state.allocation,
@@ -214,7 +210,7 @@
         }
     }
 
-    pub(super) fn allocation_mut(&mut self) -> &mut Allocation {
+    pub(crate) fn allocation_mut(&mut self) -> &mut Allocation {
         match self {
             Self::Holding(job) => &mut job.state.allocation,
             Self::Running(job) => &mut job.state.allocation,
@@ -222,7 +218,7 @@
         }
     }
 
-    pub(super) fn queued_at(&self) -> Timestamp {
+    pub(crate) fn queued_at(&self) -> Timestamp {
         match self {
             Self::Holding(job) => job.queued_at,
             Self::Running(job) => job.queued_at,
@@ -231,7 +227,7 @@
     }
 
     /// When its tasks were released.
-    pub(super) fn since(&self) -> Option<Timestamp> {
+    pub(crate) fn since(&self) -> Option<Timestamp> {
         match self {
             Self::Holding(_) => None,
             Self::Running(job) => Some(job.state.since),
--- a/crates/rattanwinch_decisions/src/policy/queue/job_history.rs
+++ b/crates/rattanwinch_decisions/src/policy/queue/job_history.rs
@@ -13,11 +13,11 @@
 const PURGE_EVERY: Duration = Duration::from_secs(3600);
 
 /// The number of different workers on which a job has to fail to be quarantined.
-pub(super) const JOB_FAILURES: usize = 3;
+pub(crate) const JOB_FAILURES: usize = 3;
 
 /// What is remembered of a job between its submissions.
 #[derive(Clone, Debug)]
-pub(super) struct JobHistory {
+pub(crate) struct JobHistory {
     /// When its wait began, if it was evicted or lost a worker and keeps its turn.
     pub queued_at: Option<Timestamp>,
     /// The different workers it failed on, oldest first.
@@ -33,7 +33,7 @@
 
 /// The histories of jobs that may be submitted again.
 #[derive(Clone, Debug, Default)]
-pub(super) struct JobHistories {
+pub(crate) struct JobHistories {
     by_key: BTreeMap<RequestKey, JobHistory>,
     purged_at: Option<Timestamp>,
 }
@@ -52,29 +52,29 @@
 }
 
 impl JobHistories {
-    pub(super) fn get(&self, key: &RequestKey) -> Option<&JobHistory> {
+    pub(crate) fn get(&self, key: &RequestKey) -> Option<&JobHistory> {
         self.by_key.get(key)
     }
 
-    pub(super) fn change(&mut self, key: &RequestKey, now: Timestamp) -> &mut JobHistory {
+    pub(crate) fn change(&mut self, key: &RequestKey, now: Timestamp) -> &mut JobHistory {
         let history = self.by_key.entry(key.clone()).or_default();
         history.changed_at = now;
         history
     }
 
-    pub(super) fn forget(&mut self, key: &RequestKey) {
+    pub(crate) fn forget(&mut self, key: &RequestKey) {
         self.by_key.remove(key);
     }
 
     /// Takes the worker off all lists of failures: it was at fault, not the jobs.
-    pub(super) fn acquit(&mut self, target: &TargetName) {
+    pub(crate) fn acquit(&mut self, target: &TargetName) {
         for history in self.by_key.values_mut() {
             history.failed_on.retain(|failed| failed != target);
         }
     }
 
     /// Forgets old histories.
-    pub(super) fn purge(&mut self, now: Timestamp) {
+    pub(crate) fn purge(&mut self, now: Timestamp) {
         let is_early = |at| now.since(at) < PURGE_EVERY;
         if self.purged_at.is_some_and(is_early) {
             return;
--- a/crates/rattanwinch_decisions/src/policy/queue/job_queue.rs
+++ b/crates/rattanwinch_decisions/src/policy/queue/job_queue.rs
@@ -5,9 +5,9 @@
 use rattanwinch_types::Timestamp;
 use rattanwinch_types::Urgency;
 
-use crate::policy::job::Job;
-use crate::policy::job::JobId;
-use crate::policy::job::Queued;
+use crate::policy::queue::job::Job;
+use crate::policy::queue::job::Queued;
+use crate::policy::workers::JobId;
 
 /// The most that a long expected run time sets a job back in the queue, so that every job
 /// comes before all jobs that are submitted this much later.
@@ -19,7 +19,7 @@
 
 rattanwinch_types::value! { copy
     /// The place of a job in the queue: the time in whose order jobs are tried, then its number.
-    pub(super) struct OrderKey {
+    pub(crate) struct OrderKey {
         millis: u64,
         /// The job.
         pub id: JobId,
@@ -28,7 +28,7 @@
 
 /// The queued jobs in the order in which they are tried.
 #[derive(Clone, Debug, Default)]
-pub(super) struct JobQueue {
+pub(crate) struct JobQueue {
     jobs: BTreeMap<OrderKey, Job<Queued>>,
     keys: BTreeMap<JobId, OrderKey>,
     deadlines: BTreeSet<(Timestamp, JobId)>,
@@ -42,7 +42,7 @@
     /// Adds the job. Short jobs come before long ones that were submitted at the same time; the
     /// setback grows with the weight of completion time and never with anything that is still
     /// unknown, so the order doesn't change while jobs wait.
-    pub(super) fn push(&mut self, job: Job<Queued>, expected: Duration, weight_percent: u8) {
+    pub(crate) fn push(&mut self, job: Job<Queued>, expected: Duration, weight_percent: u8) {
         let weighted = expected * u32::from(weight_percent.min(100)) / 100;
         let setback = millis(weighted.min(LONGEST_SETBACK));
         let lead = match job.spec.urgency {
@@ -58,47 +58,47 @@
         self.jobs.insert(key, job);
     }
 
-    pub(super) fn remove(&mut self, id: JobId) -> Option<Job<Queued>> {
+    pub(crate) fn remove(&mut self, id: JobId) -> Option<Job<Queued>> {
         let key = self.keys.remove(&id)?;
         let job = self.jobs.remove(&key)?;
         self.deadlines.remove(&(job.spec.deadline, id));
         Some(job)
     }
 
-    pub(super) fn get(&self, id: JobId) -> Option<&Job<Queued>> {
+    pub(crate) fn get(&self, id: JobId) -> Option<&Job<Queued>> {
         self.jobs.get(self.keys.get(&id)?)
     }
 
-    pub(super) fn get_mut(&mut self, id: JobId) -> Option<&mut Job<Queued>> {
+    pub(crate) fn get_mut(&mut self, id: JobId) -> Option<&mut Job<Queued>> {
         self.jobs.get_mut(self.keys.get(&id)?)
     }
 
     /// Whether the first job is tried before the second; both are queued.
-    pub(super) fn comes_before(&self, first: JobId, second: JobId) -> bool {
+    pub(crate) fn comes_before(&self, first: JobId, second: JobId) -> bool {
         let keys = (self.keys.get(&first), self.keys.get(&second));
         matches!(keys, (Some(first), Some(second)) if first < second)
     }
 
-    pub(super) fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.jobs.len()
     }
 
     /// The jobs in the order in which they are tried.
-    pub(super) fn ids(&self) -> Vec<JobId> {
+    pub(crate) fn ids(&self) -> Vec<JobId> {
         self.jobs.keys().map(|key| key.id).collect()
     }
 
-    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Job<Queued>> {
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Job<Queued>> {
         self.jobs.values_mut()
     }
 
     /// The jobs whose deadline has passed.
-    pub(super) fn expired(&self, now: Timestamp) -> Vec<JobId> {
+    pub(crate) fn expired(&self, now: Timestamp) -> Vec<JobId> {
         let passed = self.deadlines.iter().take_while(|(at, _)| *at <= now);
         passed.map(|(_, id)| *id).collect()
     }
 
-    pub(super) fn next_deadline(&self) -> Option<Timestamp> {
+    pub(crate) fn next_deadline(&self) -> Option<Timestamp> {
         self.deadlines.first().map(|(at, _)| *at)
     }
 }
--- a/crates/rattanwinch_decisions/src/policy/queue/rules.rs
+++ b/crates/rattanwinch_decisions/src/policy/queue/rules.rs
@@ -11,7 +11,7 @@
 
 /// What the configuration says about one availability zone.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(super) struct Rules {
+pub(crate) struct Rules {
     /// The fleet-wide defaults.
     pub defaults: FleetDefaults,
     /// The most accelerators an organisation may use at once.
@@ -32,7 +32,7 @@
 }
 
 impl Rules {
-    pub(super) fn of(zone: &ZoneName, cfg: &FleetConfig) -> Self {
+    pub(crate) fn of(zone: &ZoneName, cfg: &FleetConfig) -> Self {
         let mut guarantees = BTreeMap::new();
         for guarantee in cfg.guarantees.iter().filter(|known| known.zone == *zone) {
             let key = (guarantee.organisation.clone(), guarantee.accelerators);
--- a/crates/rattanwinch_decisions/src/policy/queue/run_times.rs
+++ b/crates/rattanwinch_decisions/src/policy/queue/run_times.rs
@@ -13,7 +13,7 @@
 /// The correction is the median of the latest ratios, limited to the factor of ten by which
 /// declarations may be off, so a few odd jobs don't change it.
 #[derive(Clone, Debug, Default)]
-pub(super) struct RunTimes {
+pub(crate) struct RunTimes {
     permille: BTreeMap<Organisation, VecDeque<u64>>,
 }
 
@@ -22,7 +22,7 @@
 }
 
 impl RunTimes {
-    pub(super) fn learn(&mut self, job: &JobSpec, took: Duration) {
+    pub(crate) fn learn(&mut self, job: &JobSpec, took: Duration) {
         let declared = millis(job.declared_run_time).max(1);
         let ratio = millis(took).saturating_mul(1000) / declared;
         let organisation = job.key.organisation.clone();
@@ -34,7 +34,7 @@
     }
 
     /// The expected run time.
-    pub(super) fn expect(&self, job: &JobSpec) -> Duration {
+    pub(crate) fn expect(&self, job: &JobSpec) -> Duration {
         let ratios = self.permille.get(&job.key.organisation);
         let Some(ratios) = ratios.filter(|ratios| ratios.len() >= 4) else {
             return job.declared_run_time;
--- a/crates/rattanwinch_decisions/src/policy/queue/wait_cause.rs
+++ b/crates/rattanwinch_decisions/src/policy/queue/wait_cause.rs
@@ -7,7 +7,7 @@
 
 rattanwinch_types::value! {
     /// What a queued job waits for.
-    pub(super) enum WaitCause {
+    pub(crate) enum WaitCause {
         /// It was not looked at yet.
         New,
         /// Its last start failed.
--- a/crates/rattanwinch_decisions/src/policy/workers/blocks.rs
+++ b/crates/rattanwinch_decisions/src/policy/workers/blocks.rs
@@ -1,7 +1,7 @@
 //! Aligned power-of-two blocks within the accelerators of one worker.
 
 /// The first accelerators of all aligned blocks of `size` that lie within `bits`.
-pub(super) const fn block_starts(bits: u8, size: u8) -> u8 {
+pub(crate) const fn block_starts(bits: u8, size: u8) -> u8 {
     let pairs = bits & (bits >> 1) & 0x55;
     match size {
         1 => bits,
@@ -12,12 +12,12 @@
 }
 
 /// The bits of the block of `size` that starts at `first`.
-pub(super) const fn block_bits(first: u32, size: u8) -> u8 {
+pub(crate) const fn block_bits(first: u32, size: u8) -> u8 {
     (u8::MAX >> (8 - size)) << first
 }
 
 /// All aligned blocks of `size` that lie within `bits`.
-pub(super) fn each_block(bits: u8, size: u8) -> impl Iterator<Item = u8> {
+pub(crate) fn each_block(bits: u8, size: u8) -> impl Iterator<Item = u8> {
     let mut starts = block_starts(bits, size);
     std::iter::from_fn(move || {
         if starts == 0 {
@@ -30,7 +30,7 @@
 }
 
 /// The free bits as blocks, each counted once at its largest size: of 1, 2, 4 and 8.
-pub(super) const fn largest_blocks(bits: u8) -> [u32; 4] {
+pub(crate) const fn largest_blocks(bits: u8) -> [u32; 4] {
     let eights = block_starts(bits, 8).count_ones();
     let fours = block_starts(bits, 4).count_ones();
     let twos = block_starts(bits, 2).count_ones();
@@ -44,7 +44,7 @@
 
 /// How many times the largest free block around `block` is twice as large again: 0 if taking
 /// the block splits nothing, 3 if taking one accelerator splits a whole worker.
-pub(super) fn split_levels(free: u8, block: u8) -> u64 {
+pub(crate) fn split_levels(free: u8, block: u8) -> u64 {
     let first = block.trailing_zeros();
     let mut levels = 0;
     let mut size = block.count_ones() * 2;
--- a/crates/rattanwinch_decisions/src/policy/workers/worker.rs
+++ b/crates/rattanwinch_decisions/src/policy/workers/worker.rs
@@ -2,18 +2,13 @@
 use rattanwinch_types::Timestamp;
 use smallvec::SmallVec;
 
-use crate::policy::guarantee_plan::BlockId;
-use crate::policy::job::JobId;
-use crate::policy::worker_info::WorkerInfo;
-
-rattanwinch_types::value! { copy
-    /// Index of a worker in the pool.
-    pub(super) struct WorkerId(pub u32);
-}
+use crate::policy::workers::holders::BlockId;
+use crate::policy::workers::holders::JobId;
+use crate::policy::workers::worker_info::WorkerInfo;
 
 rattanwinch_types::value! { copy
     /// What is known of a worker.
-    pub(super) enum WorkerState {
+    pub(crate) enum WorkerState {
         /// It answers and takes tasks.
         Ready,
         /// It is silent or was not adopted yet.
@@ -34,7 +29,7 @@
 
 rattanwinch_types::value! {
     /// What a search needs to know of a job on a worker, so that it looks up no job.
-    pub(super) struct Occupant {
+    pub(crate) struct Occupant {
         /// The job.
         pub job: JobId,
         /// Its accelerators here.
@@ -54,7 +49,7 @@
 
 rattanwinch_types::value! { copy
     /// How a job has its accelerators.
-    pub(super) enum Tenure {
+    pub(crate) enum Tenure {
         /// They are kept for it until others have been evicted.
         Reserved,
         /// It was started on them.
@@ -68,7 +63,7 @@
     /// Work that an eviction throws away, in accelerator-milliseconds: all since the release,
     /// because a checkpoint may fail, and [`RESTART_COST_MS`] for the restart. Nothing if the
     /// eviction has begun.
-    pub(super) fn lost_work(&self, now: Timestamp) -> u64 {
+    pub(crate) fn lost_work(&self, now: Timestamp) -> u64 {
         if self.tenure == Tenure::Leaving {
             return 0;
         }
@@ -80,7 +75,7 @@
 
     /// Milliseconds until its expected end. A job that has overrun is expected to run as long
     /// again as it has run, since its declared time has proved wrong.
-    pub(super) fn remaining(&self, now: Timestamp) -> u64 {
+    pub(crate) fn remaining(&self, now: Timestamp) -> u64 {
         let left = now
             .until(self.expected_end)
             .max(if now > self.expected_end {
@@ -98,7 +93,7 @@
 
 /// One worker and all that lies on its accelerators; each `u8` is a set of accelerators.
 #[derive(Clone, Debug)]
-pub(super) struct Worker {
+pub(crate) struct Worker {
     /// Name, rack and size.
     pub info: WorkerInfo,
     /// Position of its rack in the row; kept by the pool.
@@ -128,7 +123,7 @@
 }
 
 impl Worker {
-    pub(super) fn new(info: WorkerInfo, state: WorkerState) -> Self {
+    pub(crate) fn new(info: WorkerInfo, state: WorkerState) -> Self {
         Self {
             info,
             rack: 0,
@@ -147,7 +142,7 @@
     }
 
     /// All its accelerators.
-    pub(super) fn all(&self) -> u8 {
+    pub(crate) fn all(&self) -> u8 {
         match self.info.accelerators {
             0 => 0,
             count => u8::MAX >> (8 - count.min(8)),
@@ -155,7 +150,7 @@
     }
 
     /// Recomputes the sets that follow from the occupants.
-    pub(super) fn recount(&mut self) {
+    pub(crate) fn recount(&mut self) {
         (self.taken, self.reserved, self.guaranteed) = (0, 0, 0);
         for occupant in &self.occupants {
             match occupant.tenure {
@@ -169,14 +164,14 @@
     }
 
     /// The started jobs whose accelerators overlap `bits`.
-    pub(super) fn started_on(&self, bits: u8) -> impl Iterator<Item = &Occupant> {
+    pub(crate) fn started_on(&self, bits: u8) -> impl Iterator<Item = &Occupant> {
         let started = |occupant: &&Occupant| occupant.tenure != Tenure::Reserved;
         let overlaps = move |occupant: &&Occupant| occupant.bits & bits != 0;
         self.occupants.iter().filter(started).filter(overlaps)
     }
 
     /// Work that is thrown away if `bits` are cleared of started jobs.
-    pub(super) fn lost_work(&self, bits: u8, now: Timestamp) -> u64 {
+    pub(crate) fn lost_work(&self, bits: u8, now: Timestamp) -> u64 {
         if self.taken & bits == 0 {
             return 0;
         }
@@ -185,17 +180,17 @@
     }
 
     /// Whether tasks may be placed here.
-    pub(super) fn is_usable(&self) -> bool {
+    pub(crate) fn is_usable(&self) -> bool {
         self.state == WorkerState::Ready && !self.excluded && self.quarantined_until.is_none()
     }
 
     /// Its accelerators if tasks may be placed here.
-    pub(super) fn usable(&self) -> u8 {
+    pub(crate) fn usable(&self) -> u8 {
         if self.is_usable() { self.all() } else { 0 }
     }
 
     /// Accelerators that a task may take now.
-    pub(super) fn free(&self) -> u8 {
+    pub(crate) fn free(&self) -> u8 {
         self.usable() & !self.taken & !self.reserved
     }
 }
--- a/crates/rattanwinch_decisions/src/policy/workers/worker_pool.rs
+++ b/crates/rattanwinch_decisions/src/policy/workers/worker_pool.rs
@@ -5,17 +5,17 @@
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
 
-use crate::policy::job::JobId;
-use crate::policy::solver::Slot;
-use crate::policy::worker::Occupant;
-use crate::policy::worker::Worker;
-use crate::policy::worker::WorkerId;
-use crate::policy::worker::WorkerState;
-use crate::policy::worker_info::WorkerInfo;
+use crate::policy::workers::holders::JobId;
+use crate::policy::workers::slot::Slot;
+use crate::policy::workers::worker::Occupant;
+use crate::policy::workers::worker::Worker;
+use crate::policy::workers::worker::WorkerState;
+use crate::policy::workers::worker_id::WorkerId;
+use crate::policy::workers::worker_info::WorkerInfo;
 
 /// How long a gone worker still counts as part of the empty zone. VMs are replaced within
 /// minutes, and a job that needs the whole zone must not be refused for a restart.
-pub(super) const CAPACITY_MEMORY: Duration = Duration::from_secs(600);
+pub(crate) const CAPACITY_MEMORY: Duration = Duration::from_secs(600);
 
 /// Position of a rack in the row: racks are neighbours in the order of the text and then of the
 /// number at the end of their names, so that `r10` follows `r9`.
@@ -23,7 +23,7 @@
 
 /// One rack.
 #[derive(Clone, Debug)]
-pub(super) struct Rack {
+pub(crate) struct Rack {
     key: RackKey,
     /// Its workers.
     pub workers: Vec<WorkerId>,
@@ -31,7 +31,7 @@
 
 /// The workers of the zone, by rack.
 #[derive(Clone, Debug, Default)]
-pub(super) struct WorkerPool {
+pub(crate) struct WorkerPool {
     workers: Vec<Option<Worker>>,
     by_name: BTreeMap<TargetName, WorkerId>,
     /// The racks in the order of the row.
@@ -48,42 +48,42 @@
 
 impl WorkerPool {
     /// Changes when workers or racks come or go.
-    pub(super) fn generation(&self) -> u64 {
+    pub(crate) fn generation(&self) -> u64 {
         self.generation
     }
 
-    pub(super) fn find(&self, target: &TargetName) -> Option<WorkerId> {
+    pub(crate) fn find(&self, target: &TargetName) -> Option<WorkerId> {
         self.by_name.get(target).copied()
     }
 
-    pub(super) fn get(&self, id: WorkerId) -> &Worker {
+    pub(crate) fn get(&self, id: WorkerId) -> &Worker {
         self.workers[id.0 as usize]
             .as_ref()
             .expect("ids name workers of the pool")
     }
 
-    pub(super) fn get_mut(&mut self, id: WorkerId) -> &mut Worker {
+    pub(crate) fn get_mut(&mut self, id: WorkerId) -> &mut Worker {
         self.workers[id.0 as usize]
             .as_mut()
             .expect("ids name workers of the pool")
     }
 
-    pub(super) fn iter(&self) -> impl Iterator<Item = (WorkerId, &Worker)> {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (WorkerId, &Worker)> {
         let ids = self.racks.iter().flat_map(|rack| &rack.workers).copied();
         ids.map(|id| (id, self.get(id)))
     }
 
-    pub(super) fn ids(&self) -> Vec<WorkerId> {
+    pub(crate) fn ids(&self) -> Vec<WorkerId> {
         self.iter().map(|(id, _)| id).collect()
     }
 
     /// The racks in the order of the row.
-    pub(super) fn racks(&self) -> &[Rack] {
+    pub(crate) fn racks(&self) -> &[Rack] {
         &self.racks
     }
 
     /// Changes the job's occupancy of each slot.
-    pub(super) fn change_occupant(
+    pub(crate) fn change_occupant(
         &mut self,
         job: JobId,
         slots: &[Slot],
@@ -101,7 +101,7 @@
     }
 
     /// Puts the occupant on each slot.
-    pub(super) fn occupy(&mut self, slots: &[Slot], occupant: &Occupant) {
+    pub(crate) fn occupy(&mut self, slots: &[Slot], occupant: &Occupant) {
         for slot in slots {
             let worker = self.get_mut(slot.worker);
             worker.occupants.push(Occupant {
@@ -113,7 +113,7 @@
     }
 
     /// Takes the job off each slot.
-    pub(super) fn vacate(&mut self, job: JobId, slots: &[Slot]) {
+    pub(crate) fn vacate(&mut self, job: JobId, slots: &[Slot]) {
         for slot in slots {
             let worker = self.get_mut(slot.worker);
             worker.occupants.retain(|occupant| occupant.job != job);
@@ -122,7 +122,7 @@
     }
 
     /// Adds the worker or changes its rack and size. Returns its id.
-    pub(super) fn upsert(&mut self, info: WorkerInfo, state: WorkerState) -> WorkerId {
+    pub(crate) fn upsert(&mut self, info: WorkerInfo, state: WorkerState) -> WorkerId {
         if let Some(id) = self.find(&info.target) {
             if self.get(id).info != info {
                 self.leave_rack(id);
@@ -146,7 +146,7 @@
     }
 
     /// Forgets workers that have been gone for long and that no job, block or reservation names.
-    pub(super) fn forget_gone(&mut self, now: Timestamp) {
+    pub(crate) fn forget_gone(&mut self, now: Timestamp) {
         let expired = |worker: &Worker| {
             let WorkerState::Gone(since) = worker.state else {
                 return false;
--- a/crates/rattanwinch_decisions/src/policy/zone/avoidance.rs
+++ b/crates/rattanwinch_decisions/src/policy/zone/avoidance.rs
@@ -2,12 +2,12 @@
 
 use rattanwinch_types::JobSpec;
 
-use crate::policy::solver;
-use crate::policy::solver::Pricing;
-use crate::policy::solver::Wanted;
-use crate::policy::worker::Worker;
-use crate::policy::worker::WorkerId;
-use crate::policy::zone_policy::ZonePolicy;
+use crate::policy::placement::Pricing;
+use crate::policy::placement::Wanted;
+use crate::policy::placement::solver;
+use crate::policy::workers::Worker;
+use crate::policy::workers::WorkerId;
+use crate::policy::zone::zone_policy::ZonePolicy;
 
 /// Prices of the usable workers except some, as if nothing ran there.
 struct Without<'a> {
--- a/crates/rattanwinch_decisions/src/policy/zone/check.rs
+++ b/crates/rattanwinch_decisions/src/policy/zone/check.rs
@@ -6,17 +6,17 @@
 use rattanwinch_types::Organisation;
 use rattanwinch_types::Timestamp;
 
-use crate::policy::decision::Decision;
-use crate::policy::guarantee_plan::Block;
-use crate::policy::guarantee_plan::BlockId;
-use crate::policy::job::Allocation;
-use crate::policy::job::JobId;
-use crate::policy::solver;
-use crate::policy::solver::Slot;
-use crate::policy::solver::Wanted;
-use crate::policy::worker::Tenure;
-use crate::policy::worker::Worker;
-use crate::policy::zone_policy::ZonePolicy;
+use crate::policy::guarantees::Block;
+use crate::policy::outcomes::Decision;
+use crate::policy::placement::Wanted;
+use crate::policy::placement::solver;
+use crate::policy::queue::Allocation;
+use crate::policy::workers::BlockId;
+use crate::policy::workers::JobId;
+use crate::policy::workers::Slot;
+use crate::policy::workers::Tenure;
+use crate::policy::workers::Worker;
+use crate::policy::zone::zone_policy::ZonePolicy;
 
 /// How often a release build checks the whole state. The check reads every worker and job, about
 /// 1 ms on 5,700 workers, which is too much for each decision. Starts are always checked.
--- a/crates/rattanwinch_decisions/src/policy/zone/deciding.rs
+++ b/crates/rattanwinch_decisions/src/policy/zone/deciding.rs
@@ -13,23 +13,23 @@
 use rattanwinch_types::Urgency;
 use smallvec::SmallVec;
 
-use crate::policy::decision::Decision;
-use crate::policy::job::ActiveJob;
-use crate::policy::job::Allocation;
-use crate::policy::job::Job;
-use crate::policy::job::JobId;
-use crate::policy::job::Queued;
-use crate::policy::job_history::JOB_FAILURES;
-use crate::policy::placement::Placement;
-use crate::policy::placement::TaskPlacement;
-use crate::policy::reasons;
-use crate::policy::refill::REFILL_STEP;
-use crate::policy::solver::Slot;
-use crate::policy::solver::Slots;
-use crate::policy::solver::Wanted;
-use crate::policy::wait_cause::WaitCause;
-use crate::policy::worker::Tenure;
-use crate::policy::zone_policy::ZonePolicy;
+use crate::policy::outcomes::Decision;
+use crate::policy::outcomes::Placement;
+use crate::policy::outcomes::TaskPlacement;
+use crate::policy::outcomes::reasons;
+use crate::policy::placement::Wanted;
+use crate::policy::queue::ActiveJob;
+use crate::policy::queue::Allocation;
+use crate::policy::queue::JOB_FAILURES;
+use crate::policy::queue::Job;
+use crate::policy::queue::Queued;
+use crate::policy::queue::REFILL_STEP;
+use crate::policy::queue::WaitCause;
+use crate::policy::workers::JobId;
+use crate::policy::workers::Slot;
+use crate::policy::workers::Slots;
+use crate::policy::workers::Tenure;
+use crate::policy::zone::zone_policy::ZonePolicy;
 
 /// What was found not to fit during one pass over the queue. Starts only take room away, so it
 /// need not be looked for again in the same pass.
--- a/crates/rattanwinch_decisions/src/policy/zone/evictions.rs
+++ b/crates/rattanwinch_decisions/src/policy/zone/evictions.rs
@@ -5,12 +5,12 @@
 use rattanwinch_types::StopMode;
 use rattanwinch_types::Timestamp;
 
-use crate::policy::decision::Decision;
-use crate::policy::job::ActiveJob;
-use crate::policy::job::JobId;
-use crate::policy::reasons;
-use crate::policy::worker::Tenure;
-use crate::policy::zone_policy::ZonePolicy;
+use crate::policy::outcomes::Decision;
+use crate::policy::outcomes::reasons;
+use crate::policy::queue::ActiveJob;
+use crate::policy::workers::JobId;
+use crate::policy::workers::Tenure;
+use crate::policy::zone::zone_policy::ZonePolicy;
 
 /// The share of a zone's accelerators that are checkpointed at once while the zone is drained:
 /// one in so many. Checkpoints share the storage, and all at once would exceed their limit.
--- a/crates/rattanwinch_decisions/src/policy/zone/head_of_queue.rs
+++ b/crates/rattanwinch_decisions/src/policy/zone/head_of_queue.rs
@@ -6,26 +6,25 @@
 use std::time::Duration;
 
 use rattanwinch_types::JobSpec;
-use rattanwinch_types::RequestKey;
 use rattanwinch_types::Timestamp;
 use rattanwinch_types::Urgency;
 
-use crate::policy::blocks;
-use crate::policy::decision::Decision;
-use crate::policy::job::JobId;
-use crate::policy::job_history::JobHistory;
-use crate::policy::reasons;
-use crate::policy::relocation::CONSIDER_EVERY;
-use crate::policy::solver;
-use crate::policy::solver::Pricing;
-use crate::policy::solver::Slot;
-use crate::policy::solver::Slots;
-use crate::policy::solver::Wanted;
-use crate::policy::worker::Occupant;
-use crate::policy::worker::Worker;
-use crate::policy::worker::WorkerId;
-use crate::policy::worker_pool::Rack;
-use crate::policy::zone_policy::ZonePolicy;
+use crate::policy::outcomes::Decision;
+use crate::policy::outcomes::reasons;
+use crate::policy::placement::Pricing;
+use crate::policy::placement::Wanted;
+use crate::policy::placement::solver;
+use crate::policy::queue::HeadOfQueue;
+use crate::policy::queue::JobHistory;
+use crate::policy::workers::JobId;
+use crate::policy::workers::Rack;
+use crate::policy::workers::Slot;
+use crate::policy::workers::Slots;
+use crate::policy::workers::Worker;
+use crate::policy::workers::WorkerId;
+use crate::policy::workers::blocks;
+use crate::policy::zone::relocation::CONSIDER_EVERY;
+use crate::policy::zone::zone_policy::ZonePolicy;
 
 /// How often it is looked whether other accelerators are free sooner than the kept ones. The
 /// look reads the whole zone, and run times of hours don't change faster.
@@ -39,23 +38,6 @@
 /// because its checkpoint might take as long.
 const NEARLY_OVER_MS: u64 = 30_000;
 
-/// The job at the head of the queue and what is kept for it.
-#[derive(Clone, Debug)]
-pub(super) struct HeadOfQueue {
-    /// The job.
-    pub job: JobId,
-    /// Its key.
-    pub key: RequestKey,
-    slots: Slots,
-    /// The borrowers that were let in. They are listed, because a time doesn't tell them from
-    /// jobs that started in the decision that made this job the head.
-    let_in: BTreeSet<JobId>,
-    /// When the accelerators are expected to be free of the jobs that were not let in.
-    pub free_at: Timestamp,
-    /// When others were last considered.
-    looked_at: Timestamp,
-}
-
 /// Prices for the accelerators to keep: the time until their last job is expected to end.
 struct SoonestFree<'a> {
     now: Timestamp,
@@ -296,20 +278,3 @@
         }
     }
 }
-
-impl HeadOfQueue {
-    /// The same job with other accelerators, whose jobs are about to be evicted.
-    pub(super) fn moved(self, slots: Slots, now: Timestamp) -> Self {
-        Self {
-            slots,
-            let_in: BTreeSet::new(),
-            free_at: now,
-            looked_at: now,
-            ..self
-        }
-    }
-
-    fn has_let_in(&self, job: &Occupant) -> bool {
-        self.let_in.contains(&job.job)
-    }
-}
--- a/crates/rattanwinch_decisions/src/policy/zone/job_events.rs
+++ b/crates/rattanwinch_decisions/src/policy/zone/job_events.rs
@@ -13,20 +13,20 @@
 use smallvec::SmallVec;
 
 use crate::policy::Result;
-use crate::policy::job::ActiveJob;
-use crate::policy::job::Allocation;
-use crate::policy::job::Job;
-use crate::policy::job_end::JobEnd;
-use crate::policy::job_history::JOB_FAILURES;
-use crate::policy::placement::Placement;
-use crate::policy::solver;
-use crate::policy::solver::Pricing;
-use crate::policy::solver::Slot;
-use crate::policy::solver::Wanted;
-use crate::policy::worker::Tenure;
-use crate::policy::worker::Worker;
-use crate::policy::worker::WorkerId;
-use crate::policy::zone_policy::ZonePolicy;
+use crate::policy::outcomes::JobEnd;
+use crate::policy::outcomes::Placement;
+use crate::policy::placement::Pricing;
+use crate::policy::placement::Wanted;
+use crate::policy::placement::solver;
+use crate::policy::queue::ActiveJob;
+use crate::policy::queue::Allocation;
+use crate::policy::queue::JOB_FAILURES;
+use crate::policy::queue::Job;
+use crate::policy::workers::Slot;
+use crate::policy::workers::Tenure;
+use crate::policy::workers::Worker;
+use crate::policy::workers::WorkerId;
+use crate::policy::zone::zone_policy::ZonePolicy;
 
 /// How long a new decider accepts shapes that don't fit the workers it knows. After a takeover
 /// agents report with their next heartbeat, which they send every 500 ms; 10 s leaves room for
--- a/crates/rattanwinch_decisions/src/policy/zone/reclaim.rs
+++ b/crates/rattanwinch_decisions/src/policy/zone/reclaim.rs
@@ -8,24 +8,24 @@
 use rattanwinch_types::Timestamp;
 use smallvec::SmallVec;
 
-use crate::policy::blocks;
-use crate::policy::deciding::Misfits;
-use crate::policy::decision::Decision;
-use crate::policy::guarantee_plan::BlockId;
-use crate::policy::guarantee_plan::GuaranteePlan;
-use crate::policy::job::ActiveJob;
-use crate::policy::job::Allocation;
-use crate::policy::job::JobId;
-use crate::policy::reasons;
-use crate::policy::solver;
-use crate::policy::solver::Pricing;
-use crate::policy::solver::Slot;
-use crate::policy::solver::Slots;
-use crate::policy::solver::Wanted;
-use crate::policy::worker::Tenure;
-use crate::policy::worker::Worker;
-use crate::policy::worker::WorkerId;
-use crate::policy::zone_policy::ZonePolicy;
+use crate::policy::guarantees::GuaranteePlan;
+use crate::policy::outcomes::Decision;
+use crate::policy::outcomes::reasons;
+use crate::policy::placement::Pricing;
+use crate::policy::placement::Wanted;
+use crate::policy::placement::solver;
+use crate::policy::queue::ActiveJob;
+use crate::policy::queue::Allocation;
+use crate::policy::workers::BlockId;
+use crate::policy::workers::JobId;
+use crate::policy::workers::Slot;
+use crate::policy::workers::Slots;
+use crate::policy::workers::Tenure;
+use crate::policy::workers::Worker;
+use crate::policy::workers::WorkerId;
+use crate::policy::workers::blocks;
+use crate::policy::zone::deciding::Misfits;
+use crate::policy::zone::zone_policy::ZonePolicy;
 
 /// The most homes that are moved onto other borrowers for one job. Each costs a search over
 /// the zone; more would exceed the time that one decision may take.
--- a/crates/rattanwinch_decisions/src/policy/zone/relocation.rs
+++ b/crates/rattanwinch_decisions/src/policy/zone/relocation.rs
@@ -7,18 +7,18 @@
 
 use rattanwinch_types::Timestamp;
 
-use crate::policy::decision::Decision;
-use crate::policy::head_of_queue::HeadOfQueue;
-use crate::policy::job::ActiveJob;
-use crate::policy::job::JobId;
-use crate::policy::reasons;
-use crate::policy::solver;
-use crate::policy::solver::Pricing;
-use crate::policy::solver::Slots;
-use crate::policy::solver::Wanted;
-use crate::policy::worker::Worker;
-use crate::policy::worker::WorkerId;
-use crate::policy::zone_policy::ZonePolicy;
+use crate::policy::outcomes::Decision;
+use crate::policy::outcomes::reasons;
+use crate::policy::placement::Pricing;
+use crate::policy::placement::Wanted;
+use crate::policy::placement::solver;
+use crate::policy::queue::ActiveJob;
+use crate::policy::queue::HeadOfQueue;
+use crate::policy::workers::JobId;
+use crate::policy::workers::Slots;
+use crate::policy::workers::Worker;
+use crate::policy::workers::WorkerId;
+use crate::policy::zone::zone_policy::ZonePolicy;
 
 /// How often moves are considered; the search reads the whole zone.
 pub(super) const CONSIDER_EVERY: Duration = Duration::from_secs(10);
--- a/crates/rattanwinch_decisions/src/policy/zone/reports.rs
+++ b/crates/rattanwinch_decisions/src/policy/zone/reports.rs
@@ -2,9 +2,9 @@
 
 use rattanwinch_types::Organisation;
 
-use crate::policy::blocks;
-use crate::policy::zone_capacity::ZoneCapacity;
-use crate::policy::zone_policy::ZonePolicy;
+use crate::policy::outcomes::ZoneCapacity;
+use crate::policy::workers::blocks;
+use crate::policy::zone::zone_policy::ZonePolicy;
 use rattanwinch_types::GuaranteeStatus;
 
 impl ZonePolicy {
--- a/crates/rattanwinch_decisions/src/policy/zone/restoring.rs
+++ b/crates/rattanwinch_decisions/src/policy/zone/restoring.rs
@@ -3,17 +3,17 @@
 use rattanwinch_types::MAX_GANG_TASKS;
 use smallvec::SmallVec;
 
-use crate::policy::blocks;
-use crate::policy::guarantee_plan::BlockId;
-use crate::policy::job::JobId;
-use crate::policy::solver;
-use crate::policy::solver::Pricing;
-use crate::policy::solver::Slot;
-use crate::policy::solver::Slots;
-use crate::policy::solver::Wanted;
-use crate::policy::worker::Worker;
-use crate::policy::worker::WorkerId;
-use crate::policy::zone_policy::ZonePolicy;
+use crate::policy::placement::Pricing;
+use crate::policy::placement::Wanted;
+use crate::policy::placement::solver;
+use crate::policy::workers::BlockId;
+use crate::policy::workers::JobId;
+use crate::policy::workers::Slot;
+use crate::policy::workers::Slots;
+use crate::policy::workers::Worker;
+use crate::policy::workers::WorkerId;
+use crate::policy::workers::blocks;
+use crate::policy::zone::zone_policy::ZonePolicy;
 
 /// Prices for a large block around a running job: its workers come first.
 struct Around<'a> {
--- a/crates/rattanwinch_decisions/src/policy/zone/worker_events.rs
+++ b/crates/rattanwinch_decisions/src/policy/zone/worker_events.rs
@@ -7,11 +7,11 @@
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
 
-use crate::policy::worker::WorkerId;
-use crate::policy::worker::WorkerState;
-use crate::policy::worker_info::WorkerInfo;
-use crate::policy::worker_pool::CAPACITY_MEMORY;
-use crate::policy::zone_policy::ZonePolicy;
+use crate::policy::workers::CAPACITY_MEMORY;
+use crate::policy::workers::WorkerId;
+use crate::policy::workers::WorkerInfo;
+use crate::policy::workers::WorkerState;
+use crate::policy::zone::zone_policy::ZonePolicy;
 
 /// The number of different jobs that have to fail on a worker in a row for a quarantine.
 const WORKER_FAILURES: usize = 3;
--- a/crates/rattanwinch_decisions/src/policy/zone/zone_policy.rs
+++ b/crates/rattanwinch_decisions/src/policy/zone/zone_policy.rs
@@ -10,24 +10,24 @@
 use rattanwinch_types::Timestamp;
 use rattanwinch_types::ZoneName;
 
-use crate::policy::guarantee_plan::GuaranteePlan;
-use crate::policy::head_of_queue::HeadOfQueue;
-use crate::policy::job::ActiveJob;
-use crate::policy::job::Allocation;
-use crate::policy::job::Job;
-use crate::policy::job::JobId;
-use crate::policy::job::Queued;
-use crate::policy::job::Reclaiming;
-use crate::policy::job_history::JobHistories;
-use crate::policy::job_queue::JobQueue;
-use crate::policy::refill::Refill;
-use crate::policy::rules::Rules;
-use crate::policy::run_times::RunTimes;
-use crate::policy::solver::Wanted;
-use crate::policy::wait_cause::WaitCause;
-use crate::policy::worker::Occupant;
-use crate::policy::worker::Tenure;
-use crate::policy::worker_pool::WorkerPool;
+use crate::policy::guarantees::GuaranteePlan;
+use crate::policy::placement::Wanted;
+use crate::policy::queue::ActiveJob;
+use crate::policy::queue::Allocation;
+use crate::policy::queue::HeadOfQueue;
+use crate::policy::queue::Job;
+use crate::policy::queue::JobHistories;
+use crate::policy::queue::JobQueue;
+use crate::policy::queue::Queued;
+use crate::policy::queue::Reclaiming;
+use crate::policy::queue::Refill;
+use crate::policy::queue::Rules;
+use crate::policy::queue::RunTimes;
+use crate::policy::queue::WaitCause;
+use crate::policy::workers::JobId;
+use crate::policy::workers::Occupant;
+use crate::policy::workers::Tenure;
+use crate::policy::workers::WorkerPool;
 
 /// The policy of one availability zone's decider: which job starts where, and which is evicted.
 ///
