Give the platform's stand-ins gangs, saved states, tickets and faults

Cause: the stand-ins ran only single tasks on sites without an advisor, so that gangs, saved states, guarded room, late orders, tickets, call rates and late writes were tested only in the model.

Change: executors form gangs, save progress, guard their room, check tickets, refuse as unhealthy and carry out orders late; the store has rates, pages, reserved keys and late writes; an advisor answers one call at a time. Every run is recorded with its begin and end, so that tests can look for a task that runs twice.

--- /dev/null
+++ b/crates/rattanwinch_front/tests/site/advice.rs
@@ -0,0 +1,71 @@
+use std::time::Duration;
+
+use rattanwinch_site_standins::AdvisorTimes;
+
+use crate::harness::Site;
+use crate::harness::SiteOptions;
+
+const SOON: Duration = Duration::from_secs(15);
+
+async fn site(validity: Duration) -> Site {
+    let times = AdvisorTimes {
+        base: Duration::from_millis(20),
+        each: Duration::from_millis(5),
+        validity,
+    };
+    Site::start_with(SiteOptions {
+        fronts: 1,
+        workers: 3,
+        advisor: Some(times),
+        ..SiteOptions::default()
+    })
+    .await
+}
+
+/// A start on a target that the advisor doesn't allow is refused and costs the caller time.
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_start_only_where_the_advisor_allows_them() {
+    let site = site(Duration::from_secs(3)).await;
+    let advisor = site.advisor.as_ref().expect("an advisor");
+    let allowed = site.workers[1].id().to_owned();
+    advisor.allow(&allowed);
+    site.submit_until_accepted(0, "00000000000000a1", 100, 6)
+        .await;
+    site.wait_for(0, "00000000000000a1", "completed", SOON)
+        .await;
+    assert_eq!(site.workers[1].executor.runs().len(), 6);
+    assert_eq!(advisor.book().refused(), 0);
+}
+
+/// An advisor that fails for a while must delay its queue's jobs only by that while.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_advisor_that_fails_is_asked_again() {
+    let site = site(Duration::from_secs(3)).await;
+    let advisor = site.advisor.as_ref().expect("an advisor");
+    advisor.fail(3);
+    for worker in &site.workers {
+        advisor.allow(worker.id());
+    }
+    site.submit_until_accepted(0, "00000000000000b1", 100, 4)
+        .await;
+    site.wait_for(0, "00000000000000b1", "completed", SOON)
+        .await;
+    assert_eq!(advisor.book().refused(), 0);
+}
+
+/// A ticket that has run out while its step waited for room must be replaced before the start.
+#[tokio::test(flavor = "multi_thread")]
+async fn tickets_that_ran_out_are_renewed() {
+    let site = site(Duration::from_millis(900)).await;
+    let advisor = site.advisor.as_ref().expect("an advisor");
+    advisor.allow(site.workers[0].id());
+    site.submit_until_accepted(0, "00000000000000c1", 2_000, 8)
+        .await;
+    site.wait_for(0, "00000000000000c1", "running", SOON).await;
+    site.submit_until_accepted(0, "00000000000000c2", 100, 8)
+        .await;
+    site.wait_for(0, "00000000000000c2", "completed", SOON)
+        .await;
+    assert_eq!(site.runs("00000000000000c2").len(), 8);
+    assert_eq!(advisor.book().refused(), 0);
+}
--- a/crates/rattanwinch_front/tests/site/harness.rs
+++ b/crates/rattanwinch_front/tests/site/harness.rs
@@ -14,8 +14,12 @@
 use rattanwinch_runtime::discard_logger;
 use rattanwinch_side::SideDaemon;
 use rattanwinch_side::SideSettings;
+use rattanwinch_site_standins::AdvisorTimes;
 use rattanwinch_site_standins::ExecutorOptions;
+use rattanwinch_site_standins::RunRecord;
+use rattanwinch_site_standins::SiteAdvisor;
 use rattanwinch_site_standins::SiteExecutor;
+use rattanwinch_site_standins::SiteGangs;
 use rattanwinch_site_standins::SiteStore;
 use rattanwinch_site_standins::StoreDoor;
 use reqwest::Method;
@@ -50,25 +54,68 @@
     options: ExecutorOptions,
 }
 
+/// What a site consists of.
+#[derive(Clone, Copy, Default)]
+pub struct SiteOptions {
+    pub fronts: u8,
+    pub workers: u8,
+    /// The executors refuse what they have no room for.
+    pub enforces_capacity: bool,
+    /// The queue's targets are chosen by an advisor.
+    pub advisor: Option<AdvisorTimes>,
+}
+
 pub struct Site {
     pub store: SiteStore,
+    pub advisor: Option<SiteAdvisor>,
     pub fronts: Vec<Front>,
     pub workers: Vec<Worker>,
+    options: SiteOptions,
+    gangs: SiteGangs,
+    /// The runs of executors that are gone.
+    former_runs: Vec<RunRecord>,
     http: reqwest::Client,
 }
 
+impl Worker {
+    /// The executor's id.
+    pub fn id(&self) -> &str {
+        &self.options.id
+    }
+}
+
 impl Site {
     pub async fn start(fronts: u8, workers: u8) -> Self {
+        let options = SiteOptions {
+            fronts,
+            workers,
+            ..SiteOptions::default()
+        };
+        Self::start_with(options).await
+    }
+
+    pub async fn start_with(options: SiteOptions) -> Self {
+        let SiteOptions {
+            fronts, workers, ..
+        } = options;
         let store = SiteStore::new();
-        store.put("op/config", &config());
+        store.put("op/config", &config(options));
+        let advisor = match options.advisor {
+            Some(times) => Some(SiteAdvisor::start(times).await),
+            None => None,
+        };
         let process = u8::try_from(std::process::id() % 200).expect("below 256");
         let subnet = next_subnet();
         let ip = |vm: u8| IpAddr::V4(Ipv4Addr::new(127, 20 + process, subnet, vm));
         let seeds: Vec<_> = (1..=fronts).map(ip).collect();
         let mut site = Self {
             store,
+            advisor,
             fronts: Vec::new(),
             workers: Vec::new(),
+            options,
+            gangs: SiteGangs::default(),
+            former_runs: Vec::new(),
             http: reqwest::Client::builder()
                 .no_proxy()
                 .build()
@@ -90,7 +137,7 @@
             vm: vm_settings(format!("front-{ip}"), ip, seeds, &door),
             caller_listen: callers,
             ready_listen: SocketAddr::new(ip, READY_PORT),
-            advisor: None,
+            advisor: self.advisor.as_ref().map(SiteAdvisor::address),
             keep_ended: Duration::from_secs(120),
             grace: Duration::from_secs(6),
         };
@@ -117,6 +164,9 @@
             labels: vec!["a".to_owned(), "r1".to_owned()],
             agent: settings.executor_listen,
             accelerators: 8,
+            enforces_capacity: self.options.enforces_capacity,
+            gangs: self.gangs.clone(),
+            tickets: self.advisor.as_ref().map(SiteAdvisor::book),
         };
         let daemon = SideDaemon::start(settings, discard_logger())
             .await
@@ -133,7 +183,7 @@
     /// Ends the executor of a worker and starts another one with another id on its VM.
     pub async fn replace_executor(&mut self, worker: usize) {
         let mut worker = self.workers.remove(worker);
-        worker.executor.crash().await;
+        self.former_runs.extend(worker.executor.crash().await);
         worker.options.id.push('x');
         worker.executor = SiteExecutor::start(worker.options.clone()).await;
         self.workers.push(worker);
@@ -173,7 +223,10 @@
     }
 
     pub async fn submit(&self, front: usize, id: &str, work_ms: u64, count: u32) -> u16 {
-        let body = job(work_ms, count);
+        self.submit_body(front, id, job(work_ms, count)).await
+    }
+
+    pub async fn submit_body(&self, front: usize, id: &str, body: Value) -> u16 {
         let path = format!("/checks/{id}");
         self.call(front, Method::POST, &path, Some(body)).await.0
     }
@@ -212,9 +265,14 @@
 
     /// Waits until a submission is accepted, as callers repeat theirs.
     pub async fn submit_until_accepted(&self, front: usize, id: &str, work_ms: u64, count: u32) {
+        self.submit_body_until_accepted(front, id, &job(work_ms, count))
+            .await;
+    }
+
+    pub async fn submit_body_until_accepted(&self, front: usize, id: &str, body: &Value) {
         let asked = Instant::now();
         loop {
-            let status = self.submit(front, id, work_ms, count).await;
+            let status = self.submit_body(front, id, body.clone()).await;
             if status == 200 {
                 return;
             }
@@ -230,20 +288,40 @@
         }
     }
 
+    /// Every run of a job's tasks that an executor has taken, in the order of their beginnings.
+    pub fn runs(&self, id: &str) -> Vec<RunRecord> {
+        let present = self.workers.iter();
+        let present = present.flat_map(|worker| worker.executor.runs());
+        let all = present.chain(self.former_runs.iter().cloned());
+        let mut runs: Vec<_> = all.filter(|run| run.task.starts_with(id)).collect();
+        runs.sort_by_key(|run| run.began);
+        runs
+    }
+
     /// The names of all tasks that were started, with one entry a start.
     pub fn started(&self, id: &str) -> Vec<String> {
-        let starts = self
-            .workers
-            .iter()
-            .flat_map(|worker| worker.executor.starts());
-        let mut names: Vec<_> = starts
-            .map(|start| start.task)
-            .filter(|task| task.starts_with(id))
-            .collect();
+        let mut names: Vec<_> = self.runs(id).into_iter().map(|run| run.task).collect();
         names.sort();
         names
     }
 
+    /// Fails if two runs of one task were at work at the same time, or one began after its task
+    /// was done.
+    pub fn assert_nothing_runs_twice(&self, id: &str) {
+        let runs = self.runs(id);
+        for (index, run) in runs.iter().enumerate() {
+            let earlier = runs[..index].iter().filter(|other| other.task == run.task);
+            for other in earlier {
+                let (ended, how) = other.ended.unwrap_or((run.began, "still at work"));
+                assert!(
+                    ended <= run.began && !matches!(how, "done" | "still at work"),
+                    "{} runs twice: {other:?} and {run:?}",
+                    run.task
+                );
+            }
+        }
+    }
+
     /// The front that schedules, by the record in the store.
     pub fn scheduling(&self) -> usize {
         let record = self
@@ -276,6 +354,15 @@
     }
 }
 
+/// A job of one step; `step` adds to it, or replaces what it says.
+pub fn job_of(spec: &str, count: u32, step: &Value) -> Value {
+    let mut phase = json!({ "count": count, "cpu": 1000, "mem_mb": 100, "gpu": 1 });
+    if let (Some(phase), Some(step)) = (phase.as_object_mut(), step.as_object()) {
+        phase.extend(step.clone());
+    }
+    json!({ "spec": spec, "phases": [phase] })
+}
+
 pub fn job(work_ms: u64, count: u32) -> Value {
     json!({
         "spec": format!("work_ms={work_ms}"),
@@ -283,17 +370,25 @@
     })
 }
 
-fn config() -> Value {
-    json!({
+fn config(options: SiteOptions) -> Value {
+    let mut config = json!({
         "version": 1,
         "routes": [{
             "name": "checks", "host": HOST, "prefix": "/checks/", "kind": "unsafe",
             "timeout_ms": 3000, "priority": 1, "service": "design", "max_attempts": 3,
         }],
-        "services": [{ "name": "design", "enforces_capacity": false }],
+        "services": [{ "name": "design", "enforces_capacity": options.enforces_capacity }],
         "tenants": [
             { "name": "letrafa", "api_keys": [KEY], "guaranteed": { "gpu": 4 } },
             { "name": "gait", "api_keys": ["key-of-gait"] },
         ],
-    })
+    });
+    if let Some(times) = options.advisor {
+        let millis = |time: Duration| u64::try_from(time.as_millis()).expect("a short time");
+        config["routes"][0]["advisor"] = json!({
+            "decide_ms": millis(times.base), "period_ms": millis(times.each),
+            "validity_ms": millis(times.validity),
+        });
+    }
+    config
 }
--- a/crates/rattanwinch_front/tests/site/lost_targets.rs
+++ b/crates/rattanwinch_front/tests/site/lost_targets.rs
@@ -30,12 +30,12 @@
         .await;
     site.workers[0].executor.drain();
     tokio::time::sleep(Duration::from_millis(600)).await;
-    let before = site.workers[0].executor.starts().len();
+    let before = site.workers[0].executor.runs().len();
     site.submit_until_accepted(0, "00000000000000b1", 50, 8)
         .await;
     site.wait_for(0, "00000000000000b1", "completed", Duration::from_secs(10))
         .await;
-    assert_eq!(site.workers[0].executor.starts().len(), before);
+    assert_eq!(site.workers[0].executor.runs().len(), before);
 }
 
 /// Nothing starts in an availability zone that operators have closed.
--- a/crates/rattanwinch_front/tests/site/main.rs
+++ b/crates/rattanwinch_front/tests/site/main.rs
@@ -2,6 +2,10 @@
 
 mod harness;
 
+mod advice;
 mod calls;
 mod changes_of_scheduler;
+mod late_orders;
 mod lost_targets;
+mod shapes_of_work;
+mod store_limits;
