Let the command use a queue on the users' platform

Cause: the command rattanwinch spoke only to the product's own entries, so a site on the users' platform could be used by hand only with curl.

--- a/crates/rattanwinch_cli/src/arguments.rs
+++ b/crates/rattanwinch_cli/src/arguments.rs
@@ -17,8 +17,10 @@
   rattanwinch --settings rattanwinch.ini zone reopen a --reason 'power works are done'
   rattanwinch --settings rattanwinch.ini config set max_attempts 5 --reason 'flaky rack' --dry-run
   rattanwinch --settings rattanwinch.ini burn --json
+  rattanwinch --settings queue.ini queue submit 'work_ms=500' --tasks 4 --accelerators 1
 
 The settings file is INI; its section [client] has the key `entries`, URLs with commas between.
+For `queue` its section [queue] has the keys `fronts` (URLs), `host`, `prefix` and `key`.
 
 Exit codes: 0 done; 1 failed, with the verdict (not run, may have run or ran) on standard error;
 2 wrong usage or settings, nothing was sent; 3 conflict: the configuration has changed meanwhile,
@@ -72,6 +74,8 @@
     /// Gang jobs: submit, ask, wait, cancel, explain
     #[command(subcommand)]
     Job(JobCommand),
+    /// A queue on the users' platform: submit, ask, wait, cancel, count
+    Queue(QueueArguments),
 }
 
 /// What every change of the configuration carries.
@@ -393,3 +397,72 @@
     /// The text for each task's executor
     pub payload: String,
 }
+
+/// `queue`.
+#[derive(Debug, Args)]
+pub struct QueueArguments {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: QueueCommand,
+}
+
+/// `queue` and what follows it.
+#[derive(Debug, Subcommand)]
+pub enum QueueCommand {
+    /// Submit a job of one step
+    Submit(Box<QueueSubmitArguments>),
+    /// Show a job's state
+    Status {
+        /// The job's id
+        id: String,
+    },
+    /// Wait until a job has ended; exit code 1 unless it is completed
+    Wait {
+        /// The job's id
+        id: String,
+        /// Give up after so many seconds; the job goes on
+        #[arg(long, default_value_t = 24 * 3600, value_name = "SECONDS")]
+        limit_s: u64,
+    },
+    /// Cancel a job
+    Cancel {
+        /// The job's id
+        id: String,
+    },
+    /// Count the queue's jobs of which no task has started
+    Pending,
+}
+
+/// `queue submit`.
+#[derive(Debug, Args)]
+pub struct QueueSubmitArguments {
+    /// What the tasks are told to do
+    pub payload: String,
+    /// The job's id, 16 hexadecimal digits; one is made up by default. A retry uses the same
+    #[arg(long)]
+    pub id: Option<String>,
+    /// The number of tasks
+    #[arg(long, default_value_t = 1)]
+    pub tasks: u32,
+    /// The accelerators of each task
+    #[arg(long, default_value_t = 0)]
+    pub accelerators: u64,
+    /// The processor time of each task, in thousandths of a core
+    #[arg(long, default_value_t = 1000, value_name = "MILLIS")]
+    pub cpu_millis: u64,
+    /// The memory of each task, in megabytes
+    #[arg(long, default_value_t = 100, value_name = "MB")]
+    pub memory_mb: u64,
+    /// A rough estimate of a task's run time, in milliseconds
+    #[arg(long, default_value_t = 1000, value_name = "MS")]
+    pub estimate_ms: u64,
+    /// The tasks only work together
+    #[arg(long)]
+    pub gang: bool,
+    /// The tasks are slower on more than one rack
+    #[arg(long)]
+    pub same_rack: bool,
+    /// The tasks save their progress
+    #[arg(long)]
+    pub checkpointing: bool,
+}
--- a/crates/rattanwinch_cli/src/commands/mod.rs
+++ b/crates/rattanwinch_cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod context;
 mod fleet;
 mod jobs;
+mod queue;
 mod zones;
 
 use std::io::Write;
@@ -19,6 +20,9 @@
 ///
 /// [`crate::CommandError`], whose exit code tells usage, conflicts and failures apart.
 pub async fn execute(arguments: Arguments, out: &mut dyn Write) -> Result<()> {
+    if let Command::Queue(queue) = &arguments.command {
+        return queue::queue(&arguments, &queue.command, out).await;
+    }
     let cx = Context::new(&arguments)?;
     match arguments.command {
         Command::Config(command) => config::config(&cx, command, out).await,
@@ -30,5 +34,7 @@
         Command::Burn => fleet::burn(&cx, out).await,
         Command::Run(request) => jobs::run(&cx, request, out).await,
         Command::Job(command) => jobs::job(&cx, command, out).await,
+        // Carried out above: it needs no entry.
+        Command::Queue(_) => Ok(()),
     }
 }
--- a/crates/rattanwinch_cli/tests/cli/main.rs
+++ b/crates/rattanwinch_cli/tests/cli/main.rs
@@ -3,4 +3,5 @@
 mod commands;
 mod entries;
 mod jobs;
+mod queue;
 mod site;
--- /dev/null
+++ b/crates/rattanwinch_cli/tests/cli/queue.rs
@@ -0,0 +1,144 @@
+//! The command against a site on stand-ins of the users' platform.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rattanwinch_front::FrontDaemon;
+use rattanwinch_front::FrontSettings;
+use rattanwinch_runtime::VmSettings;
+use rattanwinch_runtime::discard_logger;
+use rattanwinch_side::SideDaemon;
+use rattanwinch_side::SideSettings;
+use rattanwinch_site_standins::ExecutorOptions;
+use rattanwinch_site_standins::SiteExecutor;
+use rattanwinch_site_standins::SiteGangs;
+use rattanwinch_site_standins::SiteStore;
+use rattanwinch_site_standins::StoreDoor;
+use serde_json::json;
+
+use crate::site::command;
+
+struct QueueSite {
+    settings: PathBuf,
+    _front: FrontDaemon,
+    _side: SideDaemon,
+    _executor: SiteExecutor,
+    _door: StoreDoor,
+}
+
+fn vm(name: &str, ip: IpAddr, seed: IpAddr, store: SocketAddr) -> VmSettings {
+    VmSettings {
+        source: PathBuf::new(),
+        name: Arc::from(name),
+        ip,
+        peer_port: 7000,
+        seeds: vec![seed],
+        store,
+        longest_lease: Duration::from_secs(6),
+    }
+}
+
+async fn start() -> QueueSite {
+    let store = SiteStore::new();
+    store.put(
+        "op/config",
+        &json!({
+            "version": 1,
+            "routes": [{ "name": "jobs", "host": "jobs.example", "prefix": "/jobs/",
+                "service": "workers", "priority": 1, "max_attempts": 2 }],
+            "services": [{ "name": "workers" }],
+            "tenants": [{ "name": "letrafa", "api_keys": ["secret"] }],
+        }),
+    );
+    let door = store.open().await;
+    // A subnet of loopback of its own, so that parallel test programs don't meet.
+    let process = u8::try_from(std::process::id() % 200).expect("below 256");
+    let front_ip = IpAddr::V4(Ipv4Addr::new(127, 20 + process, 250, 1));
+    let side_ip = IpAddr::V4(Ipv4Addr::new(127, 20 + process, 250, 2));
+    let callers = SocketAddr::new(front_ip, 8000);
+    let front = FrontSettings {
+        vm: vm("front", front_ip, front_ip, door.address()),
+        caller_listen: callers,
+        ready_listen: SocketAddr::new(front_ip, 8001),
+        advisor: None,
+        keep_ended: Duration::from_secs(120),
+        grace: Duration::from_secs(6),
+    };
+    let side = SideSettings {
+        vm: vm("side", side_ip, front_ip, door.address()),
+        executor_listen: SocketAddr::new(side_ip, 8002),
+    };
+    let executor = ExecutorOptions {
+        id: "i-1".to_owned(),
+        service: "workers".to_owned(),
+        zone: "az-1".to_owned(),
+        labels: Vec::new(),
+        agent: side.executor_listen,
+        accelerators: 8,
+        enforces_capacity: false,
+        gangs: SiteGangs::default(),
+        tickets: None,
+    };
+    let settings = Path::new(env!("CARGO_TARGET_TMPDIR")).join("queue.ini");
+    // The first front doesn't exist, as one that has been lost.
+    let text = format!(
+        "[queue]\nfronts = http://{side_ip}:9, http://{callers}\nhost = jobs.example\n\
+         prefix = /jobs/\nkey = secret\n"
+    );
+    std::fs::write(&settings, text).expect("a file");
+    QueueSite {
+        settings,
+        _front: FrontDaemon::start(front, discard_logger())
+            .await
+            .expect("free ports"),
+        _side: SideDaemon::start(side, discard_logger())
+            .await
+            .expect("free ports"),
+        _executor: SiteExecutor::start(executor).await,
+        _door: door,
+    }
+}
+
+impl QueueSite {
+    async fn command(&self, arguments: &[&str]) -> crate::site::Outcome {
+        let settings = self.settings.to_str().expect("a path in UTF-8");
+        command(&[&["--settings", settings, "queue"], arguments].concat()).await
+    }
+}
+
+/// Guards against a command that operators can't use on the users' platform: each call has to
+/// find a front that answers, and its exit code has to tell how the job ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_of_a_queue_are_submitted_watched_and_cancelled() {
+    let site = start().await;
+    let id = "00000000000000a1";
+    let submit = ["submit", "--id", id, "--tasks", "3", "--accelerators", "1"];
+    let submitted = site
+        .command(&[&submit[..], &["work_ms=100"]].concat())
+        .await;
+    assert_eq!(submitted.code, Some(0), "{submitted:?}");
+    let waited = site.command(&["wait", id]).await;
+    assert_eq!(waited.code, Some(0), "{waited:?}");
+    assert!(waited.stdout.contains("completed"), "{waited:?}");
+
+    let id = "00000000000000a2";
+    let submitted = site.command(&["submit", "--id", id, "work_ms=60000"]).await;
+    assert_eq!(submitted.code, Some(0), "{submitted:?}");
+    let cancelled = site.command(&["cancel", id]).await;
+    assert_eq!(cancelled.code, Some(0), "{cancelled:?}");
+    let waited = site.command(&["wait", id]).await;
+    assert_eq!(waited.code, Some(1), "{waited:?}");
+    assert!(waited.stdout.contains("cancelled"), "{waited:?}");
+
+    let pending = site.command(&["pending"]).await;
+    assert_eq!(pending.stdout.trim(), "pending 0", "{pending:?}");
+    let unknown = site.command(&["status", "00000000000000ff"]).await;
+    assert_eq!(unknown.code, Some(1), "{unknown:?}");
+    let wrong = site.command(&["status", "nonsense"]).await;
+    assert_eq!(wrong.code, Some(2), "{wrong:?}");
+}
