Replace a silent scheduler before its lease has run out

Change: a front takes over when neither it nor another front has heard the scheduler for 500 ms, or when the scheduler itself says that the store hasn't confirmed it for 600 ms while the store answers the other front. This is safe because each transaction of the scheduler is conditional on its key, and orders follow durable placements only; the lease of the one before is ended, so that it learns of it. A new scheduler calls the other fronts and the agents, whose addresses are kept in the store. Fronts ask every 300 ms, renewals go out every 300 ms, and a call that waits for a replaced scheduler is sent on.

--- a/crates/rattanwinch_fleet/src/agent_client.rs
+++ b/crates/rattanwinch_fleet/src/agent_client.rs
@@ -6,6 +6,7 @@
 use rattanwinch_types::InvalidName;
 
 use crate::AgentOrders;
+use crate::LeaderInfo;
 use crate::OrderResults;
 use crate::RpcFailure;
 use crate::front_client::http_client;
@@ -48,6 +49,15 @@
         self.address
     }
 
+    /// Tells the agent who schedules now.
+    ///
+    /// # Errors
+    ///
+    /// [`RpcFailure`] if no answer came within `limit`.
+    pub async fn announce(&self, leader: LeaderInfo, limit: Duration) -> Result<()> {
+        within(limit, self.client.announce(leader.into())).await
+    }
+
     /// Gives orders.
     ///
     /// # Errors
--- a/crates/rattanwinch_fleet/src/front_client.rs
+++ b/crates/rattanwinch_fleet/src/front_client.rs
@@ -9,6 +9,7 @@
 use crate::CallerAnswer;
 use crate::CallerCall;
 use crate::LeaderInfo;
+use crate::LeaderWord;
 use crate::ReportAnswer;
 use crate::RpcFailure;
 use crate::rpc::FrontRpcClient;
@@ -73,9 +74,28 @@
         &self,
         asker: Option<SocketAddr>,
         limit: Duration,
-    ) -> Result<Option<LeaderInfo>> {
+    ) -> Result<Option<LeaderWord>> {
         let answer = within(limit, self.client.leader(asker)).await?;
-        Ok(answer.map(LeaderInfo::from))
+        Ok(answer.map(LeaderWord::from))
+    }
+
+    /// Asks how long ago the front last heard the one that schedules.
+    ///
+    /// # Errors
+    ///
+    /// [`RpcFailure`] if no answer came within `limit`.
+    pub async fn leader_silence(&self, limit: Duration) -> Result<Duration> {
+        let millis = within(limit, self.client.leader_silence_ms()).await?;
+        Ok(Duration::from_millis(millis))
+    }
+
+    /// Tells the front who schedules now.
+    ///
+    /// # Errors
+    ///
+    /// [`RpcFailure`] if no answer came within `limit`.
+    pub async fn announce(&self, leader: LeaderInfo, limit: Duration) -> Result<()> {
+        within(limit, self.client.announce(leader.into())).await
     }
 
     /// Passes on a caller's call.
--- a/crates/rattanwinch_fleet/src/wire/calls.rs
+++ b/crates/rattanwinch_fleet/src/wire/calls.rs
@@ -10,6 +10,7 @@
 use crate::CallerAnswer;
 use crate::CallerCall;
 use crate::LeaderInfo;
+use crate::LeaderWord;
 use crate::Refusal;
 
 /// [`LeaderInfo`] on the wire.
@@ -37,6 +38,31 @@
     }
 }
 
+/// [`LeaderWord`] on the wire.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireLeaderWord {
+    leader: WireLeader,
+    confirmed_ms_ago: u64,
+}
+
+impl From<LeaderWord> for WireLeaderWord {
+    fn from(word: LeaderWord) -> Self {
+        Self {
+            leader: word.leader.into(),
+            confirmed_ms_ago: u64::try_from(word.confirmed_ago.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+impl From<WireLeaderWord> for LeaderWord {
+    fn from(wire: WireLeaderWord) -> Self {
+        Self {
+            leader: wire.leader.into(),
+            confirmed_ago: Duration::from_millis(wire.confirmed_ms_ago),
+        }
+    }
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum WireAction {
--- a/crates/rattanwinch_fleet/src/wire/mod.rs
+++ b/crates/rattanwinch_fleet/src/wire/mod.rs
@@ -7,6 +7,7 @@
 pub use calls::WireAnswer;
 pub use calls::WireCall;
 pub use calls::WireLeader;
+pub use calls::WireLeaderWord;
 pub use orders::WireOrders;
 pub use orders::WireResults;
 pub use reports::WireReport;
--- a/crates/rattanwinch_front/src/agents.rs
+++ b/crates/rattanwinch_front/src/agents.rs
@@ -9,6 +9,8 @@
 use rattanwinch_types::Timestamp;
 use smallvec::SmallVec;
 
+use crate::records::AgentAddresses;
+
 /// How long an order may be begun after it was given. Orders that a cut held up longer are no
 /// longer what is wanted.
 const ORDER_VALIDITY: Duration = Duration::from_millis(1000);
@@ -38,6 +40,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Agents {
     agents: BTreeMap<Arc<str>, Agent>,
+    /// The addresses that were last made durable.
+    known_addresses: AgentAddresses,
 }
 
 impl Agents {
@@ -82,6 +86,19 @@
         true
     }
 
+    /// Where the agents serve the scheduler, if that has changed since the last call.
+    pub(crate) fn take_changed_addresses(&mut self) -> Option<AgentAddresses> {
+        let agents = self.agents.iter();
+        let present: AgentAddresses = agents
+            .map(|(vm, agent)| (Arc::clone(vm), agent.client.address()))
+            .collect();
+        if present == self.known_addresses {
+            return None;
+        }
+        self.known_addresses = present.clone();
+        Some(present)
+    }
+
     /// The agent beside a life of a target.
     pub(crate) fn beside(&self, life: &TargetLife) -> Option<&Agent> {
         let mut agents = self.agents.values();
--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -39,8 +39,10 @@
 use crate::job_board::PublishedJob;
 use crate::leading::Leading;
 use crate::records::ACCEPTED_PREFIX;
+use crate::records::AGENTS_KEY;
 use crate::records::PROGRESS_PREFIX;
 use crate::records::encode_accepted;
+use crate::records::encode_agents;
 use crate::records::encode_progress;
 
 /// How often time-outs and due times are looked at when nothing else happens. Due times may be
@@ -322,7 +324,11 @@
             self.committer = Some(committer);
             return;
         }
-        let writes = self.writes(&changes, &forgotten);
+        let mut writes = self.writes(&changes, &forgotten);
+        if let Some(agents) = self.agents.take_changed_addresses() {
+            let key = AGENTS_KEY.to_owned();
+            writes.puts.push((key, encode_agents(&agents)));
+        }
         self.committing = std::mem::take(&mut self.waiting);
         let commands = self.leading.commands.clone();
         let log = self.state.log.clone();
--- a/crates/rattanwinch_front/src/front_state.rs
+++ b/crates/rattanwinch_front/src/front_state.rs
@@ -104,7 +104,10 @@
         }
         if let Some(info) = info {
             info!(self.log, "scheduler found"; "address" => %info.address, "epoch" => info.epoch);
-            self.highest_epoch.fetch_max(info.epoch, Ordering::AcqRel);
+            if self.highest_epoch.fetch_max(info.epoch, Ordering::AcqRel) < info.epoch {
+                // Its predecessor's silence says nothing of a new scheduler.
+                self.note_leader_heard(self.clock.now());
+            }
         } else {
             info!(self.log, "scheduler lost");
         }
@@ -131,6 +134,14 @@
         self.highest_epoch.fetch_max(epoch, Ordering::AcqRel);
     }
 
+    /// Takes the word of another front that it schedules now.
+    pub(crate) fn announced(&self, leader: LeaderInfo) {
+        if leader.epoch > self.highest_epoch() {
+            self.note_leader_heard(self.clock.now());
+            self.set_leader(Some(leader));
+        }
+    }
+
     pub(crate) fn note_leader_heard(&self, now: Timestamp) {
         self.leader_heard_ms
             .fetch_max(now.as_millis(), Ordering::AcqRel);
--- a/crates/rattanwinch_front/src/leadership.rs
+++ b/crates/rattanwinch_front/src/leadership.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rattanwinch_fleet::AgentClient;
 use rattanwinch_fleet::FrontClient;
 use rattanwinch_fleet::LEADER_KEY;
 use rattanwinch_fleet::LeaderInfo;
@@ -33,36 +34,46 @@
 use crate::front_state::FrontState;
 use crate::job_board::JobBoard;
 use crate::job_board::PublishedJob;
+use crate::leading::LEADER_LEASE;
 use crate::leading::Leading;
 use crate::operator_watch::watch_operators;
 use crate::records::ACCEPTED_PREFIX;
+use crate::records::AGENTS_KEY;
+use crate::records::AgentAddresses;
 use crate::records::PROGRESS_PREFIX;
 use crate::records::decode_accepted;
+use crate::records::decode_agents;
 use crate::records::decode_progress;
 
 /// What a step of the life cycle returns.
 type Result<T> = std::result::Result<T, StoreError>;
 
-/// The lease of the front that schedules. Another one can take over once it has run out, so it
-/// bounds the pause after a loss; the store's slowest answers on the users' sheets take 240 ms
-/// and still leave room for several renewals.
-const LEADER_LEASE: Duration = Duration::from_millis(1500);
-
 /// How often the lease is renewed.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(400);
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(300);
+
+/// A scheduler that says that the store hasn't confirmed it for so long is replaced by a front
+/// that the store does answer: a renewal interval and the store's slowest answers on the users'
+/// sheets, 240 ms, and a tenth more.
+const UNCONFIRMED_AFTER: Duration = Duration::from_millis(600);
 
 /// Renewals that are on their way at once.
 const MAX_RENEWALS: usize = 4;
 
-/// Leadership counts as unconfirmed this much before the lease can run out, for calls that are
-/// being answered then.
-const LEASE_MARGIN: Duration = Duration::from_millis(150);
-
 /// How often a front asks the one that schedules whether it still does.
-const PING_INTERVAL: Duration = Duration::from_millis(400);
+const PING_INTERVAL: Duration = Duration::from_millis(300);
 
 /// How long that may take; the answer comes from memory.
-const PING_LIMIT: Duration = Duration::from_millis(400);
+const PING_LIMIT: Duration = Duration::from_millis(300);
+
+/// A scheduler that two fronts haven't heard for so long is replaced before its lease has run
+/// out: an interval and an unanswered question, less the time by which the two differ.
+const SILENT_AFTER: Duration = Duration::from_millis(500);
+
+/// How long an announcement may take; who misses it finds the scheduler by asking.
+const ANNOUNCE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Announcements that are on their way at once.
+const ANNOUNCE_AT_ONCE: usize = 64;
 
 /// The pause between two attempts to find the scheduler or to become it.
 const SEARCH_PAUSE: Duration = Duration::from_millis(150);
@@ -96,6 +107,16 @@
     state: Arc<FrontState>,
 }
 
+/// What the front that schedules said of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Heard {
+    /// It schedules, and the store has confirmed it lately.
+    Confirmed,
+    /// It schedules, and the store hasn't confirmed it for a while.
+    Unconfirmed,
+    Nothing,
+}
+
 enum Step {
     Elected(Elected),
     Wait(Duration),
@@ -103,12 +124,14 @@
 
 impl Standby {
     async fn step(&self) -> Step {
-        if let Some(leader) = self.state.leader()
-            && self.hears(&leader.client).await
-        {
+        let heard = match self.state.leader() {
+            Some(leader) => self.ask(&leader.client).await,
+            None => Heard::Nothing,
+        };
+        if heard == Heard::Confirmed {
             return Step::Wait(PING_INTERVAL);
         }
-        match self.stand().await {
+        match self.stand(heard).await {
             Ok(Some(elected)) => return Step::Elected(elected),
             Ok(None) => {}
             // A store that is out of reach of this VM alone may serve the others.
@@ -123,23 +146,28 @@
         Step::Wait(SEARCH_PAUSE)
     }
 
-    async fn hears(&self, client: &FrontClient) -> bool {
+    async fn ask(&self, client: &FrontClient) -> Heard {
         let asker = Some(self.state.address);
-        let Ok(Some(info)) = client.leader(asker, PING_LIMIT).await else {
-            return false;
+        let Ok(Some(word)) = client.leader(asker, PING_LIMIT).await else {
+            return Heard::Nothing;
         };
+        let info = word.leader;
         // Only a front's word on itself counts: followers that quote each other would go on
         // believing in a scheduler that is gone.
-        let leads = info.address == client.address();
-        if leads {
-            self.state.note_leader_heard(self.state.clock.now());
-            self.state.set_leader(Some(info));
+        if info.address != client.address() {
+            return Heard::Nothing;
+        }
+        self.state.note_leader_heard(self.state.clock.now());
+        self.state.set_leader(Some(info));
+        if word.confirmed_ago < UNCONFIRMED_AFTER {
+            Heard::Confirmed
+        } else {
+            Heard::Unconfirmed
         }
-        leads
     }
 
-    /// Reads who schedules, and takes over if nobody does.
-    async fn stand(&self) -> Result<Option<Elected>> {
+    /// Reads who schedules, and takes over if nobody does or the one that did is to be replaced.
+    async fn stand(&self, heard: Heard) -> Result<Option<Elected>> {
         let state = &self.state;
         let Some(item) = state.store.get(LEADER_KEY).await? else {
             return self.claim(Revision::ABSENT).await;
@@ -158,10 +186,58 @@
             // The process that held it ran on this VM before this one.
             return self.claim(item.changed).await;
         }
-        state.set_leader(Some(record.info(item.changed.0)));
+        let known = state.leader().map(|leader| leader.info);
+        let present = record.info(item.changed.0);
+        state.set_leader(Some(present));
+        let unconfirmed = heard == Heard::Unconfirmed && known == Some(present);
+        if unconfirmed || self.is_silent_for_others().await {
+            return self.displace(&item).await;
+        }
         Ok(None)
     }
 
+    /// True if neither this front nor another one has heard the scheduler lately. A front that no
+    /// other one confirms may be cut off itself, and waits for the end of the lease.
+    async fn is_silent_for_others(&self) -> bool {
+        let state = &self.state;
+        if state.leader_silence(state.clock.now()) < SILENT_AFTER {
+            return false;
+        }
+        let leader = state.leader().map(|leader| leader.info.address);
+        let mut asked = JoinSet::new();
+        for &front in state.fronts.load().iter() {
+            if Some(front) != leader {
+                asked
+                    .spawn(async move { FrontClient::new(front).leader_silence(PING_LIMIT).await });
+            }
+        }
+        let mut confirmed = false;
+        while let Some(answer) = asked.join_next().await {
+            match answer {
+                Ok(Ok(silence)) if silence < SILENT_AFTER => return false,
+                Ok(Ok(_)) => confirmed = true,
+                Ok(Err(_)) | Err(_) => {}
+            }
+        }
+        confirmed
+    }
+
+    /// Takes over from a scheduler whose lease may still hold. Its transactions fail from then
+    /// on, and the end of its lease tells it that it has been replaced.
+    async fn displace(&self, present: &Item) -> Result<Option<Elected>> {
+        let elected = self.claim(present.changed).await?;
+        if elected.is_some() {
+            info!(self.state.log, "scheduler replaced before its lease ended";
+                "silent_ms" => self.state.leader_silence(self.state.clock.now()).as_millis());
+            if let Some(lease) = present.lease
+                && let Err(error) = self.state.store.end(lease).await
+            {
+                warn!(self.state.log, "lease not ended"; "error" => %error);
+            }
+        }
+        Ok(elected)
+    }
+
     async fn claim(&self, present: Revision) -> Result<Option<Elected>> {
         let state = &self.state;
         if state.is_stopping() {
@@ -215,9 +291,10 @@
     async fn load(self) -> Result<Restored> {
         let store = &self.state.store;
         // A long read must not outlast the lease.
-        let (accepted, progress, renewed) = tokio::join!(
+        let (accepted, progress, agents, renewed) = tokio::join!(
             store.range(ACCEPTED_PREFIX),
             store.range(PROGRESS_PREFIX),
+            store.get(AGENTS_KEY),
             store.renew(self.lease),
         );
         // Without an answer the lease may or may not have been renewed; the renewals that follow
@@ -227,9 +304,15 @@
         }
         let jobs = self.read_jobs(&accepted?, &progress?);
         info!(self.state.log, "jobs loaded"; "jobs" => jobs.len(), "epoch" => self.epoch);
+        let agents = agents?.map(|item| decode_agents(&item.value)).transpose();
+        let agents = agents.unwrap_or_else(|error| {
+            error!(self.state.log, "agents not told of the new scheduler"; "error" => %error);
+            None
+        });
         Ok(Restored {
             elected: self,
             jobs,
+            agents: agents.unwrap_or_default(),
         })
     }
 
@@ -266,6 +349,8 @@
 struct Restored {
     elected: Elected,
     jobs: Vec<(Arc<AcceptedJob>, JobProgress)>,
+    /// The agents that the scheduler before knew.
+    agents: AgentAddresses,
 }
 
 impl Restored {
@@ -308,11 +393,16 @@
         tasks.spawn(coordinator.run(received));
         state.set_leader(None);
         state.set_leading(Some(Arc::clone(&leading)));
+        tasks.spawn(announce(Arc::clone(&state), leading.info, self.agents));
         let mut changes = state.leader_changes();
         loop {
             tokio::select! {
                 () = leading.lost.notified() => break,
-                _ = changes.changed() => if state.is_stopping() { break },
+                _ = changes.changed() => {
+                    if state.is_stopping() || state.highest_epoch() > epoch {
+                        break;
+                    }
+                }
             }
         }
         state.set_leading(None);
@@ -327,6 +417,38 @@
     }
 }
 
+/// Tells the other fronts and the agents of the scheduler before that this front schedules now.
+async fn announce(state: Arc<FrontState>, leader: LeaderInfo, agents: AgentAddresses) {
+    let mut calls = JoinSet::new();
+    for &front in state.fronts.load().iter() {
+        calls.spawn(async move {
+            FrontClient::new(front)
+                .announce(leader, ANNOUNCE_LIMIT)
+                .await
+        });
+    }
+    let (mut told, mut missed) = (0, 0);
+    let mut agents = agents.into_values().peekable();
+    while !calls.is_empty() || agents.peek().is_some() {
+        if calls.len() < ANNOUNCE_AT_ONCE
+            && let Some(agent) = agents.next()
+        {
+            calls.spawn(async move {
+                AgentClient::new(agent)
+                    .announce(leader, ANNOUNCE_LIMIT)
+                    .await
+            });
+            continue;
+        }
+        match calls.join_next().await {
+            Some(Ok(Ok(()))) => told += 1,
+            Some(_) => missed += 1,
+            None => {}
+        }
+    }
+    info!(state.log, "announced"; "epoch" => leader.epoch, "told" => told, "missed" => missed);
+}
+
 /// Asks the other fronts who schedules; gives the highest epoch that isn't out of date.
 async fn ask_fronts(state: &FrontState) -> Option<LeaderInfo> {
     let fronts = state.fronts.load_full();
@@ -336,7 +458,7 @@
         asked.spawn(async move { FrontClient::new(front).leader(asker, PING_LIMIT).await });
     }
     let answers = asked.join_all().await.into_iter();
-    let told = answers.filter_map(|answer| answer.ok().flatten());
+    let told = answers.filter_map(|answer| Some(answer.ok().flatten()?.leader));
     let others = told.filter(|info| info.address != state.address);
     let best = others.max_by_key(|info| info.epoch)?;
     (best.epoch >= state.highest_epoch()).then_some(best)
@@ -442,9 +564,8 @@
     }
 }
 
-/// The lease runs from the arrival of its renewal, which is after it was sent.
 fn confirm(state: &FrontState, leading: &Leading, sent_at: Timestamp) {
-    leading.confirm_until(sent_at + (LEADER_LEASE - LEASE_MARGIN));
+    leading.confirm(sent_at);
     state.note_leader_heard(state.clock.now());
 }
 
--- a/crates/rattanwinch_front/src/leading.rs
+++ b/crates/rattanwinch_front/src/leading.rs
@@ -14,6 +14,15 @@
 use crate::commands::Command;
 use crate::job_board::JobBoard;
 
+/// The lease of the front that schedules. Another one can take over once it has run out, so it
+/// bounds the pause after a loss; the store's slowest answers on the users' sheets take 240 ms
+/// and still leave room for several renewals.
+pub(crate) const LEADER_LEASE: Duration = Duration::from_millis(1500);
+
+/// Leadership counts as unconfirmed this much before the lease can run out, for calls that are
+/// being answered then.
+const LEASE_MARGIN: Duration = Duration::from_millis(150);
+
 /// What operators have ordered, and when the read that showed it was sent.
 #[derive(Debug)]
 pub(crate) struct ReadOrders {
@@ -29,8 +38,8 @@
     /// The operators' orders; replaced as a whole with each read.
     pub orders: ArcSwapOption<ReadOrders>,
     pub orders_read: Notify,
-    /// Until when the store's word on this leadership holds, in milliseconds.
-    confirmed_until_ms: AtomicU64,
+    /// When the last confirmed renewal of the lease was sent, in milliseconds.
+    confirmed_ms: AtomicU64,
     /// Woken when leadership is lost.
     pub lost: Notify,
 }
@@ -48,19 +57,28 @@
             board,
             orders: ArcSwapOption::empty(),
             orders_read: Notify::new(),
-            confirmed_until_ms: AtomicU64::new(0),
+            confirmed_ms: AtomicU64::new(0),
             lost: Notify::new(),
         }
     }
 
-    pub(crate) fn confirm_until(&self, until: Timestamp) {
-        self.confirmed_until_ms
-            .fetch_max(until.as_millis(), Ordering::AcqRel);
+    /// Notes that the store has renewed the lease; the renewal was sent at `sent_at`.
+    pub(crate) fn confirm(&self, sent_at: Timestamp) {
+        self.confirmed_ms
+            .fetch_max(sent_at.as_millis(), Ordering::AcqRel);
+    }
+
+    /// How long ago the store's last confirmation was asked for.
+    pub(crate) fn confirmed_ago(&self, now: Timestamp) -> Duration {
+        now.since(Timestamp::from_millis(
+            self.confirmed_ms.load(Ordering::Acquire),
+        ))
     }
 
-    /// True if no other front can have taken over by `now`.
+    /// True if the lease can't have run out by `now`. It runs from the arrival of its renewal,
+    /// which is after it was sent.
     pub(crate) fn is_confirmed(&self, now: Timestamp) -> bool {
-        now.as_millis() < self.confirmed_until_ms.load(Ordering::Acquire)
+        self.confirmed_ago(now) < LEADER_LEASE - LEASE_MARGIN
     }
 
     /// The operators' orders, if the read that showed them was sent at most `limit` ago.
--- a/crates/rattanwinch_front/src/records.rs
+++ b/crates/rattanwinch_front/src/records.rs
@@ -1,6 +1,8 @@
 //! The values that the scheduler keeps in the store: what was accepted, and how far it is.
 
+use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,6 +35,22 @@
 /// The keys of jobs' progress; the job's id follows.
 pub(crate) const PROGRESS_PREFIX: &str = "rattanwinch/progress/";
 
+/// The key that holds where the agents serve the scheduler.
+pub(crate) const AGENTS_KEY: &str = "rattanwinch/agents";
+
+/// Where each VM's agent serves the scheduler.
+pub(crate) type AgentAddresses = BTreeMap<Arc<str>, SocketAddr>;
+
+/// Writes the agents' addresses.
+pub(crate) fn encode_agents(agents: &AgentAddresses) -> Vec<u8> {
+    serde_json::to_vec(agents).expect("names and addresses are valid JSON")
+}
+
+/// Reads the agents' addresses.
+pub(crate) fn decode_agents(value: &[u8]) -> Result<AgentAddresses> {
+    serde_json::from_slice(value).map_err(invalid)
+}
+
 /// A value in the store that this version can't read.
 #[derive(Debug)]
 pub(crate) struct InvalidRecord(Box<dyn std::error::Error + Send + Sync>);
--- a/crates/rattanwinch_front/src/relay.rs
+++ b/crates/rattanwinch_front/src/relay.rs
@@ -91,7 +91,13 @@
         let Some(leader) = self.leader() else {
             return Attempt::NotRun;
         };
-        match leader.client.call(call, limit).await {
+        let mut changes = self.leader_changes();
+        let answer = tokio::select! {
+            answer = leader.client.call(call, limit) => answer,
+            // The one that was asked has been replaced; its successor answers sooner.
+            _ = changes.changed() => return Attempt::MayHaveRun,
+        };
+        match answer {
             Ok(answer) => judge(answer),
             Err(failure) if failure.is_not_run() => Attempt::NotRun,
             Err(_) => Attempt::MayHaveRun,
--- a/crates/rattanwinch_front/src/rpc.rs
+++ b/crates/rattanwinch_front/src/rpc.rs
@@ -7,10 +7,12 @@
 use rattanwinch_fleet::AgentReport;
 use rattanwinch_fleet::CallerCall;
 use rattanwinch_fleet::FrontRpcServer;
+use rattanwinch_fleet::LeaderWord;
 use rattanwinch_fleet::RpcFailure;
 use rattanwinch_fleet::WireAnswer;
 use rattanwinch_fleet::WireCall;
 use rattanwinch_fleet::WireLeader;
+use rattanwinch_fleet::WireLeaderWord;
 use rattanwinch_fleet::WireReport;
 use rattanwinch_fleet::WireReportAnswer;
 use slog::warn;
@@ -22,7 +24,7 @@
 use crate::leading::Leading;
 
 /// A follower's word on who schedules counts only if it heard the scheduler as lately as this;
-/// it asks every 400 ms.
+/// it asks every 300 ms.
 const LEADER_WORD: Duration = Duration::from_millis(900);
 
 /// Serves other fronts and agents.
@@ -38,16 +40,38 @@
 
 #[async_trait]
 impl FrontRpcServer for PeerServer {
-    async fn leader(&self, asker: Option<SocketAddr>) -> RpcResult<Option<WireLeader>> {
+    async fn leader(&self, asker: Option<SocketAddr>) -> RpcResult<Option<WireLeaderWord>> {
         if let Some(asker) = asker {
             self.state.add_front(asker);
         }
+        let now = self.state.clock.now();
         if let Some(leading) = self.state.leading() {
-            return Ok(Some(leading.info.into()));
+            let word = LeaderWord {
+                leader: leading.info,
+                confirmed_ago: leading.confirmed_ago(now),
+            };
+            return Ok(Some(word.into()));
         }
-        let heard = self.state.leader_silence(self.state.clock.now()) < LEADER_WORD;
-        let leader = self.state.leader().filter(|_| heard);
-        Ok(leader.map(|leader| leader.info.into()))
+        let silence = self.state.leader_silence(now);
+        let leader = self.state.leader().filter(|_| silence < LEADER_WORD);
+        let word = leader.map(|leader| LeaderWord {
+            leader: leader.info,
+            confirmed_ago: silence,
+        });
+        Ok(word.map(WireLeaderWord::from))
+    }
+
+    async fn leader_silence_ms(&self) -> RpcResult<u64> {
+        if self.state.leading().is_some() {
+            return Ok(0);
+        }
+        let silence = self.state.leader_silence(self.state.clock.now());
+        Ok(u64::try_from(silence.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    async fn announce(&self, leader: WireLeader) -> RpcResult<()> {
+        self.state.announced(leader.into());
+        Ok(())
     }
 
     async fn call(&self, call: WireCall) -> RpcResult<WireAnswer> {
--- a/crates/rattanwinch_front/tests/site/changes_of_scheduler.rs
+++ b/crates/rattanwinch_front/tests/site/changes_of_scheduler.rs
@@ -16,7 +16,7 @@
     site.wait_for(0, "00000000000000a1", "running", SOON).await;
     let scheduling = site.scheduling();
     let stopped = site.fronts.remove(scheduling);
-    let stopping = tokio::spawn(stopped.daemon.stop());
+    let stopping = tokio::spawn(stopped.stop());
     site.submit_until_accepted(0, "00000000000000a2", 100, 2)
         .await;
     site.wait_for(0, "00000000000000a2", "completed", SOON)
--- a/crates/rattanwinch_front/tests/site/harness.rs
+++ b/crates/rattanwinch_front/tests/site/harness.rs
@@ -1,7 +1,11 @@
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
@@ -40,12 +44,48 @@
     NEXT.fetch_add(1, Ordering::Relaxed)
 }
 
+/// How a front runs.
+enum FrontProgram {
+    Daemon(FrontDaemon),
+    Process(KilledOnDrop),
+}
+
+struct KilledOnDrop(Child);
+
 pub struct Front {
-    pub daemon: FrontDaemon,
+    program: FrontProgram,
     pub door: StoreDoor,
     pub callers: SocketAddr,
 }
 
+impl Front {
+    /// Stops it gracefully.
+    pub async fn stop(self) {
+        if let FrontProgram::Daemon(daemon) = self.program {
+            daemon.stop().await;
+        }
+    }
+
+    /// Sends a signal to a front that runs as a process; `signal` as `kill` names it.
+    pub fn signal(&self, signal: &str) {
+        let FrontProgram::Process(KilledOnDrop(child)) = &self.program else {
+            panic!("only processes take signals");
+        };
+        let sent = Command::new("kill")
+            .args([signal, &child.id().to_string()])
+            .status();
+        assert!(sent.expect("kill runs").success(), "the front has ended");
+    }
+}
+
+impl Drop for KilledOnDrop {
+    fn drop(&mut self) {
+        // It may have been killed before; either way it has to be waited for.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 pub struct Worker {
     /// Runs until the worker is dropped.
     _daemon: SideDaemon,
@@ -59,6 +99,8 @@
 pub struct SiteOptions {
     pub fronts: u8,
     pub workers: u8,
+    /// Fronts are processes of their own, so that they can be killed and frozen.
+    pub front_processes: bool,
     /// The executors refuse what they have no room for.
     pub enforces_capacity: bool,
     /// The queue's targets are chosen by an advisor.
@@ -132,6 +174,26 @@
 
     async fn start_front(&mut self, ip: IpAddr, seeds: &[IpAddr]) {
         let door = self.store.open().await;
+        let front = if self.options.front_processes {
+            start_process(ip, seeds, door)
+        } else {
+            self.start_daemon(ip, seeds, door).await
+        };
+        self.fronts.push(front);
+    }
+
+    /// Starts another process on the VM of a front that has ended.
+    pub fn restart_front(&mut self, front: usize) {
+        let ended = self.fronts.remove(front);
+        let ip = ended.callers.ip();
+        let others = self.fronts.iter().map(|other| other.callers.ip());
+        let seeds: Vec<_> = others.chain([ip]).collect();
+        drop(ended.program);
+        let started = start_process(ip, &seeds, ended.door);
+        self.fronts.insert(front, started);
+    }
+
+    async fn start_daemon(&self, ip: IpAddr, seeds: &[IpAddr], door: StoreDoor) -> Front {
         let callers = SocketAddr::new(ip, CALLER_PORT);
         let settings = FrontSettings {
             vm: vm_settings(format!("front-{ip}"), ip, seeds, &door),
@@ -144,11 +206,11 @@
         let daemon = FrontDaemon::start(settings, discard_logger())
             .await
             .expect("free ports");
-        self.fronts.push(Front {
-            daemon,
+        Front {
+            program: FrontProgram::Daemon(daemon),
             door,
             callers,
-        });
+        }
     }
 
     async fn start_worker(&mut self, ip: IpAddr, seeds: &[IpAddr]) {
@@ -342,6 +404,31 @@
     }
 }
 
+fn start_process(ip: IpAddr, seeds: &[IpAddr], door: StoreDoor) -> Front {
+    let callers = SocketAddr::new(ip, CALLER_PORT);
+    let seeds = seeds.iter().map(|seed| format!("{seed}:{PEER_PORT}"));
+    let text = format!(
+        "[vm]\nname = front-{ip}\nip = {ip}\npeer_port = {PEER_PORT}\n\
+         [listen]\ncallers = {callers}\nreadiness = {ip}:{READY_PORT}\n\
+         [peers]\nseeds = {}\n[store]\naddress = {}\n\
+         [limits]\nlongest_lease_ms = 6000\nkeep_ended_s = 120\ngrace_s = 6\n",
+        seeds.collect::<Vec<_>>().join(", "),
+        door.address(),
+    );
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("front-{ip}.ini"));
+    std::fs::write(&path, text).expect("a file");
+    let child = Command::new(env!("CARGO_BIN_EXE_rattanwinch-front"))
+        .arg("--settings")
+        .arg(path)
+        .stdout(Stdio::null())
+        .spawn();
+    Front {
+        program: FrontProgram::Process(KilledOnDrop(child.expect("the front starts"))),
+        door,
+        callers,
+    }
+}
+
 fn vm_settings(name: String, ip: IpAddr, seeds: &[IpAddr], door: &StoreDoor) -> VmSettings {
     VmSettings {
         source: PathBuf::new(),
--- a/crates/rattanwinch_front/tests/site/lost_targets.rs
+++ b/crates/rattanwinch_front/tests/site/lost_targets.rs
@@ -13,7 +13,7 @@
         .await;
     let scheduling = site.scheduling();
     let front = site.fronts.remove(scheduling);
-    let stopping = tokio::spawn(front.daemon.stop());
+    let stopping = tokio::spawn(front.stop());
     site.replace_executor(0).await;
     let took = site
         .wait_for(0, "00000000000000a1", "completed", Duration::from_secs(10))
--- a/crates/rattanwinch_front/tests/site/main.rs
+++ b/crates/rattanwinch_front/tests/site/main.rs
@@ -5,6 +5,7 @@
 mod advice;
 mod calls;
 mod changes_of_scheduler;
+mod failovers;
 mod late_orders;
 mod lost_targets;
 mod shapes_of_work;
--- a/crates/rattanwinch_side/src/leader_search.rs
+++ b/crates/rattanwinch_side/src/leader_search.rs
@@ -46,9 +46,10 @@
         }
         let mut best: Option<LeaderInfo> = None;
         while let Some(answer) = asked.join_next().await {
-            let Ok((front, Ok(Some(leader)))) = answer else {
+            let Ok((front, Ok(Some(word)))) = answer else {
                 continue;
             };
+            let leader = word.leader;
             if best.is_none_or(|best| best.epoch < leader.epoch) {
                 best = Some(leader);
             }
--- a/crates/rattanwinch_side/src/orders.rs
+++ b/crates/rattanwinch_side/src/orders.rs
@@ -7,6 +7,7 @@
 use rattanwinch_fleet::AgentRpcServer;
 use rattanwinch_fleet::ORDER_TIME;
 use rattanwinch_fleet::OrderResults;
+use rattanwinch_fleet::WireLeader;
 use rattanwinch_fleet::WireOrders;
 use rattanwinch_fleet::WireResults;
 use rattanwinch_scheduling::OrderOutcome;
@@ -47,6 +48,11 @@
         };
         Ok(results.into())
     }
+
+    async fn announce(&self, leader: WireLeader) -> RpcResult<()> {
+        self.state.announce(leader.into());
+        Ok(())
+    }
 }
 
 /// Carries out all orders beside each other, then reads the target's lists again.
--- a/crates/rattanwinch_side/src/reporter.rs
+++ b/crates/rattanwinch_side/src/reporter.rs
@@ -7,6 +7,7 @@
 use rattanwinch_fleet::REPORT_INTERVAL;
 use rattanwinch_fleet::ReportAnswer;
 use slog::info;
+use tokio::sync::watch;
 
 use crate::leader_search::LeaderSearch;
 use crate::side_state::SideState;
@@ -24,21 +25,45 @@
 /// Reports to the front that schedules for as long as the daemon runs.
 pub(crate) async fn report_to_leader(state: Arc<SideState>) {
     let mut search = LeaderSearch::new(state.settings.vm.store);
+    let mut announced = state.announced();
     loop {
-        let Some(leader) = search.find(&state).await else {
-            tokio::time::sleep(SEARCH_PAUSE).await;
-            continue;
+        let found = tokio::select! {
+            found = search.find(&state) => found,
+            leader = next_announced(&mut announced) => Some(leader),
         };
-        if leader.epoch < state.epoch() {
-            tokio::time::sleep(SEARCH_PAUSE).await;
+        let Some(leader) = found.filter(|leader| leader.epoch >= state.epoch()) else {
+            pause(&announced).await;
             continue;
-        }
+        };
         info!(state.log, "scheduler found"; "address" => %leader.address, "epoch" => leader.epoch);
-        report_while_answered(&state, leader).await;
-        tokio::time::sleep(SEARCH_PAUSE).await;
+        let mut later = announced.clone();
+        tokio::select! {
+            () = report_while_answered(&state, leader) => pause(&announced).await,
+            _ = next_announced(&mut later) => {}
+        }
+    }
+}
+
+/// The next front that says of itself that it schedules.
+async fn next_announced(announced: &mut watch::Receiver<Option<LeaderInfo>>) -> LeaderInfo {
+    loop {
+        // The sender lives as long as the state, which outlives this task.
+        if announced.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+        if let Some(leader) = *announced.borrow_and_update() {
+            return leader;
+        }
     }
 }
 
+/// Waits before the next search, but not once a front has said that it schedules.
+async fn pause(announced: &watch::Receiver<Option<LeaderInfo>>) {
+    let mut later = announced.clone();
+    // Whether the pause is over or a front has called, the search goes on.
+    let _ = tokio::time::timeout(SEARCH_PAUSE, later.changed()).await;
+}
+
 async fn report_while_answered(state: &SideState, leader: LeaderInfo) {
     let client = FrontClient::new(leader.address);
     loop {
--- a/crates/rattanwinch_side/src/side_state.rs
+++ b/crates/rattanwinch_side/src/side_state.rs
@@ -11,6 +11,7 @@
 use rattanwinch_fleet::AGENT_AUTONOMY;
 use rattanwinch_fleet::AgentId;
 use rattanwinch_fleet::AgentReport;
+use rattanwinch_fleet::LeaderInfo;
 use rattanwinch_runtime::BootClock;
 use rattanwinch_scheduling::TargetLife;
 use rattanwinch_site_executors::ExecutorBackend;
@@ -54,6 +55,8 @@
     /// When the last report was sent that a confirmed scheduler answered, in milliseconds.
     contact_ms: AtomicU64,
     sequence: AtomicU64,
+    /// The last front that said of itself that it schedules now.
+    announced: watch::Sender<Option<LeaderInfo>>,
     /// Fronts that can be asked who leads.
     pub fronts: ArcSwap<Vec<SocketAddr>>,
 }
@@ -78,6 +81,7 @@
             acknowledged: AtomicU64::new(0),
             contact_ms: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
+            announced: watch::Sender::new(None),
             fronts: ArcSwap::from_pointee(fronts),
             settings,
         }
@@ -126,6 +130,17 @@
         self.epoch.fetch_max(epoch, Ordering::AcqRel) <= epoch
     }
 
+    /// Takes the word of a front that it schedules now.
+    pub(crate) fn announce(&self, leader: LeaderInfo) {
+        if self.epoch.fetch_max(leader.epoch, Ordering::AcqRel) < leader.epoch {
+            self.announced.send_replace(Some(leader));
+        }
+    }
+
+    pub(crate) fn announced(&self) -> watch::Receiver<Option<LeaderInfo>> {
+        self.announced.subscribe()
+    }
+
     pub(crate) fn acknowledged(&self) -> u64 {
         self.acknowledged.load(Ordering::Acquire)
     }
