Start first what has to start first, and late work last

Urgent jobs, which have 1.5 times their run time and 250 ms, were then started in the order of arrival: 7 of 14 were late, each because of the late one before it.

Change: the queues' latency objectives are read (target_latency_ms, stretch). Waiting steps of one priority start in the order of their latest start for being on time, by the estimates; a job that can't be on time any more comes after those that can, and one that is of no more use last. Guaranteed steps still come first.

A test plays a burst on too little room and counts the jobs on time.

--- a/crates/rattanwinch_front/src/records.rs
+++ b/crates/rattanwinch_front/src/records.rs
@@ -11,6 +11,7 @@
 use rattanwinch_scheduling::Checkpoint;
 use rattanwinch_scheduling::JobId;
 use rattanwinch_scheduling::JobProgress;
+use rattanwinch_scheduling::LatencyObjective;
 use rattanwinch_scheduling::QueueName;
 use rattanwinch_scheduling::QueueRules;
 use rattanwinch_scheduling::ServiceName;
@@ -75,6 +76,9 @@
     max_attempts: u32,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     advisor_ms: Option<(u64, u64, u64)>,
+    /// Milliseconds and per cent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    objective: Option<(u64, u32)>,
     organisation: String,
     accepted_ms: u64,
     /// The caller's own words, read again by the same code as at acceptance.
@@ -89,6 +93,10 @@
         priority: job.rules.priority,
         max_attempts: job.rules.max_attempts,
         advisor_ms: times.map(|t| (millis(t.base), millis(t.each), millis(t.validity))),
+        objective: job
+            .rules
+            .objective
+            .map(|objective| (millis(objective.base), objective.stretch_percent)),
         organisation: job.organisation.as_str().to_owned(),
         accepted_ms: job.accepted_at.as_millis(),
         body: Arc::clone(body),
@@ -112,6 +120,12 @@
             service: ServiceName::from(&*stored.service),
             priority: stored.priority,
             max_attempts: stored.max_attempts,
+            objective: stored
+                .objective
+                .map(|(base_ms, stretch_percent)| LatencyObjective {
+                    base: Duration::from_millis(base_ms),
+                    stretch_percent,
+                }),
             advisor,
         },
         organisation: Organisation::new(stored.organisation).map_err(invalid)?,
--- a/crates/rattanwinch_scheduling/src/job_description.rs
+++ b/crates/rattanwinch_scheduling/src/job_description.rs
@@ -93,6 +93,34 @@
         Some(repeats.first + repeats.interval * occurrence)
     }
 
+    /// The estimated run time of the longest chain of steps that begins with `first`.
+    #[must_use]
+    pub fn chain_from(&self, first: u32) -> Duration {
+        let mut chains = vec![Duration::ZERO; self.steps.len()];
+        // Steps come only after earlier ones, so those that follow a step have been looked at.
+        for (number, step) in self.steps.iter().enumerate().rev() {
+            let number = u32::try_from(number).unwrap_or(u32::MAX);
+            let chain = chains[number as usize] + step.estimate;
+            chains[number as usize] = chain;
+            for &earlier in &step.after {
+                if let Some(longest) = chains.get_mut(earlier as usize) {
+                    *longest = (*longest).max(chain);
+                }
+            }
+        }
+        chains.get(first as usize).copied().unwrap_or_default()
+    }
+
+    /// The estimated run time of the longest chain of steps.
+    #[must_use]
+    pub fn longest_chain(&self) -> Duration {
+        let firsts = 0..u32::try_from(self.steps.len()).unwrap_or(u32::MAX);
+        firsts
+            .map(|first| self.chain_from(first))
+            .max()
+            .unwrap_or_default()
+    }
+
     /// The number of tasks over all occurrences.
     #[must_use]
     pub fn task_count(&self) -> usize {
--- a/crates/rattanwinch_scheduling/src/placing.rs
+++ b/crates/rattanwinch_scheduling/src/placing.rs
@@ -16,6 +16,7 @@
 use crate::TaskId;
 use crate::active_run::ActiveRun;
 use crate::active_run::Intent;
+use crate::lateness::Lateness;
 use crate::placement::Candidate;
 use crate::placement::Demand;
 use crate::placement::Occupant;
@@ -42,6 +43,7 @@
     described: StepDescription,
     indices: SmallVec<[u32; 8]>,
     priority: u32,
+    lateness: Lateness,
     accepted_at: Timestamp,
     organisation: Organisation,
     waited: Duration,
@@ -106,6 +108,7 @@
                     described: described.clone(),
                     indices: job.waiting(&step),
                     priority: job.rules.priority,
+                    lateness: Lateness::of(job, &step, wall),
                     accepted_at: job.accepted.accepted_at,
                     organisation: organisation.clone(),
                     waited: now.since(since),
@@ -117,7 +120,7 @@
         self.advice.retain(|step| ready.contains(step));
         all.sort_by(|a, b| {
             // A step within a guarantee would displace one beyond it, so it comes first.
-            let key = |w: &Waiting| (w.priority, !w.guaranteed, w.accepted_at);
+            let key = |w: &Waiting| (w.priority, !w.guaranteed, w.lateness, w.accepted_at);
             key(a).cmp(&key(b)).then_with(|| a.step.cmp(&b.step))
         });
         all
--- a/crates/rattanwinch_scheduling/src/rules.rs
+++ b/crates/rattanwinch_scheduling/src/rules.rs
@@ -18,11 +18,31 @@
         pub priority: u32,
         /// A task or gang that has failed as often fails its job.
         pub max_attempts: u32,
+        /// When the queue's jobs are on time; `None` if operators don't say.
+        pub objective: Option<LatencyObjective>,
         /// Set if an advisor chooses the targets.
         pub advisor: Option<AdvisorTimes>,
     }
 }
 
+value! { copy
+    /// A job is on time if it has ended this long after its submission.
+    pub struct LatencyObjective {
+        /// Besides the multiple of the job's own run time.
+        pub base: Duration,
+        /// The multiple of the run time of the job's longest chain of steps, in per cent.
+        pub stretch_percent: u32,
+    }
+}
+
+impl LatencyObjective {
+    /// The time that a job with a chain of so long a run time has.
+    #[must_use]
+    pub fn limit(&self, chain: Duration) -> Duration {
+        self.base + chain * self.stretch_percent / 100
+    }
+}
+
 value! { copy
     /// How long the advisor takes and how long its word holds.
     pub struct AdvisorTimes {
--- a/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
@@ -54,6 +54,7 @@
 
 pub fn queue_rules(priority: u32) -> QueueRules {
     QueueRules {
+        objective: None,
         service: ServiceName::from("design"),
         priority,
         max_attempts: 3,
@@ -162,12 +163,14 @@
     ) -> JobId {
         self.jobs += 1;
         let id = JobId::from(format!("job{}", self.jobs).as_str());
+        let queue = QueueName::from(format!("q{priority}").as_str());
         self.scheduler.submit(Arc::new(AcceptedJob {
             id: id.clone(),
-            queue: QueueName::from(format!("q{priority}").as_str()),
-            rules: queue_rules(priority),
+            queue: queue.clone(),
+            rules: self.rules.queues[&queue].clone(),
             organisation: Organisation::new(organisation).expect("a name"),
-            accepted_at: Timestamp::from_millis(self.jobs),
+            // A millisecond apart, so that the order of arrival is one.
+            accepted_at: self.now + Duration::from_millis(self.jobs),
             description,
         }));
         id
@@ -235,6 +238,16 @@
         self.scheduler.report(&report, self.now);
     }
 
+    /// Ends every run of a job.
+    pub fn end_job(&mut self, job: &JobId, end: RunEnd) {
+        let all = self.reports.values().flat_map(|report| &report.running);
+        let runs = all.map(|running| running.run.clone());
+        let runs: Vec<_> = runs.filter(|run| run.task.step.job == *job).collect();
+        for run in runs {
+            self.end(&run, end);
+        }
+    }
+
     /// What runs, by target and job.
     pub fn running(&self, job: &JobId) -> Vec<TargetName> {
         let mut targets = Vec::new();
--- a/crates/rattanwinch_scheduling/tests/decisions/main.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod fixture;
 
+mod lateness;
 mod placing;
 mod reclaiming;
 mod runs;
--- a/crates/rattanwinch_scheduling/tests/world/model.rs
+++ b/crates/rattanwinch_scheduling/tests/world/model.rs
@@ -96,6 +96,7 @@
 
 fn queue_rules(priority: u32) -> QueueRules {
     QueueRules {
+        objective: None,
         service: ServiceName::from("design"),
         priority,
         max_attempts: MAX_ATTEMPTS,
