Carry out waves of upkeep

Cause: operators' waves of upkeep were ignored, and the service that keeps the machines had neither a client nor a stand-in.

The stand-in takes the machines under executors down.

Result: 7 tests of decisions, 3 of whole sites, 1 of the client.

Conclusion: waves are carried out with stand-ins.

--- a/crates/rattanwinch_cli/tests/cli/queue.rs
+++ b/crates/rattanwinch_cli/tests/cli/queue.rs
@@ -66,6 +66,7 @@
         caller_listen: callers,
         ready_listen: SocketAddr::new(front_ip, 8001),
         advisor: None,
+        machines: None,
         keep_ended: Duration::from_secs(120),
         grace: Duration::from_secs(6),
     };
--- a/crates/rattanwinch_front/src/commands.rs
+++ b/crates/rattanwinch_front/src/commands.rs
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 
 use crate::committer::Committer;
+use crate::upkeep::UpkeepEvent;
 
 /// What the coordinator is told.
 pub(crate) enum Command {
@@ -50,6 +51,8 @@
         answer: Option<AdviceAnswer>,
         sent_at: Timestamp,
     },
+    /// The service that keeps the machines has answered.
+    Upkeep(UpkeepEvent),
     /// The operators' orders have been read.
     OrdersRead,
 }
--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -22,6 +22,7 @@
 use rattanwinch_scheduling::Scheduler;
 use rattanwinch_scheduling::TargetOrders;
 use rattanwinch_site_advisor::AdvisorClient;
+use rattanwinch_site_machines::Orderer;
 use rattanwinch_types::Timestamp;
 use slog::debug;
 use slog::info;
@@ -41,9 +42,11 @@
 use crate::records::ACCEPTED_PREFIX;
 use crate::records::AGENTS_KEY;
 use crate::records::PROGRESS_PREFIX;
+use crate::records::WaveRecord;
 use crate::records::encode_accepted;
 use crate::records::encode_agents;
 use crate::records::encode_progress;
+use crate::upkeep::Upkeep;
 
 /// How often time-outs and due times are looked at when nothing else happens. Due times may be
 /// met late by this much.
@@ -72,6 +75,7 @@
     scheduler: Scheduler,
     agents: Agents,
     advisor: Option<AdvisorClient>,
+    upkeep: Upkeep,
     /// `None` while a commit is on its way.
     committer: Option<Committer>,
     /// Bodies of jobs whose acceptance isn't durable yet.
@@ -91,9 +95,22 @@
         leading: Arc<Leading>,
         scheduler: Scheduler,
         committer: Committer,
+        waves: BTreeMap<u32, WaveRecord>,
     ) -> Self {
         let advisor = state.settings.advisor.map(AdvisorClient::new);
         let now = state.clock.now();
+        let orderer = Orderer {
+            vm: Arc::clone(&state.settings.vm.name),
+            epoch: leading.info.epoch,
+        };
+        let upkeep = Upkeep::new(
+            Upkeep::client(state.settings.machines),
+            orderer,
+            waves,
+            leading.commands.clone(),
+            state.log.clone(),
+            now,
+        );
         let states = scheduler.states();
         let ended = states.filter(|(_, _, state)| state.is_final());
         let ended = ended.map(|(id, _, _)| (id.clone(), now)).collect();
@@ -103,6 +120,7 @@
             scheduler,
             agents: Agents::default(),
             advisor,
+            upkeep,
             committer: Some(committer),
             bodies: BTreeMap::new(),
             waiting: BTreeMap::new(),
@@ -154,9 +172,12 @@
                 self.scheduler
                     .advice_answered(&question, answer, sent_at, now);
             }
+            Command::Upkeep(event) => self.upkeep.take(event, now),
             Command::OrdersRead => {
                 if let Some(read) = self.leading.orders.load_full() {
                     self.scheduler.set_rules(read.orders.scheduling_rules());
+                    let wall = self.state.clock.wall();
+                    self.upkeep.set_waves(&read.orders.waves, now, wall);
                 }
             }
         }
@@ -297,6 +318,7 @@
         let now = self.state.clock.now();
         self.scheduler.expire(now);
         if self.leading.is_confirmed(now) && self.leading.orders.load().is_some() {
+            self.upkeep.act(&mut self.scheduler, now);
             self.scheduler.place(now, self.state.clock.wall());
         }
         self.commit(now);
@@ -320,7 +342,7 @@
         };
         let changes = self.scheduler.take_changes(now);
         let forgotten = self.forget_old(now);
-        if changes.is_empty() && forgotten.is_empty() {
+        if changes.is_empty() && forgotten.is_empty() && !self.upkeep.has_writes() {
             self.committer = Some(committer);
             return;
         }
@@ -329,6 +351,7 @@
             let key = AGENTS_KEY.to_owned();
             writes.puts.push((key, encode_agents(&agents)));
         }
+        writes.puts.extend(self.upkeep.take_writes());
         self.committing = std::mem::take(&mut self.waiting);
         let commands = self.leading.commands.clone();
         let log = self.state.log.clone();
--- a/crates/rattanwinch_front/src/front_settings.rs
+++ b/crates/rattanwinch_front/src/front_settings.rs
@@ -20,6 +20,8 @@
     pub ready_listen: SocketAddr,
     /// The advisor, if the site has one.
     pub advisor: Option<SocketAddr>,
+    /// The service that keeps the machines, if the site has one.
+    pub machines: Option<SocketAddr>,
     /// How long the state of an ended job can be asked for.
     pub keep_ended: Duration,
     /// How long a stop may take.
@@ -38,6 +40,7 @@
         let caller_listen = file.required("listen", "callers", "IP:PORT");
         let ready_listen = file.required("listen", "readiness", "IP:PORT");
         let advisor = file.list::<SocketAddr>("advisor", "address", "IP:PORT");
+        let machines = file.list::<SocketAddr>("machines", "address", "IP:PORT");
         let keep_ended = file.required("limits", "keep_ended_s", "seconds");
         let grace = file.required("limits", "grace_s", "seconds");
         let settings = (|| {
@@ -46,6 +49,7 @@
                 caller_listen: caller_listen?,
                 ready_listen: ready_listen?,
                 advisor: advisor?.first().copied(),
+                machines: machines?.first().copied(),
                 keep_ended: Duration::from_secs(keep_ended?),
                 grace: Duration::from_secs(grace?),
             })
--- a/crates/rattanwinch_front/src/leadership.rs
+++ b/crates/rattanwinch_front/src/leadership.rs
@@ -41,9 +41,12 @@
 use crate::records::AGENTS_KEY;
 use crate::records::AgentAddresses;
 use crate::records::PROGRESS_PREFIX;
+use crate::records::WAVE_PREFIX;
+use crate::records::WaveRecord;
 use crate::records::decode_accepted;
 use crate::records::decode_agents;
 use crate::records::decode_progress;
+use crate::records::decode_wave;
 
 /// What a step of the life cycle returns.
 type Result<T> = std::result::Result<T, StoreError>;
@@ -291,9 +294,10 @@
     async fn load(self) -> Result<Restored> {
         let store = &self.state.store;
         // A long read must not outlast the lease.
-        let (accepted, progress, agents, renewed) = tokio::join!(
+        let (accepted, progress, waves, agents, renewed) = tokio::join!(
             store.range(ACCEPTED_PREFIX),
             store.range(PROGRESS_PREFIX),
+            store.range(WAVE_PREFIX),
             store.get(AGENTS_KEY),
             store.renew(self.lease),
         );
@@ -304,6 +308,7 @@
         }
         let jobs = self.read_jobs(&accepted?, &progress?);
         info!(self.state.log, "jobs loaded"; "jobs" => jobs.len(), "epoch" => self.epoch);
+        let waves = self.read_waves(&waves?);
         let agents = agents?.map(|item| decode_agents(&item.value)).transpose();
         let agents = agents.unwrap_or_else(|error| {
             error!(self.state.log, "agents not told of the new scheduler"; "error" => %error);
@@ -313,9 +318,22 @@
             elected: self,
             jobs,
             agents: agents.unwrap_or_default(),
+            waves,
         })
     }
 
+    fn read_waves(&self, items: &[Item]) -> BTreeMap<u32, WaveRecord> {
+        let records = items.iter().filter_map(|item| {
+            let read = decode_wave(&item.key, &item.value);
+            if let Err(error) = &read {
+                error!(self.state.log, "wave of upkeep begun anew"; "key" => &item.key,
+                    "error" => %error);
+            }
+            read.ok()
+        });
+        records.collect()
+    }
+
     fn read_jobs(
         &self,
         accepted: &[Item],
@@ -351,6 +369,7 @@
     jobs: Vec<(Arc<AcceptedJob>, JobProgress)>,
     /// The agents that the scheduler before knew.
     agents: AgentAddresses,
+    waves: BTreeMap<u32, WaveRecord>,
 }
 
 impl Restored {
@@ -385,6 +404,7 @@
             Arc::clone(&leading),
             scheduler,
             committer,
+            self.waves,
         );
         let mut tasks = JoinSet::new();
         tasks.spawn(renew(Arc::clone(&state), Arc::clone(&leading), lease));
--- a/crates/rattanwinch_front/src/lib.rs
+++ b/crates/rattanwinch_front/src/lib.rs
@@ -25,6 +25,7 @@
 mod records;
 mod relay;
 mod rpc;
+mod upkeep;
 
 pub use front_daemon::FrontDaemon;
 pub use front_settings::FrontSettings;
--- a/crates/rattanwinch_front/src/records.rs
+++ b/crates/rattanwinch_front/src/records.rs
@@ -52,6 +52,29 @@
     serde_json::from_slice(value).map_err(invalid)
 }
 
+/// The keys of waves of upkeep; the wave's number follows.
+pub(crate) const WAVE_PREFIX: &str = "rattanwinch/wave/";
+
+/// What has to be known of a wave of upkeep after a change of scheduler.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct WaveRecord {
+    /// When it was first seen, by the time of day.
+    pub ordered_ms: u64,
+    pub completed: bool,
+}
+
+/// Writes a wave's record.
+pub(crate) fn encode_wave(record: WaveRecord) -> Vec<u8> {
+    serde_json::to_vec(&record).expect("a record of plain fields is valid JSON")
+}
+
+/// Reads a wave's number and record.
+pub(crate) fn decode_wave(key: &str, value: &[u8]) -> Result<(u32, WaveRecord)> {
+    let number = key.strip_prefix(WAVE_PREFIX).unwrap_or_default();
+    let number = number.parse().map_err(invalid)?;
+    Ok((number, serde_json::from_slice(value).map_err(invalid)?))
+}
+
 /// A value in the store that this version can't read.
 #[derive(Debug)]
 pub(crate) struct InvalidRecord(Box<dyn std::error::Error + Send + Sync>);
--- a/crates/rattanwinch_front/tests/settings.rs
+++ b/crates/rattanwinch_front/tests/settings.rs
@@ -24,6 +24,7 @@
         ("{{seeds}}", "10.1.0.19:8526,10.2.0.35:8526"),
         ("{{platform.addr}}", "10.200.1.7:8524"),
         ("{{advisor}}", ""),
+        ("{{cloud.addr}}", "10.200.0.130:8524"),
         ("{{bounds.hold_max_ms}}", "6000"),
         ("{{bounds.status_s}}", "120"),
         ("{{bounds.grace_s}}", "6"),
@@ -52,6 +53,7 @@
         .collect();
     assert_eq!(seeds, ["10.1.0.19:7000", "10.2.0.35:7000"]);
     assert_eq!(front.advisor, None);
+    assert_eq!(front.machines, "10.200.0.130:8524".parse().ok());
     let path = write("side.ini", &render("side.ini"));
     let side = SideSettings::read(&path).expect("valid settings");
     assert_eq!(side.executor_listen.to_string(), "10.1.0.20:8526");
--- a/crates/rattanwinch_front/tests/site/harness.rs
+++ b/crates/rattanwinch_front/tests/site/harness.rs
@@ -24,6 +24,7 @@
 use rattanwinch_site_standins::SiteAdvisor;
 use rattanwinch_site_standins::SiteExecutor;
 use rattanwinch_site_standins::SiteGangs;
+use rattanwinch_site_standins::SiteMachines;
 use rattanwinch_site_standins::SiteStore;
 use rattanwinch_site_standins::StoreDoor;
 use reqwest::Method;
@@ -105,10 +106,13 @@
     pub enforces_capacity: bool,
     /// The queue's targets are chosen by an advisor.
     pub advisor: Option<AdvisorTimes>,
+    /// The upkeep of a machine takes so long; set if a service keeps the machines.
+    pub maintenance: Option<Duration>,
 }
 
 pub struct Site {
     pub store: SiteStore,
+    pub machines: Option<SiteMachines>,
     pub advisor: Option<SiteAdvisor>,
     pub fronts: Vec<Front>,
     pub workers: Vec<Worker>,
@@ -150,8 +154,13 @@
         let subnet = next_subnet();
         let ip = |vm: u8| IpAddr::V4(Ipv4Addr::new(127, 20 + process, subnet, vm));
         let seeds: Vec<_> = (1..=fronts).map(ip).collect();
+        let machines = match options.maintenance {
+            Some(maintenance) => Some(SiteMachines::start(maintenance).await),
+            None => None,
+        };
         let mut site = Self {
             store,
+            machines,
             advisor,
             fronts: Vec::new(),
             workers: Vec::new(),
@@ -200,6 +209,7 @@
             caller_listen: callers,
             ready_listen: SocketAddr::new(ip, READY_PORT),
             advisor: self.advisor.as_ref().map(SiteAdvisor::address),
+            machines: self.machines.as_ref().map(SiteMachines::address),
             keep_ended: Duration::from_secs(120),
             grace: Duration::from_secs(6),
         };
@@ -234,6 +244,9 @@
             .await
             .expect("free ports");
         let executor = SiteExecutor::start(options.clone()).await;
+        if let Some(machines) = &self.machines {
+            machines.keep(&format!("m{}", self.workers.len()), &executor);
+        }
         self.workers.push(Worker {
             _daemon: daemon,
             door,
--- a/crates/rattanwinch_front/tests/site/main.rs
+++ b/crates/rattanwinch_front/tests/site/main.rs
@@ -10,3 +10,4 @@
 mod lost_targets;
 mod shapes_of_work;
 mod store_limits;
+mod upkeep;
--- a/crates/rattanwinch_scheduling/src/job_description.rs
+++ b/crates/rattanwinch_scheduling/src/job_description.rs
@@ -74,6 +74,9 @@
         /// The task takes only what the other tasks on its target leave over.
         #[builder(default)]
         pub fills: bool,
+        /// The most tasks of a step that lasts that the scheduler's own orders may keep away from
+        /// work at once; `None` for no limit.
+        pub most_away: Option<u32>,
         /// The limit of a serving task's response-time tail.
         pub response_time_limit: Option<Duration>,
     }
--- a/crates/rattanwinch_scheduling/src/job_id.rs
+++ b/crates/rattanwinch_scheduling/src/job_id.rs
@@ -49,6 +49,10 @@
     /// A service: the pool of targets that runs the tasks of a queue.
     ServiceName
 );
+shared_name!(
+    /// A machine that runs one target at a time, as the platform names it.
+    MachineId
+);
 shared_name!(
     /// A label that a target carries, such as its kind or its rack.
     Label
--- a/crates/rattanwinch_scheduling/src/lib.rs
+++ b/crates/rattanwinch_scheduling/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! [`JobDescription`] says what a caller asks for, [`TargetReport`] what an agent reads from its
 //! target, [`TargetOrders`] what an agent is told. [`Event`] explains each decision.
+//! [`UpkeepPlanner`] carries out the waves of upkeep that operators order.
 //!
 //! This package isn't for the product's own gang jobs and their buddy blocks: see
 //! `rattanwinch_decisions`.
@@ -27,6 +28,8 @@
 mod rules;
 mod scheduler;
 mod target;
+mod upkeep;
+mod upkeep_wave;
 
 pub use advice::AdviceAnswer;
 pub use advice::AdviceQuestion;
@@ -43,6 +46,7 @@
 pub use job_id::Checkpoint;
 pub use job_id::JobId;
 pub use job_id::Label;
+pub use job_id::MachineId;
 pub use job_id::QueueName;
 pub use job_id::RunId;
 pub use job_id::ServiceName;
@@ -67,3 +71,9 @@
 pub use target::TargetDescription;
 pub use target::TargetLife;
 pub use target::TargetReport;
+pub use upkeep::UpkeepAction;
+pub use upkeep::UpkeepPlanner;
+pub use upkeep_wave::Machine;
+pub use upkeep_wave::MachineState;
+pub use upkeep_wave::UpkeepOutcome;
+pub use upkeep_wave::UpkeepWave;
--- a/crates/rattanwinch_scheduling/src/placing.rs
+++ b/crates/rattanwinch_scheduling/src/placing.rs
@@ -130,6 +130,7 @@
     fn free_room(&self, now: Timestamp) -> BTreeMap<TargetName, Resources> {
         let usable = self.targets.iter().filter(|(_, target)| {
             !target.description.draining
+                && !self.resting.contains(&target.description.life.target)
                 && target.strangers.is_empty()
                 && now >= target.quarantined_until
                 && now.since(target.heard_at) <= self.limits.fresh
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -21,6 +21,7 @@
 use crate::StepDescription;
 use crate::StepId;
 use crate::TargetLife;
+use crate::TaskId;
 use crate::active_run::ActiveRun;
 use crate::active_run::Intent;
 use crate::advice::Advice;
@@ -43,6 +44,8 @@
     pub(crate) targets: Targets,
     pub(crate) active: BTreeMap<RunId, ActiveRun>,
     pub(crate) advice: Advice,
+    /// Targets that get no new work because their machines are about to go down.
+    pub(crate) resting: BTreeSet<TargetName>,
     /// Since when the turn of a step's waiting tasks has come.
     pub(crate) ready_since: BTreeMap<StepId, Timestamp>,
     /// When this scheduler took over; earlier placements count from then.
@@ -90,6 +93,7 @@
             targets: Targets::new(),
             active: BTreeMap::new(),
             advice: Advice::default(),
+            resting: BTreeSet::new(),
             ready_since: BTreeMap::new(),
             started_at: now,
             changed: BTreeSet::new(),
@@ -283,6 +287,67 @@
         Some(Advice::expected_time(times, question.targets.len()))
     }
 
+    /// Keeps new work from these targets and no others.
+    pub fn rest(&mut self, targets: BTreeSet<TargetName>) {
+        self.resting = targets;
+    }
+
+    /// True if nothing runs or may still start on the target.
+    #[must_use]
+    pub fn is_idle(&self, target: &TargetName) -> bool {
+        !self
+            .active
+            .values()
+            .any(|active| active.target.target == *target)
+    }
+
+    /// The room that is in use on the target, in thousandths of a core; an accelerator counts as
+    /// several cores.
+    #[must_use]
+    pub fn work_on(&self, target: &TargetName) -> u64 {
+        let here = self
+            .active
+            .values()
+            .filter(|active| active.target.target == *target);
+        here.map(|active| active.need.weight_millis()).sum()
+    }
+
+    /// Stops what runs on the target, but for serving tasks of which too many are away already.
+    pub fn clear_target(&mut self, target: &TargetName) {
+        let here = self
+            .active
+            .iter()
+            .filter(|(_, active)| active.target.target == *target);
+        let runs: Vec<RunId> = here.map(|(run, _)| run.clone()).collect();
+        for run in runs {
+            if self.may_go_away(&run) {
+                self.stop_runs(|other| *other == run);
+            }
+        }
+    }
+
+    /// True if the run's step allows one more of its tasks to be away.
+    fn may_go_away(&self, run: &RunId) -> bool {
+        let Some(job) = self.jobs.get(&run.task.step.job) else {
+            return true;
+        };
+        let Some(most) = job.step(run.task.step.step).and_then(|step| step.most_away) else {
+            return true;
+        };
+        let at_work = |task: &TaskId| {
+            let runs = self.active.iter().filter(|(other, _)| other.task == *task);
+            // A serving task is at work once it shows 100%.
+            runs.clone().any(|(_, active)| {
+                active.intent == Intent::Run && active.present && active.percent >= 100
+            })
+        };
+        let others = job
+            .step_tasks(&run.task.step)
+            .filter(|task| *task != run.task);
+        let away = others.filter(|task| !at_work(task)).count();
+        at_work(&run.task) && away < most as usize || !at_work(&run.task)
+    }
+
     pub(crate) fn note(&mut self, event: Event) {
         self.events.push(event);
     }
--- a/crates/rattanwinch_scheduling/tests/decisions/main.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/main.rs
@@ -6,3 +6,4 @@
 mod placing;
 mod reclaiming;
 mod runs;
+mod upkeep;
