Keep a failed task from the target that it failed on

The target was not set aside, since a run from before had been done on it meanwhile.

Change: a task waits for another target than those it has failed on, if there is one that could ever take it; tasks of a step that have failed are placed one by one. Runs that fail within 400 ms count against their target even if they are of one job, unless the job has failed elsewhere or there is no other target. A run from before the failures doesn't clear a target of them.

Three of the four new tests fail on the code before; the fourth guards a site with one target.

--- a/crates/rattanwinch_scheduling/src/job.rs
+++ b/crates/rattanwinch_scheduling/src/job.rs
@@ -419,6 +419,12 @@
         true
     }
 
+    /// True if a task of the job has failed on another target, which speaks against the job.
+    pub(crate) fn has_failed_elsewhere(&self, target: &TargetName) -> bool {
+        let mut failures = self.tasks.iter().flat_map(|task| &task.failed_on);
+        failures.any(|failed_on| failed_on != target)
+    }
+
     /// Targets on which a task of the step failed.
     pub(crate) fn failed_on(&self, id: &TaskId) -> SmallVec<[TargetName; 2]> {
         let task = self.task(&self.shared(id));
--- a/crates/rattanwinch_scheduling/src/lateness.rs
+++ b/crates/rattanwinch_scheduling/src/lateness.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use rattanwinch_types::Timestamp;
 
 use crate::StepId;
@@ -25,20 +27,15 @@
 impl Lateness {
     /// Judges a step at `wall`, the time of day.
     pub(crate) fn of(job: &Job, step: &StepId, wall: Timestamp) -> Self {
-        let accepted = &job.accepted;
-        let due = accepted.description.due(step.occurrence);
-        let submitted = due.map_or(accepted.accepted_at, |due| due.max(accepted.accepted_at));
-        let Some(objective) = job.rules.objective else {
+        let submitted = submitted_at(job, step);
+        let Some(limit) = limit(job) else {
             return Self::OnTime(submitted);
         };
-        let chain = accepted.description.longest_chain();
-        let limit = objective.limit(chain);
         let last_use = submitted + limit * LAST_USE;
         if wall > last_use {
             return Self::Overdue(submitted);
         }
-        let left = accepted.description.chain_from(step.step);
-        let latest_start = submitted + limit.saturating_sub(left);
+        let latest_start = submitted + slack(job, step, limit);
         if wall > latest_start {
             Self::Late(last_use)
         } else {
@@ -46,3 +43,21 @@
         }
     }
 }
+
+/// When the step's job was submitted, or its occurrence due.
+fn submitted_at(job: &Job, step: &StepId) -> Timestamp {
+    let accepted = &job.accepted;
+    let due = accepted.description.due(step.occurrence);
+    due.map_or(accepted.accepted_at, |due| due.max(accepted.accepted_at))
+}
+
+/// The time in which the job is on time.
+fn limit(job: &Job) -> Option<Duration> {
+    let objective = job.rules.objective?;
+    Some(objective.limit(job.accepted.description.longest_chain()))
+}
+
+/// What is left of the limit if the step starts at once.
+fn slack(job: &Job, step: &StepId, limit: Duration) -> Duration {
+    limit.saturating_sub(job.accepted.description.chain_from(step.step))
+}
--- a/crates/rattanwinch_scheduling/src/placing.rs
+++ b/crates/rattanwinch_scheduling/src/placing.rs
@@ -6,6 +6,7 @@
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
 use smallvec::SmallVec;
+use smallvec::smallvec;
 
 use crate::Event;
 use crate::Resources;
@@ -16,6 +17,7 @@
 use crate::TaskId;
 use crate::active_run::ActiveRun;
 use crate::active_run::Intent;
+use crate::job::Job;
 use crate::lateness::Lateness;
 use crate::placement::Candidate;
 use crate::placement::Demand;
@@ -60,6 +62,35 @@
     stopping: bool,
 }
 
+/// The tasks of a job whose turn has come, in groups that are placed alike: those of one step,
+/// but each that has failed by itself, since it avoids targets that the others needn't.
+fn ready_tasks(job: &Job, wall: Timestamp) -> Vec<(StepId, SmallVec<[u32; 8]>)> {
+    let mut groups = Vec::new();
+    for step in job.ready_steps(wall) {
+        let waiting = job.waiting(&step);
+        if job.step(step.step).is_some_and(|described| described.gang) {
+            groups.push((step, waiting));
+            continue;
+        }
+        let has_failed = |index: &u32| {
+            let task = TaskId {
+                step: step.clone(),
+                index: *index,
+            };
+            !job.failed_on(&task).is_empty()
+        };
+        let (failed, fresh): (SmallVec<[u32; 8]>, SmallVec<[u32; 8]>) =
+            waiting.into_iter().partition(has_failed);
+        for index in failed {
+            groups.push((step.clone(), smallvec![index]));
+        }
+        if !fresh.is_empty() {
+            groups.push((step, fresh));
+        }
+    }
+    groups
+}
+
 impl Scheduler {
     /// Places waiting tasks and makes room for those that have a right to it.
     ///
@@ -96,7 +127,7 @@
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            for step in job.ready_steps(wall) {
+            for (step, indices) in ready_tasks(job, wall) {
                 let Some(described) = job.step(step.step) else {
                     continue;
                 };
@@ -106,7 +137,7 @@
                 all.push(Waiting {
                     guaranteed: job.rules.priority == 0 && self.within_guarantee(organisation),
                     described: described.clone(),
-                    indices: job.waiting(&step),
+                    indices,
                     priority: job.rules.priority,
                     lateness: Lateness::of(job, &step, wall),
                     accepted_at: job.accepted.accepted_at,
@@ -181,16 +212,34 @@
             index: waiting.indices.first().copied().unwrap_or(0),
         };
         let failed_on = job.failed_on(&first);
-        let mut candidates = Vec::new();
+        let mut suitable = Vec::new();
+        let mut room_elsewhere = 0;
         for (name, &room) in free {
             let Some(target) = self.targets.get(name) else {
                 continue;
             };
             let label = &waiting.described.required_label;
-            let suitable = target.description.service == service
+            let capacity = target.description.capacity;
+            let fits = target.description.service == service
                 && label.as_ref().is_none_or(|label| target.has_label(label))
-                && target.description.capacity.fits(demand.need);
-            if !suitable {
+                && capacity.fits(demand.need);
+            if fits {
+                suitable.push((name, room));
+                if !failed_on.contains(name) {
+                    room_elsewhere += capacity.copies(demand.need);
+                }
+            }
+        }
+        // A target that fails all it starts would use up the attempts of a job that can be done,
+        // so the task waits for another one if there is any that could ever take it.
+        let needed = if demand.gang { demand.count } else { 1 };
+        let avoids = room_elsewhere >= needed as u64;
+        let mut candidates = Vec::new();
+        for (name, room) in suitable {
+            let Some(target) = self.targets.get(name) else {
+                continue;
+            };
+            if avoids && failed_on.contains(name) {
                 continue;
             }
             if advised && self.advice.ticket(&waiting.step, name, now).is_none() {
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -15,6 +15,10 @@
 use crate::active_run::Intent;
 use crate::target::Target;
 
+/// A run that fails so soon after its placement has hardly begun to work: orders take some tens of
+/// milliseconds, and the shortest work on the users' sheets a second.
+const AT_ONCE: Duration = Duration::from_millis(400);
+
 /// Failures of different jobs in a row that speak against the target rather than the jobs.
 const FAILURES_BEFORE_QUARANTINE: u32 = 2;
 
@@ -222,18 +226,37 @@
 
     fn judge_target(&mut self, life: &TargetLife, ended: &EndedTask, now: Timestamp) {
         let job = &ended.run.task.step.job;
+        let placed_at = self.active.get(&ended.run).map(|active| active.placed_at);
+        let fails_elsewhere = self
+            .jobs
+            .get(job)
+            .is_some_and(|job| job.has_failed_elsewhere(&life.target));
+        let service = self
+            .target(&life.target)
+            .map(|target| &target.description.service);
+        // Without another target the job and the target can't be told apart.
+        let has_others = self.targets.values().any(|other| {
+            Some(&other.description.service) == service && other.description.life != *life
+        });
         let Some(target) = self.targets.get_mut(&life.target) else {
             return;
         };
         match ended.end {
-            RunEnd::Done => {
+            // A run from before the failures says nothing of the target since.
+            RunEnd::Done if placed_at >= target.failing_since => {
                 target.failures_in_row = 0;
+                target.failing_since = None;
                 target.last_failed = None;
                 target.quarantines = 0;
             }
-            RunEnd::Failed if target.last_failed.as_ref() != Some(job) => {
-                target.failures_in_row += 1;
-                target.last_failed = Some(job.clone());
+            RunEnd::Failed => {
+                let at_once = placed_at.is_some_and(|placed| now.since(placed) <= AT_ONCE);
+                let another = target.last_failed.as_ref() != Some(job);
+                if another || (at_once && has_others && !fails_elsewhere) {
+                    target.failures_in_row += 1;
+                    target.failing_since.get_or_insert(now);
+                    target.last_failed = Some(job.clone());
+                }
             }
             _ => {}
         }
@@ -241,6 +264,7 @@
             return;
         }
         target.failures_in_row = 0;
+        target.failing_since = None;
         self.quarantine(&life.target, now);
     }
 
--- a/crates/rattanwinch_scheduling/src/resources.rs
+++ b/crates/rattanwinch_scheduling/src/resources.rs
@@ -24,6 +24,15 @@
         accelerators: 0,
     };
 
+    /// How many times `need` fits.
+    #[must_use]
+    pub fn copies(self, need: Self) -> u64 {
+        let times = |room: u64, need: u64| room.checked_div(need).unwrap_or(u64::MAX);
+        times(self.cpu_millis, need.cpu_millis)
+            .min(times(self.memory_mb, need.memory_mb))
+            .min(times(self.accelerators, need.accelerators))
+    }
+
     /// True if `self` has room for `need`.
     #[must_use]
     pub const fn fits(self, need: Self) -> bool {
--- a/crates/rattanwinch_scheduling/src/target.rs
+++ b/crates/rattanwinch_scheduling/src/target.rs
@@ -114,6 +114,8 @@
     pub strangers: Vec<RunId>,
     /// Jobs in a row of which a task failed here.
     pub failures_in_row: u32,
+    /// When the first of these failures was seen.
+    pub failing_since: Option<Timestamp>,
     /// The job of the last failure; a job that can't be done fails anywhere.
     pub last_failed: Option<JobId>,
     pub quarantined_until: Timestamp,
@@ -129,6 +131,7 @@
             processed: 0,
             strangers: Vec::new(),
             failures_in_row: 0,
+            failing_since: None,
             last_failed: None,
             quarantined_until: Timestamp::ZERO,
             quarantines: 0,
--- a/crates/rattanwinch_scheduling/tests/decisions/runs.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/runs.rs
@@ -213,3 +213,83 @@
     assert!(second.starts.is_empty());
     assert_eq!(site.scheduler.state(&job), Some(JobState::Running));
 }
+
+/// A target that fails all it starts had used up the attempts of a job that can be done, because
+/// it was the one with room: three runs failed on it within 110 ms.
+#[test]
+fn a_failed_task_waits_for_another_target() {
+    let mut site = Fixture::new(2);
+    let filler = site.submit(0, "a", &[step(1, 8)]);
+    let full = site.step()[0].0.clone();
+    let job = site.submit(1, "a", &[step(2, 1)]);
+    let started = site.step();
+    assert!(started.iter().all(|(target, _)| *target != full));
+    site.wait(2_000);
+    for (_, start) in started {
+        site.end(&start.run, RunEnd::Failed);
+    }
+    assert!(site.step().is_empty(), "the other target has no room yet");
+    site.wait(1_000);
+    site.end_job(&filler, RunEnd::Done);
+    let again = site.step();
+    assert_eq!(again.len(), 2);
+    assert!(again.iter().all(|(target, _)| *target == full));
+    site.end_job(&job, RunEnd::Done);
+    assert_eq!(site.scheduler.state(&job), Some(JobState::Completed));
+}
+
+/// With a single target there is nothing to wait for.
+#[test]
+fn a_failed_task_is_tried_again_where_it_failed_if_there_is_no_other_target() {
+    let mut site = Fixture::new(1);
+    site.submit(1, "a", &[step(1, 1)]);
+    let started = site.step();
+    site.wait(2_000);
+    site.end(&started[0].1.run, RunEnd::Failed);
+    assert_eq!(site.step().len(), 1);
+}
+
+/// Tasks of one job that fail at once on one target speak against the target before a second job
+/// has to fail there.
+#[test]
+fn a_target_on_which_runs_fail_at_once_is_set_aside() {
+    let mut site = Fixture::new(2);
+    site.submit(1, "a", &[step(2, 1)]);
+    let started = site.step();
+    let bad = started[0].0.clone();
+    assert_eq!(started[1].0, bad, "both fit on one target");
+    site.wait(100);
+    for (_, start) in started {
+        site.end(&start.run, RunEnd::Failed);
+    }
+    site.submit(1, "b", &[step(8, 1)]);
+    let placed = site.step();
+    assert_eq!(placed.len(), 8, "the other target is full");
+    assert!(
+        placed.iter().all(|(target, _)| *target != bad),
+        "{placed:?}"
+    );
+}
+
+/// A run that was there before a target began to fail had cleared it of its failures.
+#[test]
+fn an_older_run_that_is_done_does_not_clear_a_failing_target() {
+    let mut site = Fixture::new(1);
+    let older = site.submit(1, "a", &[step(1, 1)]);
+    site.step();
+    site.wait(1_000);
+    let fail_one = |site: &mut Fixture| {
+        site.submit(1, "b", &[step(1, 1)]);
+        let started = site.step();
+        site.wait(1_000);
+        site.end(&started[0].1.run, RunEnd::Failed);
+    };
+    fail_one(&mut site);
+    site.end_job(&older, RunEnd::Done);
+    // The failed task is started again, and a second job fails as well.
+    site.step();
+    site.wait(100);
+    fail_one(&mut site);
+    site.submit(1, "c", &[step(1, 1)]);
+    assert!(site.step().is_empty(), "the target is set aside");
+}
