Join the logs of several processes into a job's time line

Cause: to find out why a job was late one had to search the logs of all fronts and agents by hand, whose clocks differ; nothing tested that the page for those on call lists the events of the code, and there were two metrics.

Change: `rattanwinch trace ID FILE...` joins logs, sets their clocks by events of which one must come first, and ends with the cause in a sentence. An agent's line about an order names job and run as a front's does. Stages of a job's life, ages, ends, refusals and calls to the store are measured. `log.level` sets what is written.

--- a/crates/rattanwinch_cli/src/arguments.rs
+++ b/crates/rattanwinch_cli/src/arguments.rs
@@ -17,6 +17,7 @@
   rattanwinch --settings rattanwinch.ini zone reopen a --reason 'power works are done'
   rattanwinch --settings rattanwinch.ini config set max_attempts 5 --reason 'flaky rack' --dry-run
   rattanwinch --settings rattanwinch.ini burn --json
+  rattanwinch trace 592a278d34d7b3c9 front-1.log front-2.log side-1.log
   rattanwinch --settings queue.ini queue submit 'work_ms=500' --tasks 4 --accelerators 1
 
 The settings file is INI; its section [client] has the key `entries`, URLs with commas between.
@@ -74,6 +75,14 @@
     /// Gang jobs: submit, ask, wait, cancel, explain
     #[command(subcommand)]
     Job(JobCommand),
+    /// Join the logs of several processes into the time line of one job
+    Trace {
+        /// The job's id
+        id: String,
+        /// Logs of daemons, or what a bench printed of several; `-` is standard input
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
     /// A queue on the users' platform: submit, ask, wait, cancel, count
     Queue(QueueArguments),
 }
--- a/crates/rattanwinch_cli/src/commands/mod.rs
+++ b/crates/rattanwinch_cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod jobs;
 mod queue;
+mod trace;
 mod zones;
 
 use std::io::Write;
@@ -23,6 +24,9 @@
     if let Command::Queue(queue) = &arguments.command {
         return queue::queue(&arguments, &queue.command, out).await;
     }
+    if let Command::Trace { id, files } = &arguments.command {
+        return trace::trace(id, files, out);
+    }
     let cx = Context::new(&arguments)?;
     match arguments.command {
         Command::Config(command) => config::config(&cx, command, out).await,
@@ -34,7 +38,7 @@
         Command::Burn => fleet::burn(&cx, out).await,
         Command::Run(request) => jobs::run(&cx, request, out).await,
         Command::Job(command) => jobs::job(&cx, command, out).await,
-        // Carried out above: it needs no entry.
-        Command::Queue(_) => Ok(()),
+        // Carried out above: they need no entry.
+        Command::Queue(_) | Command::Trace { .. } => Ok(()),
     }
 }
--- a/crates/rattanwinch_cli/tests/cli/queue.rs
+++ b/crates/rattanwinch_cli/tests/cli/queue.rs
@@ -10,6 +10,7 @@
 
 use rattanwinch_front::FrontDaemon;
 use rattanwinch_front::FrontSettings;
+use rattanwinch_runtime::LogLevel;
 use rattanwinch_runtime::VmSettings;
 use rattanwinch_runtime::discard_logger;
 use rattanwinch_side::SideDaemon;
@@ -40,6 +41,7 @@
         seeds: vec![seed],
         store,
         longest_lease: Duration::from_secs(6),
+        log_level: LogLevel::default(),
     }
 }
 
--- a/crates/rattanwinch_front/src/bin/rattanwinch-front.rs
+++ b/crates/rattanwinch_front/src/bin/rattanwinch-front.rs
@@ -28,7 +28,8 @@
     let signals = Shutdown::new();
     signals.watch_signals()?;
     let mut hangups = signals.watch_hangups()?;
-    let daemon = FrontDaemon::start(settings, stdout_logger("rattanwinch-front")).await?;
+    let log = stdout_logger("rattanwinch-front", settings.vm.log_level);
+    let daemon = FrontDaemon::start(settings, log).await?;
     while hangups.next().await {
         daemon.reload();
     }
--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -36,6 +36,7 @@
 use crate::committer::Committer;
 use crate::committer::Writes;
 use crate::explain::explain;
+use crate::explain::stage;
 use crate::front_state::FrontState;
 use crate::job_board::PublishedJob;
 use crate::leading::Leading;
@@ -137,7 +138,10 @@
         loop {
             let command = tokio::select! {
                 command = commands.recv() => command,
-                _ = tick.tick() => None,
+                _ = tick.tick() => {
+                    self.note_ages(self.state.clock.now());
+                    None
+                }
             };
             let mut next = command;
             while let Some(command) = next {
@@ -305,7 +309,18 @@
         };
         self.committer = Some(committer);
         self.scheduler.committed(changes);
+        let now = self.state.clock.now();
         let published = std::mem::take(&mut self.unpublished);
+        for (id, job) in &published {
+            if job.state.is_final()
+                && let Some(ended_at) = self.ended.get(id)
+            {
+                stage(
+                    "showing",
+                    u64::try_from(now.since(*ended_at).as_millis()).unwrap_or(u64::MAX),
+                );
+            }
+        }
         self.leading.board.publish(published, forgotten);
         for (reply, what) in std::mem::take(&mut self.committing).into_values().flatten() {
             answer(reply, what);
@@ -313,6 +328,19 @@
         true
     }
 
+    /// Shows how old what the scheduler goes by is.
+    fn note_ages(&self, now: Timestamp) {
+        let age = |of: &'static str, age: Duration| {
+            metrics::gauge!("rattanwinch_age_seconds", "of" => of).set(age.as_secs_f64());
+        };
+        age("store_confirmation", self.leading.confirmed_ago(now));
+        if let Some(read) = self.leading.orders.load_full() {
+            age("operators_orders", now.since(read.sent_at));
+        }
+        age("quietest_target", self.scheduler.longest_silence(now));
+        metrics::gauge!("rattanwinch_targets").set(self.scheduler.target_count() as f64);
+    }
+
     /// Decides, writes what has to be durable, and sends the orders that are.
     fn act(&mut self) {
         let now = self.state.clock.now();
--- a/crates/rattanwinch_front/src/explain.rs
+++ b/crates/rattanwinch_front/src/explain.rs
@@ -15,6 +15,7 @@
             waited_ms,
         } => {
             count("placed");
+            stage("waiting", *waited_ms);
             info!(log, "step placed"; "job" => %step.job, "occurrence" => step.occurrence,
                 "step" => step.step, "run" => number, "targets" => ?targets,
                 "waited_ms" => waited_ms);
@@ -24,9 +25,11 @@
             info!(log, "guarantee reclaimed"; "job" => %step.job, "step" => step.step,
                 "victims" => victims.iter().map(full_name).collect::<Vec<_>>().join(","));
         }
-        Event::Started(run) => {
+        Event::Started { run, after_ms } => {
             count("started");
-            info!(log, "run started"; "job" => %run.task.step.job, "run" => run_name(run));
+            stage("starting", *after_ms);
+            info!(log, "run started"; "job" => %run.task.step.job, "run" => run.within_job(),
+                "after_ms" => after_ms);
         }
         Event::Refused {
             run,
@@ -34,11 +37,22 @@
             refusal,
         } => {
             count("start_refused");
-            warn!(log, "start refused"; "job" => %run.task.step.job, "run" => run_name(run),
+            let reason = refusal.as_str();
+            metrics::counter!("rattanwinch_start_refusals_total", "reason" => reason).increment(1);
+            warn!(log, "start refused"; "job" => %run.task.step.job, "run" => run.within_job(),
                 "target" => %target, "reason" => ?refusal);
         }
-        Event::Ended { run, target, end } => {
+        Event::Ended {
+            run,
+            target,
+            end,
+            worked_ms,
+        } => {
             count("ended");
+            if let Some(worked_ms) = worked_ms {
+                stage("working", *worked_ms);
+            }
+            metrics::counter!("rattanwinch_run_ends_total", "end" => end.as_str()).increment(1);
             on_target(log, "run ended", run, target, &format!("{end:?}"));
         }
         Event::Abandoned { run, target } => {
@@ -53,6 +67,8 @@
         }
         Event::Stranger { run, target } => {
             count("stranger");
+            metrics::counter!("rattanwinch_invariant_violations_total", "what" => "unknown_run")
+                .increment(1);
             on_target(log, "unknown run stopped", run, target, "not placed there");
         }
         Event::Stalled { run, target } => {
@@ -78,21 +94,18 @@
     metrics::counter!("rattanwinch_decisions_total", "decision" => decision).increment(1);
 }
 
+/// Notes how long a stage of a job's life took.
+pub(crate) fn stage(stage: &'static str, millis: u64) {
+    let seconds = std::time::Duration::from_millis(millis).as_secs_f64();
+    metrics::histogram!("rattanwinch_stage_seconds", "stage" => stage).record(seconds);
+}
+
 fn on_target(log: &Logger, what: &'static str, run: &RunId, target: &TargetName, reason: &str) {
-    info!(log, "{}", what; "job" => %run.task.step.job, "run" => run_name(run),
+    info!(log, "{}", what; "job" => %run.task.step.job, "run" => run.within_job(),
         "target" => %target, "reason" => reason);
 }
 
 /// The name of a run of another job than the line's own.
 fn full_name(run: &RunId) -> String {
-    format!("{}.{}", run.task.step.job, run_name(run))
-}
-
-/// Occurrence, step, index and run number; the job stands in a field of its own.
-fn run_name(run: &RunId) -> String {
-    let step = &run.task.step;
-    format!(
-        "{}.{}.{}#{}",
-        step.occurrence, step.step, run.task.index, run.number
-    )
+    format!("{}.{}", run.task.step.job, run.within_job())
 }
--- a/crates/rattanwinch_front/tests/settings.rs
+++ b/crates/rattanwinch_front/tests/settings.rs
@@ -65,10 +65,13 @@
 fn all_errors_are_reported_at_once() {
     let text = render("front.ini")
         .replace("ip = 10.1.0.19", "ip = nowhere")
-        .replace("grace_s = 6", "grace_s = soon\nunknown = 1")
+        .replace(
+            "grace_s = 6",
+            "grace_s = soon\nunknown = 1\n[log]\nlevel = loud",
+        )
         .replace("name = vm-1\n", "");
     let errors = FrontSettings::read(&write("wrong.ini", &text)).expect_err("errors");
     let mut keys: Vec<_> = errors.0.iter().map(|error| error.key.as_str()).collect();
     keys.sort_unstable();
-    assert_eq!(keys, ["grace_s", "ip", "name", "unknown"]);
+    assert_eq!(keys, ["grace_s", "ip", "level", "name", "unknown"]);
 }
--- a/crates/rattanwinch_front/tests/site/failovers.rs
+++ b/crates/rattanwinch_front/tests/site/failovers.rs
@@ -40,9 +40,9 @@
         }
     }
 
-    fn end(self, site: &mut Site, front: usize) {
+    async fn end(self, site: &mut Site, front: usize) {
         match self {
-            Self::Killed => site.restart_front(front),
+            Self::Killed => site.restart_front(front).await,
             Self::Frozen => site.fronts[front].signal("-CONT"),
             Self::StoreRefuses | Self::StoreSilent | Self::StoreSlow => {
                 site.fronts[front].door.set_mode(DoorMode::Serve);
@@ -75,7 +75,7 @@
     site.submit_until_accepted(other, &after, 10, 1).await;
     site.wait_for(other, &after, "completed", SOON).await;
     let started = site.runs(&after)[0].began;
-    cause.end(site, first);
+    cause.end(site, first).await;
     site.wait_for(other, &across, "completed", SOON).await;
     for id in [&across, &after] {
         site.assert_nothing_runs_twice(id);
--- a/crates/rattanwinch_front/tests/site/harness.rs
+++ b/crates/rattanwinch_front/tests/site/harness.rs
@@ -1,3 +1,4 @@
+use std::io;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -7,6 +8,7 @@
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -14,8 +16,9 @@
 
 use rattanwinch_front::FrontDaemon;
 use rattanwinch_front::FrontSettings;
+use rattanwinch_runtime::LogLevel;
 use rattanwinch_runtime::VmSettings;
-use rattanwinch_runtime::discard_logger;
+use rattanwinch_runtime::writer_logger;
 use rattanwinch_side::SideDaemon;
 use rattanwinch_side::SideSettings;
 use rattanwinch_site_standins::AdvisorTimes;
@@ -27,6 +30,8 @@
 use rattanwinch_site_standins::SiteMachines;
 use rattanwinch_site_standins::SiteStore;
 use rattanwinch_site_standins::StoreDoor;
+use rattanwinch_trace::LogFile;
+use rattanwinch_trace::Trace;
 use reqwest::Method;
 use serde_json::Value;
 use serde_json::json;
@@ -110,6 +115,21 @@
     pub maintenance: Option<Duration>,
 }
 
+/// What one daemon has logged.
+#[derive(Clone, Default)]
+struct LogBuffer(Arc<Mutex<Vec<u8>>>);
+
+impl io::Write for LogBuffer {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("no writer panics").extend(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 pub struct Site {
     pub store: SiteStore,
     pub machines: Option<SiteMachines>,
@@ -120,6 +140,7 @@
     gangs: SiteGangs,
     /// The runs of executors that are gone.
     former_runs: Vec<RunRecord>,
+    logs: Mutex<Vec<(String, LogBuffer)>>,
     http: reqwest::Client,
 }
 
@@ -167,6 +188,7 @@
             options,
             gangs: SiteGangs::default(),
             former_runs: Vec::new(),
+            logs: Mutex::default(),
             http: reqwest::Client::builder()
                 .no_proxy()
                 .build()
@@ -184,7 +206,7 @@
     async fn start_front(&mut self, ip: IpAddr, seeds: &[IpAddr]) {
         let door = self.store.open().await;
         let front = if self.options.front_processes {
-            start_process(ip, seeds, door)
+            start_process(ip, seeds, door).await
         } else {
             self.start_daemon(ip, seeds, door).await
         };
@@ -192,16 +214,52 @@
     }
 
     /// Starts another process on the VM of a front that has ended.
-    pub fn restart_front(&mut self, front: usize) {
+    pub async fn restart_front(&mut self, front: usize) {
         let ended = self.fronts.remove(front);
         let ip = ended.callers.ip();
         let others = self.fronts.iter().map(|other| other.callers.ip());
         let seeds: Vec<_> = others.chain([ip]).collect();
         drop(ended.program);
-        let started = start_process(ip, &seeds, ended.door);
+        let started = start_process(ip, &seeds, ended.door).await;
         self.fronts.insert(front, started);
     }
 
+    /// A logger whose lines the test can read.
+    fn logger(&self, process: &str, ip: IpAddr) -> slog::Logger {
+        let buffer = LogBuffer::default();
+        let mut logs = self.logs.lock().expect("no holder panics");
+        logs.push((format!("{process} {ip}"), buffer.clone()));
+        writer_logger(process, buffer)
+    }
+
+    /// What all daemons have logged, as files.
+    pub fn log_files(&self) -> Vec<LogFile> {
+        let logs = self.logs.lock().expect("no holder panics");
+        let files = logs.iter().flat_map(|(name, buffer)| {
+            let text = buffer.0.lock().expect("no writer panics");
+            LogFile::parse(name, &String::from_utf8_lossy(&text))
+        });
+        files.collect()
+    }
+
+    /// Waits until the logs give a cause with these words for what became of a job; logs are
+    /// written a little later than what they tell of.
+    pub async fn wait_for_cause(&self, id: &str, words: &[&str]) {
+        let asked = Instant::now();
+        loop {
+            let trace = Trace::of(id, self.log_files());
+            let cause = trace.as_ref().map(Trace::cause).unwrap_or_default();
+            if words.iter().all(|word| cause.contains(word)) {
+                return;
+            }
+            if asked.elapsed() > Duration::from_secs(3) {
+                let trace = trace.map_or_else(String::new, |trace| trace.to_string());
+                panic!("expected {words:?}:\n{trace}");
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     async fn start_daemon(&self, ip: IpAddr, seeds: &[IpAddr], door: StoreDoor) -> Front {
         let callers = SocketAddr::new(ip, CALLER_PORT);
         let settings = FrontSettings {
@@ -213,7 +271,7 @@
             keep_ended: Duration::from_secs(120),
             grace: Duration::from_secs(6),
         };
-        let daemon = FrontDaemon::start(settings, discard_logger())
+        let daemon = FrontDaemon::start(settings, self.logger("rattanwinch-front", ip))
             .await
             .expect("free ports");
         Front {
@@ -240,7 +298,7 @@
             gangs: self.gangs.clone(),
             tickets: self.advisor.as_ref().map(SiteAdvisor::book),
         };
-        let daemon = SideDaemon::start(settings, discard_logger())
+        let daemon = SideDaemon::start(settings, self.logger("rattanwinch-side", ip))
             .await
             .expect("free ports");
         let executor = SiteExecutor::start(options.clone()).await;
@@ -417,7 +475,8 @@
     }
 }
 
-fn start_process(ip: IpAddr, seeds: &[IpAddr], door: StoreDoor) -> Front {
+/// Starts a front as a process and waits until it listens.
+async fn start_process(ip: IpAddr, seeds: &[IpAddr], door: StoreDoor) -> Front {
     let callers = SocketAddr::new(ip, CALLER_PORT);
     let seeds = seeds.iter().map(|seed| format!("{seed}:{PEER_PORT}"));
     let text = format!(
@@ -435,6 +494,14 @@
         .arg(path)
         .stdout(Stdio::null())
         .spawn();
+    let asked = Instant::now();
+    while tokio::net::TcpStream::connect(callers).await.is_err() {
+        assert!(
+            asked.elapsed() < Duration::from_secs(10),
+            "{callers} isn't listened on"
+        );
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
     Front {
         program: FrontProgram::Process(KilledOnDrop(child.expect("the front starts"))),
         door,
@@ -451,6 +518,7 @@
         seeds: seeds.to_vec(),
         store: door.address(),
         longest_lease: Duration::from_secs(6),
+        log_level: LogLevel::default(),
     }
 }
 
--- a/crates/rattanwinch_front/tests/site/main.rs
+++ b/crates/rattanwinch_front/tests/site/main.rs
@@ -10,4 +10,5 @@
 mod lost_targets;
 mod shapes_of_work;
 mod store_limits;
+mod traces;
 mod upkeep;
--- a/crates/rattanwinch_runtime/src/daemon_arguments.rs
+++ b/crates/rattanwinch_runtime/src/daemon_arguments.rs
@@ -12,7 +12,6 @@
 /// The command line of a daemon.
 #[derive(Debug, Args)]
 pub struct DaemonArguments {
-    /// The settings file (INI).
     /// The settings file (INI).
     #[arg(long, value_name = "FILE", env = "RATTANWINCH_SETTINGS")]
     settings: PathBuf,
--- a/crates/rattanwinch_runtime/src/lib.rs
+++ b/crates/rattanwinch_runtime/src/lib.rs
@@ -1,8 +1,9 @@
 //! Command line, settings, logs, metrics, clock and graceful shutdown of the daemons.
 //!
 //! [`DaemonArguments`] is the command line. [`SettingsFile`] reads INI and collects every error
-//! before anything starts, [`VmSettings`] takes the keys that all daemons of a site share. [`json_logger`] makes the JSON-line logger, [`install_metrics`] the recorder whose text a daemon serves,
-//! [`Shutdown`] tells all tasks of a daemon to stop, and [`Clock`] is the one place that reads
+//! before anything starts, [`VmSettings`] takes the keys that all daemons of a site share.
+//! [`json_logger`] makes the JSON-line logger, [`install_metrics`] the recorder whose text a
+//! daemon serves, [`Shutdown`] tells all tasks of a daemon to stop, and [`Clock`] is the one place that reads
 //! the time; deciding functions take it as an argument.
 //!
 //! This package isn't for what a daemon does: see `rattanwinch_entry` and `rattanwinch_agent`.
@@ -10,6 +11,7 @@
 mod boot_clock;
 mod clock;
 mod daemon_arguments;
+mod log_level;
 mod logger;
 mod metrics_text;
 mod settings_error;
@@ -20,9 +22,12 @@
 pub use boot_clock::BootClock;
 pub use clock::Clock;
 pub use daemon_arguments::DaemonArguments;
+pub use log_level::InvalidLogLevel;
+pub use log_level::LogLevel;
 pub use logger::discard_logger;
 pub use logger::json_logger;
 pub use logger::stdout_logger;
+pub use logger::writer_logger;
 pub use metrics_text::MetricsText;
 pub use metrics_text::install_metrics;
 pub use settings_error::SettingsError;
--- a/crates/rattanwinch_runtime/src/logger.rs
+++ b/crates/rattanwinch_runtime/src/logger.rs
@@ -3,10 +3,13 @@
 
 use slog::Drain as _;
 use slog::FnValue;
+use slog::LevelFilter;
 use slog::Logger;
 use slog::PushFnValue;
 use slog::o;
 
+use crate::LogLevel;
+
 /// Log records that may wait for the writer; more are dropped and counted by `slog-async`.
 const QUEUED_RECORDS: usize = 4096;
 
@@ -18,9 +21,19 @@
     logger(process, io::stderr())
 }
 
-/// As [`json_logger`], to standard output, where the users' platform collects logs.
-pub fn stdout_logger(process: &str) -> Logger {
-    logger(process, io::stdout())
+/// As [`json_logger`], to standard output, where the users' platform collects logs; records below
+/// `level` are left out.
+pub fn stdout_logger(process: &str, level: LogLevel) -> Logger {
+    let Some(least) = level.least() else {
+        return discard_logger();
+    };
+    let all = logger(process, io::stdout());
+    Logger::root(LevelFilter::new(all, least).fuse(), o!())
+}
+
+/// As [`json_logger`], to any writer, for tests that read the lines.
+pub fn writer_logger(process: &str, out: impl io::Write + Send + 'static) -> Logger {
+    logger(process, out)
 }
 
 fn logger(process: &str, out: impl io::Write + Send + 'static) -> Logger {
--- a/crates/rattanwinch_runtime/src/vm_settings.rs
+++ b/crates/rattanwinch_runtime/src/vm_settings.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::LogLevel;
 use crate::SettingsFile;
 
 /// What every daemon of a site is told of its VM and of the others; `docs/settings.md` explains
@@ -25,6 +26,8 @@
     pub store: SocketAddr,
     /// The longest lease that targets grant.
     pub longest_lease: Duration,
+    /// What is logged.
+    pub log_level: LogLevel,
 }
 
 impl VmSettings {
@@ -36,6 +39,8 @@
         let seeds = file.list::<SocketAddr>("peers", "seeds", "IP:PORT");
         let store = file.required("store", "address", "IP:PORT");
         let lease = file.required("limits", "longest_lease_ms", "milliseconds");
+        let level = LogLevel::default();
+        let log_level = file.optional("log", "level", level, LogLevel::EXPECTED);
         Some(Self {
             source: source.to_owned(),
             name: Arc::from(name?),
@@ -44,6 +49,7 @@
             seeds: seeds?.iter().map(SocketAddr::ip).collect(),
             store: store?,
             longest_lease: Duration::from_millis(lease?),
+            log_level: log_level?,
         })
     }
 
--- a/crates/rattanwinch_scheduling/src/active_run.rs
+++ b/crates/rattanwinch_scheduling/src/active_run.rs
@@ -29,6 +29,8 @@
     pub maybe_sent: bool,
     /// The target has it, or had it.
     pub started: bool,
+    /// When a start was first confirmed, by an answer or a report.
+    pub started_at: Option<Timestamp>,
     /// The newest report shows it at work.
     pub present: bool,
     /// Since when reports don't show a run that had started.
--- a/crates/rattanwinch_scheduling/src/event.rs
+++ b/crates/rattanwinch_scheduling/src/event.rs
@@ -31,7 +31,12 @@
             victims: Vec<RunId>,
         },
         /// A target has the run.
-        Started(RunId),
+        Started {
+            /// The run.
+            run: RunId,
+            /// How long after its placement this was known, in milliseconds.
+            after_ms: u64,
+        },
         /// A target didn't take a run.
         Refused {
             /// The run.
@@ -49,6 +54,9 @@
             target: TargetName,
             /// How it ended.
             end: RunEnd,
+            /// How long after its start this was known, in milliseconds; `None` if it is not
+            /// known to have started under this scheduler.
+            worked_ms: Option<u64>,
         },
         /// A run is given up: it isn't on its target and can't start there any more.
         Abandoned {
--- a/crates/rattanwinch_scheduling/src/job_id.rs
+++ b/crates/rattanwinch_scheduling/src/job_id.rs
@@ -100,3 +100,15 @@
         pub number: u32,
     }
 }
+
+impl RunId {
+    /// The run's name beside its job's id: occurrence, step, index and number.
+    #[must_use]
+    pub fn within_job(&self) -> String {
+        let step = &self.task.step;
+        format!(
+            "{}.{}.{}#{}",
+            step.occurrence, step.step, self.task.index, self.number
+        )
+    }
+}
--- a/crates/rattanwinch_scheduling/src/order.rs
+++ b/crates/rattanwinch_scheduling/src/order.rs
@@ -55,6 +55,23 @@
     }
 }
 
+impl StartRefusal {
+    /// The name in metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Fence => "fence",
+            Self::Old => "old",
+            Self::Late => "late",
+            Self::Room => "room",
+            Self::Ticket => "ticket",
+            Self::Unhealthy => "unhealthy",
+            Self::NotSent => "not_sent",
+            Self::Invalid => "invalid",
+        }
+    }
+}
+
 value! { copy
     /// What came of an order.
     pub enum OrderOutcome {
--- a/crates/rattanwinch_scheduling/src/orders.rs
+++ b/crates/rattanwinch_scheduling/src/orders.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
@@ -15,6 +16,10 @@
 use crate::active_run::ActiveRun;
 use crate::active_run::Intent;
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl Scheduler {
     /// The orders that are due, for targets that have been heard in this life; each counts as on
     /// its way until [`Self::order_answered`].
@@ -123,8 +128,13 @@
                 active.retry_at = now;
                 if !active.started {
                     active.started = true;
+                    active.started_at = Some(now);
                     active.progressed_at = now;
-                    self.note(Event::Started(run.clone()));
+                    let after_ms = millis(now.since(active.placed_at));
+                    self.note(Event::Started {
+                        run: run.clone(),
+                        after_ms,
+                    });
                 }
             }
             OrderOutcome::Refused(refusal) => self.refused(run, refusal, now),
--- a/crates/rattanwinch_scheduling/src/placing.rs
+++ b/crates/rattanwinch_scheduling/src/placing.rs
@@ -300,6 +300,7 @@
                 in_flight: false,
                 maybe_sent: false,
                 started: false,
+                started_at: None,
                 present: false,
                 missing_since: None,
                 placed_at: now,
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -175,6 +175,7 @@
             active.progressed_at = now;
         }
         active.started = true;
+        active.started_at.get_or_insert(now);
         active.present = true;
         active.percent = running.percent;
     }
@@ -290,10 +291,15 @@
             return;
         };
         let target = active.target.target;
+        let worked = active
+            .started_at
+            .map(|started| active.progressed_at.max(started).since(started));
+        let worked = worked.map(|worked| u64::try_from(worked.as_millis()).unwrap_or(u64::MAX));
         self.note(Event::Ended {
             run: run.clone(),
             target: target.clone(),
             end,
+            worked_ms: worked,
         });
         self.release(run, end, &target);
     }
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -130,6 +130,7 @@
                 in_flight: false,
                 maybe_sent: true,
                 started: false,
+                started_at: None,
                 present: false,
                 missing_since: None,
                 placed_at: now,
@@ -287,6 +288,22 @@
         Some(Advice::expected_time(times, question.targets.len()))
     }
 
+    /// How long the target that was heard least lately has been silent.
+    #[must_use]
+    pub fn longest_silence(&self, now: Timestamp) -> Duration {
+        let silences = self
+            .targets
+            .values()
+            .map(|target| now.since(target.heard_at));
+        silences.max().unwrap_or_default()
+    }
+
+    /// How many targets are known.
+    #[must_use]
+    pub fn target_count(&self) -> usize {
+        self.targets.len()
+    }
+
     /// Keeps new work from these targets and no others.
     pub fn rest(&mut self, targets: BTreeSet<TargetName>) {
         self.resting = targets;
--- a/crates/rattanwinch_scheduling/src/target.rs
+++ b/crates/rattanwinch_scheduling/src/target.rs
@@ -75,6 +75,21 @@
     }
 }
 
+impl RunEnd {
+    /// The name in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::Lapsed => "lapsed",
+            Self::Broken => "broken",
+            Self::Alone => "alone",
+        }
+    }
+}
+
 value! {
     /// A run that has ended on a target.
     pub struct EndedTask {
--- a/crates/rattanwinch_side/src/bin/rattanwinch-side.rs
+++ b/crates/rattanwinch_side/src/bin/rattanwinch-side.rs
@@ -28,7 +28,8 @@
     let signals = Shutdown::new();
     signals.watch_signals()?;
     let mut hangups = signals.watch_hangups()?;
-    let daemon = SideDaemon::start(settings, stdout_logger("rattanwinch-side")).await?;
+    let log = stdout_logger("rattanwinch-side", settings.vm.log_level);
+    let daemon = SideDaemon::start(settings, log).await?;
     while hangups.next().await {
         daemon.reload();
     }
--- a/crates/rattanwinch_side/src/orders.rs
+++ b/crates/rattanwinch_side/src/orders.rs
@@ -89,8 +89,9 @@
     }
     let outcomes = calls.join_all().await;
     for (run, outcome) in &outcomes {
-        info!(state.log, "order carried out"; "run" => ?run, "outcome" => ?outcome,
-            "epoch" => orders.epoch, "target" => %client.life().target);
+        info!(state.log, "order carried out"; "job" => %run.task.step.job,
+            "run" => run.within_job(), "outcome" => ?outcome, "epoch" => orders.epoch,
+            "target" => %client.life().target);
     }
     let looked = look(state, &client, None).await;
     OrderResults {
