--- a/crates/rattanwinch_cli/src/commands/queue.rs
+++ b/crates/rattanwinch_cli/src/commands/queue.rs
@@ -52,7 +52,7 @@
             let state = wait(&client, &id, Duration::from_secs(*limit_s)).await?;
             if state != JobState::Completed {
                 write_result(arguments, out, &show_state(&id, state))?;
-                let message = format!("job {id} has ended as {}", name(state));
+                let message = format!("job {id} has ended as {}", state.as_str());
                 return Err(CommandError::failed(Verdict::Ran, "failed", message));
             }
             show_state(&id, state)
@@ -112,7 +112,10 @@
         match client.state(id).await {
             Ok(state) if state.is_final() => return Ok(state),
             Ok(state) if Instant::now() >= until => {
-                let message = format!("job {id} is {} and goes on; the limit passed", name(state));
+                let message = format!(
+                    "job {id} is {} and goes on; the limit passed",
+                    state.as_str()
+                );
                 return Err(CommandError::failed(
                     Verdict::MayHaveRun,
                     "deadline",
@@ -145,18 +148,8 @@
     CommandError::failed(error.verdict, kind, error.message)
 }
 
-const fn name(state: JobState) -> &'static str {
-    match state {
-        JobState::Queued => "queued",
-        JobState::Running => "running",
-        JobState::Completed => "completed",
-        JobState::Failed => "failed",
-        JobState::Cancelled => "cancelled",
-    }
-}
-
 fn show_state(id: &JobId, state: JobState) -> Value {
-    json!({ "id": id.as_str(), "state": name(state) })
+    json!({ "id": id.as_str(), "state": state.as_str() })
 }
 
 /// Writes JSON if it was asked for, else the values in one line.
--- a/crates/rattanwinch_front/src/leadership.rs
+++ b/crates/rattanwinch_front/src/leadership.rs
@@ -62,6 +62,10 @@
 /// Renewals that are on their way at once.
 const MAX_RENEWALS: usize = 4;
 
+/// An answer within this shows that the store isn't slow, so that a scheduler it doesn't confirm
+/// is turned away by it or cut off. Its ordinary answers on the users' sheets take 4 ms.
+const QUICK_ANSWER: Duration = Duration::from_millis(150);
+
 /// How often a front asks the one that schedules whether it still does.
 const PING_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -172,7 +176,10 @@
     /// Reads who schedules, and takes over if nobody does or the one that did is to be replaced.
     async fn stand(&self, heard: Heard) -> Result<Option<Elected>> {
         let state = &self.state;
-        let Some(item) = state.store.get(LEADER_KEY).await? else {
+        let asked_at = state.clock.now();
+        let item = state.store.get(LEADER_KEY).await?;
+        let quick = state.clock.now().since(asked_at) <= QUICK_ANSWER;
+        let Some(item) = item else {
             return self.claim(Revision::ABSENT).await;
         };
         let Some(record) = LeaderRecord::decode(&item.value) else {
@@ -192,7 +199,7 @@
         let known = state.leader().map(|leader| leader.info);
         let present = record.info(item.changed.0);
         state.set_leader(Some(present));
-        let unconfirmed = heard == Heard::Unconfirmed && known == Some(present);
+        let unconfirmed = heard == Heard::Unconfirmed && known == Some(present) && quick;
         if unconfirmed || self.is_silent_for_others().await {
             return self.displace(&item).await;
         }
--- a/crates/rattanwinch_scheduling/src/job.rs
+++ b/crates/rattanwinch_scheduling/src/job.rs
@@ -35,6 +35,18 @@
 }
 
 impl JobState {
+    /// The name in messages.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Queued => "queued",
+            Self::Running => "running",
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+
     /// True if nothing more will start.
     #[must_use]
     pub const fn is_final(self) -> bool {
