Keep the agents' addresses through takeovers in short turn

Cause: found while reading the changes. A new scheduler replaced the durable addresses of all agents by those of the few that had reported to it, so that its own successor could call only these. The room that a task without needs has was summed without a limit.

Change: addresses of the scheduler before count until the time in which every live agent is heard; the sum saturates.

Result: the test of the sum fails without the change (overflow); the addresses have no test of their own beyond the failovers.

--- a/crates/rattanwinch_front/src/agents.rs
+++ b/crates/rattanwinch_front/src/agents.rs
@@ -37,11 +37,13 @@
 }
 
 /// The agents that have reported, by VM.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Agents {
     agents: BTreeMap<Arc<str>, Agent>,
     /// The addresses that were last made durable.
-    known_addresses: AgentAddresses,
+    durable: AgentAddresses,
+    /// Those that the scheduler before knew; they count until they would have been heard.
+    inherited: AgentAddresses,
 }
 
 impl Agents {
@@ -86,16 +88,29 @@
         true
     }
 
-    /// Where the agents serve the scheduler, if that has changed since the last call.
+    /// Starts with the addresses that the scheduler before has made durable.
+    pub(crate) fn inherit(addresses: AgentAddresses) -> Self {
+        Self {
+            agents: BTreeMap::new(),
+            durable: addresses.clone(),
+            inherited: addresses,
+        }
+    }
+
+    /// Forgets agents that only the scheduler before has heard.
+    pub(crate) fn forget_inherited(&mut self) {
+        self.inherited.clear();
+    }
+
+    /// Where the agents serve the scheduler, if that differs from what is durable.
     pub(crate) fn take_changed_addresses(&mut self) -> Option<AgentAddresses> {
-        let agents = self.agents.iter();
-        let present: AgentAddresses = agents
-            .map(|(vm, agent)| (Arc::clone(vm), agent.client.address()))
-            .collect();
-        if present == self.known_addresses {
+        let mut present = self.inherited.clone();
+        let heard = self.agents.iter();
+        present.extend(heard.map(|(vm, agent)| (Arc::clone(vm), agent.client.address())));
+        if present == self.durable {
             return None;
         }
-        self.known_addresses = present.clone();
+        self.durable = present.clone();
         Some(present)
     }
 
--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -11,6 +11,7 @@
 use rattanwinch_fleet::OrderResults;
 use rattanwinch_fleet::Refusal;
 use rattanwinch_fleet::ReportAnswer;
+use rattanwinch_fleet::silence_limit;
 use rattanwinch_scheduling::AcceptedJob;
 use rattanwinch_scheduling::AdviceQuestion;
 use rattanwinch_scheduling::Changes;
@@ -42,6 +43,7 @@
 use crate::leading::Leading;
 use crate::records::ACCEPTED_PREFIX;
 use crate::records::AGENTS_KEY;
+use crate::records::AgentAddresses;
 use crate::records::PROGRESS_PREFIX;
 use crate::records::WaveRecord;
 use crate::records::encode_accepted;
@@ -75,6 +77,8 @@
     leading: Arc<Leading>,
     scheduler: Scheduler,
     agents: Agents,
+    /// When this scheduler took over.
+    began_at: Timestamp,
     advisor: Option<AdvisorClient>,
     upkeep: Upkeep,
     /// `None` while a commit is on its way.
@@ -97,6 +101,7 @@
         scheduler: Scheduler,
         committer: Committer,
         waves: BTreeMap<u32, WaveRecord>,
+        agents: AgentAddresses,
     ) -> Self {
         let advisor = state.settings.advisor.map(AdvisorClient::new);
         let now = state.clock.now();
@@ -119,7 +124,8 @@
             state,
             leading,
             scheduler,
-            agents: Agents::default(),
+            agents: Agents::inherit(agents),
+            began_at: now,
             advisor,
             upkeep,
             committer: Some(committer),
@@ -374,6 +380,9 @@
             self.committer = Some(committer);
             return;
         }
+        if now.since(self.began_at) > silence_limit(self.state.settings.vm.longest_lease) {
+            self.agents.forget_inherited();
+        }
         let mut writes = self.writes(&changes, &forgotten);
         if let Some(agents) = self.agents.take_changed_addresses() {
             let key = AGENTS_KEY.to_owned();
--- a/crates/rattanwinch_front/src/leadership.rs
+++ b/crates/rattanwinch_front/src/leadership.rs
@@ -412,6 +412,7 @@
             scheduler,
             committer,
             self.waves,
+            self.agents.clone(),
         );
         let mut tasks = JoinSet::new();
         tasks.spawn(renew(Arc::clone(&state), Arc::clone(&leading), lease));
--- a/crates/rattanwinch_scheduling/src/placing.rs
+++ b/crates/rattanwinch_scheduling/src/placing.rs
@@ -213,7 +213,7 @@
         };
         let failed_on = job.failed_on(&first);
         let mut suitable = Vec::new();
-        let mut room_elsewhere = 0;
+        let mut room_elsewhere = 0_u64;
         for (name, &room) in free {
             let Some(target) = self.targets.get(name) else {
                 continue;
@@ -226,7 +226,8 @@
             if fits {
                 suitable.push((name, room));
                 if !failed_on.contains(name) {
-                    room_elsewhere += capacity.copies(demand.need);
+                    // A task that needs nothing fits any number of times.
+                    room_elsewhere = room_elsewhere.saturating_add(capacity.copies(demand.need));
                 }
             }
         }
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -362,7 +362,7 @@
             .step_tasks(&run.task.step)
             .filter(|task| *task != run.task);
         let away = others.filter(|task| !at_work(task)).count();
-        at_work(&run.task) && away < most as usize || !at_work(&run.task)
+        !at_work(&run.task) || away < most as usize
     }
 
     pub(crate) fn note(&mut self, event: Event) {
--- a/crates/rattanwinch_scheduling/tests/decisions/runs.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/runs.rs
@@ -4,6 +4,7 @@
 use rattanwinch_scheduling::GoneCause;
 use rattanwinch_scheduling::JobState;
 use rattanwinch_scheduling::OrderOutcome;
+use rattanwinch_scheduling::Resources;
 use rattanwinch_scheduling::RunEnd;
 use rattanwinch_scheduling::Scheduler;
 use rattanwinch_scheduling::StartRefusal;
@@ -293,3 +294,18 @@
     site.submit(1, "c", &[step(1, 1)]);
     assert!(site.step().is_empty(), "the target is set aside");
 }
+
+/// The room that a task without needs has is endless on each target; its sum must not overflow.
+#[test]
+fn a_failed_task_that_needs_nothing_is_tried_again() {
+    let mut site = Fixture::new(3);
+    let mut free = step(1, 0);
+    free.need = Resources::NONE;
+    site.submit(1, "a", &[free]);
+    let first = site.step();
+    site.wait(2_000);
+    site.end(&first[0].1.run, RunEnd::Failed);
+    let second = site.step();
+    assert_eq!(second.len(), 1);
+    assert_ne!(second[0].0, first[0].0);
+}
