Answer agents from the moment of the takeover

Change: the renewal that a takeover sends beside its reads counts as that confirmation.

Conclusion: agents are answered at once.

--- a/crates/rattanwinch_front/src/leadership.rs
+++ b/crates/rattanwinch_front/src/leadership.rs
@@ -300,6 +300,7 @@
     /// Reads all jobs. Nobody else can change them any more.
     async fn load(self) -> Result<Restored> {
         let store = &self.state.store;
+        let sent_at = self.state.clock.now();
         // A long read must not outlast the lease.
         let (accepted, progress, waves, agents, renewed) = tokio::join!(
             store.range(ACCEPTED_PREFIX),
@@ -324,6 +325,7 @@
         Ok(Restored {
             elected: self,
             jobs,
+            confirmed_at: matches!(renewed, Ok(true)).then_some(sent_at),
             agents: agents.unwrap_or_default(),
             waves,
         })
@@ -374,6 +376,8 @@
 struct Restored {
     elected: Elected,
     jobs: Vec<(Arc<AcceptedJob>, JobProgress)>,
+    /// When the renewal of the lease that the store has confirmed was sent.
+    confirmed_at: Option<Timestamp>,
     /// The agents that the scheduler before knew.
     agents: AgentAddresses,
     waves: BTreeMap<u32, WaveRecord>,
@@ -399,6 +403,10 @@
         );
         let board = JobBoard::new(published(&scheduler));
         let leading = Arc::new(Leading::new(epoch, state.address, commands, board));
+        // Agents that are told of this front report at once and have to find it confirmed.
+        if let Some(sent_at) = self.confirmed_at {
+            leading.confirm(sent_at);
+        }
         let committer = Committer {
             store: state.store.clone(),
             lease,
