--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -1,19 +1,18 @@
+mod calls;
+mod commits;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use rattanwinch_fleet::AgentOrders;
 use rattanwinch_fleet::AgentReport;
 use rattanwinch_fleet::CallerAnswer;
-use rattanwinch_fleet::ORDER_TIME;
 use rattanwinch_fleet::OrderResults;
 use rattanwinch_fleet::Refusal;
 use rattanwinch_fleet::ReportAnswer;
-use rattanwinch_fleet::silence_limit;
 use rattanwinch_scheduling::AcceptedJob;
-use rattanwinch_scheduling::AdviceQuestion;
 use rattanwinch_scheduling::Changes;
 use rattanwinch_scheduling::Event;
 use rattanwinch_scheduling::GoneCause;
@@ -21,11 +20,8 @@
 use rattanwinch_scheduling::OrderOutcome;
 use rattanwinch_scheduling::RunId;
 use rattanwinch_scheduling::Scheduler;
-use rattanwinch_scheduling::TargetOrders;
 use rattanwinch_site_advisor::AdvisorClient;
-use rattanwinch_site_machines::Orderer;
 use rattanwinch_types::Timestamp;
-use slog::debug;
 use slog::info;
 use slog::warn;
 use tokio::sync::mpsc;
@@ -35,41 +31,30 @@
 use crate::agents::Agents;
 use crate::commands::Command;
 use crate::committer::Committer;
-use crate::committer::Writes;
 use crate::explain::explain;
 use crate::explain::stage;
 use crate::front_state::FrontState;
 use crate::job_board::PublishedJob;
 use crate::leading::Leading;
-use crate::records::ACCEPTED_PREFIX;
-use crate::records::AGENTS_KEY;
 use crate::records::AgentAddresses;
-use crate::records::PROGRESS_PREFIX;
 use crate::records::WaveRecord;
-use crate::records::encode_accepted;
-use crate::records::encode_agents;
-use crate::records::encode_progress;
 use crate::upkeep::Upkeep;
 
 /// How often time-outs and due times are looked at when nothing else happens. Due times may be
 /// met late by this much.
 const TICK: Duration = Duration::from_millis(150);
 
-/// An order's answer is awaited for as long as the agent may work on it, and for its way.
-const ORDER_LIMIT: Duration = ORDER_TIME.saturating_add(Duration::from_millis(500));
-
-/// The advisor is given this much more than it says that it takes; other questions wait.
-const ADVISOR_GRACE: Duration = Duration::from_millis(700);
-
-/// The state of an ended job is kept this much longer than callers may ask for it, so that a
-/// late repetition of its submission still finds it.
-const KEEP_MARGIN: Duration = Duration::from_secs(60);
-
-/// Jobs that are forgotten in one commit.
-const FORGET_AT_ONCE: usize = 16;
-
 type Waiters = BTreeMap<JobId, Vec<(oneshot::Sender<CallerAnswer>, CallerAnswer)>>;
 
+/// What a scheduler takes over from the one before, besides the jobs.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Inherited {
+    /// Where the agents serve the scheduler.
+    pub agents: AgentAddresses,
+    /// The waves of upkeep, by their numbers.
+    pub waves: BTreeMap<u32, WaveRecord>,
+}
+
 /// Runs the scheduler of a site: takes commands one by one, makes changes durable, then sends
 /// orders.
 pub(crate) struct Coordinator {
@@ -100,23 +85,11 @@
         leading: Arc<Leading>,
         scheduler: Scheduler,
         committer: Committer,
-        waves: BTreeMap<u32, WaveRecord>,
-        agents: AgentAddresses,
+        inherited: Inherited,
     ) -> Self {
         let advisor = state.settings.advisor.map(AdvisorClient::new);
         let now = state.clock.now();
-        let orderer = Orderer {
-            vm: Arc::clone(&state.settings.vm.name),
-            epoch: leading.info.epoch,
-        };
-        let upkeep = Upkeep::new(
-            Upkeep::client(state.settings.machines),
-            orderer,
-            waves,
-            leading.commands.clone(),
-            state.log.clone(),
-            now,
-        );
+        let upkeep = Upkeep::new(&state, &leading, inherited.waves, now);
         let states = scheduler.states();
         let ended = states.filter(|(_, _, state)| state.is_final());
         let ended = ended.map(|(id, _, _)| (id.clone(), now)).collect();
@@ -124,7 +97,7 @@
             state,
             leading,
             scheduler,
-            agents: Agents::inherit(agents),
+            agents: Agents::inherit(inherited.agents),
             began_at: now,
             advisor,
             upkeep,
@@ -369,150 +342,6 @@
             explain(&self.state.log, &event);
         }
     }
-
-    fn commit(&mut self, now: Timestamp) {
-        let Some(mut committer) = self.committer.take() else {
-            return;
-        };
-        let changes = self.scheduler.take_changes(now);
-        let forgotten = self.forget_old(now);
-        if changes.is_empty() && forgotten.is_empty() && !self.upkeep.has_writes() {
-            self.committer = Some(committer);
-            return;
-        }
-        if now.since(self.began_at) > silence_limit(self.state.settings.vm.longest_lease) {
-            self.agents.forget_inherited();
-        }
-        let mut writes = self.writes(&changes, &forgotten);
-        if let Some(agents) = self.agents.take_changed_addresses() {
-            let key = AGENTS_KEY.to_owned();
-            writes.puts.push((key, encode_agents(&agents)));
-        }
-        writes.puts.extend(self.upkeep.take_writes());
-        self.committing = std::mem::take(&mut self.waiting);
-        let commands = self.leading.commands.clone();
-        let log = self.state.log.clone();
-        tokio::spawn(async move {
-            let committed = committer.commit(writes).await;
-            let done = Command::Committed {
-                changes,
-                forgotten,
-                committer: committed.is_ok().then_some(committer),
-            };
-            if commands.send(done).await.is_err() {
-                debug!(log, "commit ended after the scheduler");
-            }
-        });
-    }
-
-    fn writes(&mut self, changes: &Changes, forgotten: &[JobId]) -> Writes {
-        let mut writes = Writes::default();
-        for id in &changes.jobs {
-            let Some((accepted, progress)) = self.scheduler.record(id) else {
-                continue;
-            };
-            if let Some(body) = self.bodies.remove(id) {
-                let key = format!("{ACCEPTED_PREFIX}{id}");
-                writes.puts.push((key, encode_accepted(&accepted, &body)));
-            }
-            let key = format!("{PROGRESS_PREFIX}{id}");
-            writes.puts.push((key, encode_progress(&progress)));
-            if let Some(state) = self.scheduler.state(id) {
-                let published = PublishedJob {
-                    queue: accepted.queue.clone(),
-                    organisation: accepted.organisation.clone(),
-                    state,
-                };
-                self.unpublished.insert(id.clone(), published);
-            }
-        }
-        for id in forgotten {
-            writes.deletes.push(format!("{ACCEPTED_PREFIX}{id}"));
-            writes.deletes.push(format!("{PROGRESS_PREFIX}{id}"));
-        }
-        writes
-    }
-
-    fn forget_old(&mut self, now: Timestamp) -> Vec<JobId> {
-        let keep = self.state.settings.keep_ended + KEEP_MARGIN;
-        let old = self
-            .ended
-            .iter()
-            .filter(|(_, ended_at)| now.since(**ended_at) > keep);
-        let old: Vec<_> = old.map(|(id, _)| id.clone()).take(FORGET_AT_ONCE).collect();
-        let forgotten: Vec<_> = old
-            .into_iter()
-            .filter(|id| self.scheduler.forget(id))
-            .collect();
-        for id in &forgotten {
-            self.ended.remove(id);
-        }
-        forgotten
-    }
-
-    fn send(&self, orders: TargetOrders, now: Timestamp) {
-        let starts = orders.starts.iter().map(|start| &start.run);
-        let runs: Vec<RunId> = starts.chain(&orders.stops).cloned().collect();
-        let agent = self.agents.beside(&orders.life);
-        let call = agent.map(|agent| {
-            let orders = AgentOrders {
-                epoch: self.leading.info.epoch,
-                valid_until: agent.valid_until(now),
-                acknowledged: self.scheduler.acknowledged(&orders.life),
-                orders,
-            };
-            (agent.client.clone(), orders)
-        });
-        let commands = self.leading.commands.clone();
-        let log = self.state.log.clone();
-        tokio::spawn(async move {
-            let results = match call {
-                Some((client, orders)) => {
-                    let answer = client.execute(&orders, ORDER_LIMIT).await;
-                    if let Err(error) = &answer {
-                        warn!(log, "orders unanswered"; "error" => %error,
-                            "target" => %orders.orders.life.target, "runs" => runs.len());
-                    }
-                    answer.ok()
-                }
-                None => None,
-            };
-            if commands
-                .send(Command::Ordered { runs, results })
-                .await
-                .is_err()
-            {
-                debug!(log, "orders answered after the scheduler ended");
-            }
-        });
-    }
-
-    fn ask(&self, question: AdviceQuestion, now: Timestamp) {
-        let limit = self.scheduler.advice_time(&question).unwrap_or_default() + ADVISOR_GRACE;
-        let advisor = self.advisor.clone();
-        let commands = self.leading.commands.clone();
-        let log = self.state.log.clone();
-        tokio::spawn(async move {
-            let answer = match advisor {
-                Some(advisor) => advisor
-                    .ask(&question, limit)
-                    .await
-                    .map_err(|error| error.to_string()),
-                None => Err("no advisor in the settings".to_owned()),
-            };
-            if let Err(error) = &answer {
-                warn!(log, "no advice"; "job" => %question.step.job, "error" => error);
-            }
-            let advised = Command::Advised {
-                question,
-                answer: answer.ok(),
-                sent_at: now,
-            };
-            if commands.send(advised).await.is_err() {
-                debug!(log, "advice came after the scheduler ended");
-            }
-        });
-    }
 }
 
 fn answer(reply: oneshot::Sender<CallerAnswer>, what: CallerAnswer) {
--- a/crates/rattanwinch_front/src/upkeep.rs
+++ b/crates/rattanwinch_front/src/upkeep.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rattanwinch_scheduling::Machine;
@@ -19,6 +20,8 @@
 use tokio::sync::mpsc;
 
 use crate::commands::Command;
+use crate::front_state::FrontState;
+use crate::leading::Leading;
 use crate::records::WAVE_PREFIX;
 use crate::records::WaveRecord;
 use crate::records::encode_wave;
@@ -58,24 +61,27 @@
 }
 
 impl Upkeep {
+    /// Goes on with the waves of which the scheduler before has left records.
     pub(crate) fn new(
-        client: Option<MachinesClient>,
-        orderer: Orderer,
+        state: &FrontState,
+        leading: &Leading,
         records: BTreeMap<u32, WaveRecord>,
-        commands: mpsc::Sender<Command>,
-        log: Logger,
         now: Timestamp,
     ) -> Self {
+        let machines = state.settings.machines;
         Self {
             planner: UpkeepPlanner::new(now),
-            client,
-            orderer,
+            client: machines.map(|address| MachinesClient::new(address, CALL_LIMIT)),
+            orderer: Orderer {
+                vm: Arc::clone(&state.settings.vm.name),
+                epoch: leading.info.epoch,
+            },
             records,
             unwritten: Vec::new(),
             listing: false,
             list_at: now,
-            commands,
-            log,
+            commands: leading.commands.clone(),
+            log: state.log.clone(),
         }
     }
 
@@ -210,11 +216,6 @@
     pub(crate) fn has_writes(&self) -> bool {
         !self.unwritten.is_empty()
     }
-
-    /// Makes the client of a site that has such a service.
-    pub(crate) fn client(address: Option<std::net::SocketAddr>) -> Option<MachinesClient> {
-        address.map(|address| MachinesClient::new(address, CALL_LIMIT))
-    }
 }
 
 async fn send(commands: &mpsc::Sender<Command>, event: UpkeepEvent) {
--- a/crates/rattanwinch_scheduling/src/upkeep.rs
+++ b/crates/rattanwinch_scheduling/src/upkeep.rs
@@ -21,7 +21,8 @@
 /// the longest stop on the users' sheets takes 900 ms.
 const CLEARING: Duration = Duration::from_millis(1500);
 
-/// The wait before an order that wasn't carried out, or not certainly, is given again.
+/// The wait before an order that wasn't carried out, or not certainly, is given again; a machine
+/// that is busy or a service that is slow stays so for seconds, and each call is priced.
 const RETRY: Duration = Duration::from_millis(500);
 
 /// A new scheduler gives no orders to machines for so long. Orders for one machine by two
