Keep one copy of peer clients, stand-in servers and daemon runs

Cause: FrontClient and AgentClient had the same construction, each stand-in its own server with its own end, and the two site daemons the same process around them.

Change: PeerClient, Listening and SiteDaemon with run_site_daemon have the one copy; a test site takes keys away by a method.

--- a/crates/rattanwinch_cli/tests/cli/queue.rs
+++ b/crates/rattanwinch_cli/tests/cli/queue.rs
@@ -11,6 +11,7 @@
 use rattanwinch_front::FrontDaemon;
 use rattanwinch_front::FrontSettings;
 use rattanwinch_runtime::LogLevel;
+use rattanwinch_runtime::SiteDaemon as _;
 use rattanwinch_runtime::VmSettings;
 use rattanwinch_runtime::discard_logger;
 use rattanwinch_side::SideDaemon;
--- a/crates/rattanwinch_fleet/src/lib.rs
+++ b/crates/rattanwinch_fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod front_client;
 mod leader_info;
 mod leader_record;
+mod peer_client;
 mod rpc;
 mod rpc_error;
 mod sizes;
--- a/crates/rattanwinch_front/src/bin/rattanwinch-front.rs
+++ b/crates/rattanwinch_front/src/bin/rattanwinch-front.rs
@@ -7,8 +7,7 @@
 use rattanwinch_front::FrontDaemon;
 use rattanwinch_front::FrontSettings;
 use rattanwinch_runtime::DaemonArguments;
-use rattanwinch_runtime::Shutdown;
-use rattanwinch_runtime::stdout_logger;
+use rattanwinch_runtime::run_site_daemon;
 
 /// The front of a site: takes callers' calls and, on one VM, schedules.
 #[derive(Debug, Parser)]
@@ -25,14 +24,5 @@
 /// Two threads: a front VM has a fraction of one core, so more would only cost memory.
 #[tokio::main(flavor = "multi_thread", worker_threads = 2)]
 async fn run(settings: FrontSettings) -> Result<()> {
-    let signals = Shutdown::new();
-    signals.watch_signals()?;
-    let mut hangups = signals.watch_hangups()?;
-    let log = stdout_logger("rattanwinch-front", settings.vm.log_level);
-    let daemon = FrontDaemon::start(settings, log).await?;
-    while hangups.next().await {
-        daemon.reload();
-    }
-    daemon.stop().await;
-    Ok(())
+    run_site_daemon::<FrontDaemon>(settings).await
 }
--- a/crates/rattanwinch_front/src/front_daemon.rs
+++ b/crates/rattanwinch_front/src/front_daemon.rs
@@ -15,6 +15,7 @@
 use rattanwinch_fleet::MAX_PEER_CONNECTIONS;
 use rattanwinch_peers::RpcServer;
 use rattanwinch_runtime::MetricsText;
+use rattanwinch_runtime::SiteDaemon;
 use rattanwinch_runtime::install_metrics;
 use rattanwinch_site_callers::caller_endpoint;
 use rattanwinch_site_callers::readiness_endpoint;
@@ -58,13 +59,13 @@
     }
 }
 
-impl FrontDaemon {
+impl SiteDaemon for FrontDaemon {
+    type Settings = FrontSettings;
+
+    const PROCESS: &'static str = "rattanwinch-front";
+
     /// Listens to callers, the balancer and peers, and takes part in scheduling.
-    ///
-    /// # Errors
-    ///
-    /// If an address can't be listened on.
-    pub async fn start(settings: FrontSettings, log: Logger) -> Result<Self> {
+    async fn start(settings: FrontSettings, log: Logger) -> Result<Self> {
         let state = Arc::new(FrontState::new(settings, log));
         let peers = PeerServer {
             state: Arc::clone(&state),
@@ -98,30 +99,8 @@
         Ok(daemon)
     }
 
-    /// Listens before it returns, so that callers can connect and errors end the start.
-    async fn serve<E>(&mut self, what: &'static str, address: SocketAddr, endpoint: E) -> Result<()>
-    where
-        E: IntoEndpoint + Send + 'static,
-        E::Endpoint: Endpoint + 'static,
-    {
-        let closing = self.closing.clone();
-        let log = self.state.log.clone();
-        let grace = self.state.settings.grace;
-        let acceptor = TcpListener::bind(address).into_acceptor().await?;
-        self.servers.spawn(async move {
-            let server = Server::new_with_acceptor(acceptor);
-            let closed = closing.cancelled_owned();
-            let ended = server.run_with_graceful_shutdown(endpoint, closed, Some(grace));
-            if let Err(error) = ended.await {
-                slog::error!(log, "not served"; "what" => what, "address" => %address,
-                    "error" => %error);
-            }
-        });
-        Ok(())
-    }
-
     /// Reads the settings again and takes over the seeds; all else needs a new process.
-    pub fn reload(&self) {
+    fn reload(&self) {
         let state = &self.state;
         match FrontSettings::read(&state.settings.vm.source) {
             Ok(settings) => {
@@ -139,7 +118,7 @@
 
     /// Stops gracefully: hands over scheduling, waits until the balancer sends nothing new, and
     /// finishes what runs.
-    pub async fn stop(mut self) {
+    async fn stop(mut self) {
         let grace = self.state.settings.grace.saturating_sub(EXIT_MARGIN);
         let deadline = tokio::time::Instant::now() + grace;
         info!(self.state.log, "stopping"; "vm" => &*self.state.settings.vm.name);
@@ -158,6 +137,30 @@
     }
 }
 
+impl FrontDaemon {
+    /// Listens before it returns, so that callers can connect and errors end the start.
+    async fn serve<E>(&mut self, what: &'static str, address: SocketAddr, endpoint: E) -> Result<()>
+    where
+        E: IntoEndpoint + Send + 'static,
+        E::Endpoint: Endpoint + 'static,
+    {
+        let closing = self.closing.clone();
+        let log = self.state.log.clone();
+        let grace = self.state.settings.grace;
+        let acceptor = TcpListener::bind(address).into_acceptor().await?;
+        self.servers.spawn(async move {
+            let server = Server::new_with_acceptor(acceptor);
+            let closed = closing.cancelled_owned();
+            let ended = server.run_with_graceful_shutdown(endpoint, closed, Some(grace));
+            if let Err(error) = ended.await {
+                slog::error!(log, "not served"; "what" => what, "address" => %address,
+                    "error" => %error);
+            }
+        });
+        Ok(())
+    }
+}
+
 fn metrics_route(text: MetricsText) -> Route {
     Route::new().at("/metrics", get(make_sync(move |_| text.render())))
 }
--- a/crates/rattanwinch_front/src/front_settings.rs
+++ b/crates/rattanwinch_front/src/front_settings.rs
@@ -57,3 +57,9 @@
         file.finish(settings)
     }
 }
+
+impl AsRef<VmSettings> for FrontSettings {
+    fn as_ref(&self) -> &VmSettings {
+        &self.vm
+    }
+}
--- a/crates/rattanwinch_front/tests/site/calls.rs
+++ b/crates/rattanwinch_front/tests/site/calls.rs
@@ -83,11 +83,7 @@
     let site = Site::start(2, 1).await;
     site.submit_until_accepted(0, "00000000000000d1", 10, 1)
         .await;
-    let config = site.store.value("op/config").expect("a configuration");
-    let mut config: serde_json::Value = serde_json::from_slice(&config).expect("JSON");
-    config["version"] = json!(2);
-    config["tenants"][0]["api_keys"] = json!([]);
-    site.store.put("op/config", &config);
+    site.take_keys_away();
     tokio::time::sleep(Duration::from_secs(2)).await;
     for front in 0..2 {
         assert_eq!(site.submit(front, "00000000000000d2", 10, 1).await, 401);
--- /dev/null
+++ b/crates/rattanwinch_front/tests/site/harness/calls.rs
@@ -0,0 +1,114 @@
+//! What callers do.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use reqwest::Method;
+use serde_json::Value;
+
+use crate::harness::HOST;
+use crate::harness::KEY;
+use crate::harness::Site;
+use crate::harness::job;
+
+impl Site {
+    /// A call with the key of the site's first organisation; gives the status and the body.
+    pub async fn call(
+        &self,
+        front: usize,
+        method: Method,
+        path: &str,
+        body: Option<Value>,
+    ) -> (u16, Value) {
+        self.call_with_key(front, method, path, body, KEY).await
+    }
+
+    pub async fn call_with_key(
+        &self,
+        front: usize,
+        method: Method,
+        path: &str,
+        body: Option<Value>,
+        key: &str,
+    ) -> (u16, Value) {
+        let url = format!("http://{}{path}", self.fronts[front].callers);
+        let mut req = self
+            .http
+            .request(method, url)
+            .header("Host", HOST)
+            .header("Authorization", format!("Bearer {key}"))
+            .header("Deadline-Ms", "3000");
+        if let Some(body) = body {
+            req = req.json(&body);
+        }
+        let answer = req.send().await.expect("the front answers");
+        let status = answer.status().as_u16();
+        (status, answer.json().await.unwrap_or_default())
+    }
+
+    pub async fn submit(&self, front: usize, id: &str, work_ms: u64, count: u32) -> u16 {
+        self.submit_body(front, id, job(work_ms, count)).await
+    }
+
+    pub async fn submit_body(&self, front: usize, id: &str, body: Value) -> u16 {
+        let path = format!("/checks/{id}");
+        self.call(front, Method::POST, &path, Some(body)).await.0
+    }
+
+    pub async fn state(&self, front: usize, id: &str) -> String {
+        let (status, body) = self
+            .call(front, Method::GET, &format!("/checks/{id}"), None)
+            .await;
+        match body["state"].as_str() {
+            Some(state) => state.to_owned(),
+            None => status.to_string(),
+        }
+    }
+
+    /// Waits until a job is shown in a state; panics after `limit`.
+    pub async fn wait_for(
+        &self,
+        front: usize,
+        id: &str,
+        wanted: &str,
+        limit: Duration,
+    ) -> Duration {
+        let asked = Instant::now();
+        loop {
+            let state = self.state(front, id).await;
+            if state == wanted {
+                return asked.elapsed();
+            }
+            assert!(
+                asked.elapsed() < limit,
+                "{id} is {state}, not {wanted}, after {limit:?}"
+            );
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Waits until a submission is accepted, as callers repeat theirs.
+    pub async fn submit_until_accepted(&self, front: usize, id: &str, work_ms: u64, count: u32) {
+        self.submit_body_until_accepted(front, id, &job(work_ms, count))
+            .await;
+    }
+
+    pub async fn submit_body_until_accepted(&self, front: usize, id: &str, body: &Value) {
+        let asked = Instant::now();
+        loop {
+            let status = self.submit_body(front, id, body.clone()).await;
+            if status == 200 {
+                return;
+            }
+            assert!(
+                matches!(status, 503 | 504),
+                "{id} is answered with {status}"
+            );
+            assert!(
+                asked.elapsed() < Duration::from_secs(10),
+                "{id} is never accepted"
+            );
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
--- a/crates/rattanwinch_front/tests/site/traces.rs
+++ b/crates/rattanwinch_front/tests/site/traces.rs
@@ -38,11 +38,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_that_was_taken_away_is_the_cause() {
     let site = working_site(1, 1).await;
-    let config = site.store.value("op/config").expect("a configuration");
-    let mut config: serde_json::Value = serde_json::from_slice(&config).expect("JSON");
-    config["version"] = json!(2);
-    config["tenants"][0]["api_keys"] = json!([]);
-    site.store.put("op/config", &config);
+    site.take_keys_away();
     tokio::time::sleep(Duration::from_secs(2)).await;
     assert_eq!(site.submit(0, "00000000000000b1", 10, 1).await, 401);
     site.wait_for_cause("00000000000000b1", &["refused", "key", "version 2"])
--- a/crates/rattanwinch_runtime/src/lib.rs
+++ b/crates/rattanwinch_runtime/src/lib.rs
@@ -17,6 +17,7 @@
 mod settings_error;
 mod settings_file;
 mod shutdown;
+mod site_daemon;
 mod vm_settings;
 
 pub use boot_clock::BootClock;
@@ -35,4 +36,6 @@
 pub use settings_file::SettingsFile;
 pub use shutdown::Hangups;
 pub use shutdown::Shutdown;
+pub use site_daemon::SiteDaemon;
+pub use site_daemon::run_site_daemon;
 pub use vm_settings::VmSettings;
--- a/crates/rattanwinch_side/src/bin/rattanwinch-side.rs
+++ b/crates/rattanwinch_side/src/bin/rattanwinch-side.rs
@@ -5,8 +5,7 @@
 use clap::Parser;
 use eyre::Result;
 use rattanwinch_runtime::DaemonArguments;
-use rattanwinch_runtime::Shutdown;
-use rattanwinch_runtime::stdout_logger;
+use rattanwinch_runtime::run_site_daemon;
 use rattanwinch_side::SideDaemon;
 use rattanwinch_side::SideSettings;
 
@@ -25,14 +24,5 @@
 /// Two threads: a side VM has a fraction of one core, so more would only cost memory.
 #[tokio::main(flavor = "multi_thread", worker_threads = 2)]
 async fn run(settings: SideSettings) -> Result<()> {
-    let signals = Shutdown::new();
-    signals.watch_signals()?;
-    let mut hangups = signals.watch_hangups()?;
-    let log = stdout_logger("rattanwinch-side", settings.vm.log_level);
-    let daemon = SideDaemon::start(settings, log).await?;
-    while hangups.next().await {
-        daemon.reload();
-    }
-    daemon.stop().await;
-    Ok(())
+    run_site_daemon::<SideDaemon>(settings).await
 }
--- a/crates/rattanwinch_side/src/side_daemon.rs
+++ b/crates/rattanwinch_side/src/side_daemon.rs
@@ -7,6 +7,7 @@
 use rattanwinch_fleet::AgentRpcServer as _;
 use rattanwinch_fleet::MAX_PEER_CONNECTIONS;
 use rattanwinch_peers::RpcServer;
+use rattanwinch_runtime::SiteDaemon;
 use rattanwinch_site_executors::executor_endpoint;
 use slog::Logger;
 use slog::info;
@@ -36,13 +37,13 @@
     }
 }
 
-impl SideDaemon {
+impl SiteDaemon for SideDaemon {
+    type Settings = SideSettings;
+
+    const PROCESS: &'static str = "rattanwinch-side";
+
     /// Listens to the executor and the fronts, and starts to report.
-    ///
-    /// # Errors
-    ///
-    /// If an address can't be listened on.
-    pub async fn start(settings: SideSettings, log: Logger) -> Result<Self> {
+    async fn start(settings: SideSettings, log: Logger) -> Result<Self> {
         let address = settings.vm.peer_address();
         let state = Arc::new(SideState::new(settings, address, log));
         let server = OrderServer {
@@ -68,7 +69,7 @@
     }
 
     /// Reads the settings again and takes over the seeds; all else needs a new process.
-    pub fn reload(&self) {
+    fn reload(&self) {
         let state = &self.state;
         match SideSettings::read(&state.settings.vm.source) {
             Ok(settings) => {
@@ -83,7 +84,7 @@
 
     /// Stops at once. What runs on the target goes on under its lease until the next process of
     /// this daemon renews it.
-    pub async fn stop(mut self) {
+    async fn stop(mut self) {
         info!(self.state.log, "stopped"; "vm" => &*self.state.settings.vm.name);
         self.rpc.stop().await;
         self.tasks.shutdown().await;
--- a/crates/rattanwinch_side/src/side_settings.rs
+++ b/crates/rattanwinch_side/src/side_settings.rs
@@ -36,3 +36,9 @@
         file.finish(settings)
     }
 }
+
+impl AsRef<VmSettings> for SideSettings {
+    fn as_ref(&self) -> &VmSettings {
+        &self.vm
+    }
+}
