--- a/crates/rattanwinch_cli/src/commands/queue.rs
+++ b/crates/rattanwinch_cli/src/commands/queue.rs
@@ -24,7 +24,8 @@
 use crate::arguments::QueueCommand;
 use crate::arguments::QueueSubmitArguments;
 
-/// The pause between two looks at a job that is waited for.
+/// The pause between two looks at a job that is waited for: shorter than a person notices, and
+/// little for a front, which answers from memory.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 
 /// The digits of a job's id, as the platform asks for.
--- a/crates/rattanwinch_trace/src/cause.rs
+++ b/crates/rattanwinch_trace/src/cause.rs
@@ -7,7 +7,8 @@
 use crate::Trace;
 use crate::TraceLine;
 
-/// A wait below this isn't worth a word.
+/// A shorter wait isn't worth a word: it is below the objective of the users' quickest queue, for
+/// which 250 ms and half of its run time are allowed.
 const WORTH_TELLING_MS: f64 = 300.0;
 
 pub(crate) fn cause(trace: &Trace) -> String {
@@ -155,23 +156,21 @@
     format!("job {job} was cancelled by its caller{after}")
 }
 
-/// What held a job up, the longest first.
+/// What held a job up: who scheduled, what was lost, then what it waited for.
 fn delays(trace: &Trace, own: &[&TraceLine]) -> String {
-    let mut delays: Vec<(f64, String)> = Vec::new();
-    delays.extend(longest_wait(trace, own));
+    let mut delays = Vec::new();
     delays.extend(change_of_scheduler(trace, own));
     delays.extend(lost_runs(trace, own));
     delays.extend(without_advice(own));
     delays.extend(unanswered_orders(trace));
-    delays.sort_by(|a, b| b.0.total_cmp(&a.0));
-    let texts: Vec<_> = delays.into_iter().map(|(_, text)| text).collect();
-    if texts.is_empty() {
+    delays.extend(longest_wait(trace, own));
+    if delays.is_empty() {
         return "; nothing held it up".to_owned();
     }
-    format!("; {}", texts.join("; "))
+    format!("; {}", delays.join("; "))
 }
 
-fn longest_wait(trace: &Trace, own: &[&TraceLine]) -> Option<(f64, String)> {
+fn longest_wait(trace: &Trace, own: &[&TraceLine]) -> Option<String> {
     let job = &trace.job;
     let placed = own
         .iter()
@@ -183,33 +182,25 @@
         return None;
     }
     let step = longest.line.text("step").unwrap_or_default();
-    Some((
-        wait,
-        format!("step {step} waited {} for room", seconds(wait)),
-    ))
+    Some(format!("step {step} waited {} for room", seconds(wait)))
 }
 
 fn waited(line: &LogLine) -> f64 {
     line.number("waited_ms").unwrap_or(0.0)
 }
 
-fn change_of_scheduler(trace: &Trace, own: &[&TraceLine]) -> Option<(f64, String)> {
+fn change_of_scheduler(trace: &Trace, own: &[&TraceLine]) -> Option<String> {
     let begin = own.first()?.at_ms;
     let elected = events(trace, "elected").find(|line| line.at_ms > begin)?;
-    let before = trace.lines.iter().filter(|line| line.at_ms < elected.at_ms);
-    let mut words = before.filter(|line| line.line.event != "started");
-    let last_word = words.next_back()?;
-    let gap = elected.at_ms - last_word.at_ms;
     let epoch = elected.line.text("epoch").unwrap_or_default();
     let why = without_scheduler(trace);
-    let text = format!(
-        "the scheduler changed: {} was elected with epoch {epoch}{why}",
-        elected.file
-    );
-    Some((gap.max(WORTH_TELLING_MS), text))
+    let front = &elected.file;
+    Some(format!(
+        "the scheduler changed: {front} was elected with epoch {epoch}{why}"
+    ))
 }
 
-fn lost_runs(trace: &Trace, own: &[&TraceLine]) -> Vec<(f64, String)> {
+fn lost_runs(trace: &Trace, own: &[&TraceLine]) -> Vec<String> {
     let mut told = Vec::new();
     for (reason, what) in [
         ("Lapsed", "lost with"),
@@ -222,20 +213,15 @@
                 .filter(|line| line.line.text("target").as_deref() == Some(target.as_str()))
                 .find_map(|line| line.line.text("cause"));
             let cause = cause.map_or_else(String::new, |cause| format!(" (gone: {cause})"));
-            told.push((
-                1_000.0,
-                format!("{} {what} target {target}{cause}", were(runs)),
-            ));
+            told.push(format!("{} {what} target {target}{cause}", were(runs)));
         }
     }
     let quarantined = quarantined(trace);
     for (target, runs) in ends(own, "Failed") {
         let bad = quarantined.contains(&target);
         let why = if bad { ", which was set aside" } else { "" };
-        told.push((
-            900.0,
-            format!("{} ended as failed on target {target}{why}", count(runs)),
-        ));
+        let runs = count(runs);
+        told.push(format!("{runs} ended as failed on target {target}{why}"));
     }
     let victims = trace
         .lines
@@ -244,7 +230,7 @@
     let displaced: BTreeSet<_> = victims.filter_map(|line| line.line.text("job")).collect();
     if !displaced.is_empty() {
         let jobs: Vec<_> = displaced.into_iter().collect();
-        told.push((800.0, format!("runs gave way to job {}", jobs.join(", "))));
+        told.push(format!("runs gave way to job {}", jobs.join(", ")));
     }
     told
 }
@@ -262,34 +248,25 @@
     format!("{} {verb}", count(runs))
 }
 
-fn without_advice(own: &[&TraceLine]) -> Option<(f64, String)> {
-    let mut lines = own.iter().filter(|line| line.line.event == "no advice");
-    let first = lines.next()?;
-    let last = lines.next_back().unwrap_or(first);
+fn without_advice(own: &[&TraceLine]) -> Option<String> {
+    let first = own.iter().find(|line| line.line.event == "no advice")?;
     let error = first.line.text("error").unwrap_or_default();
-    let span = (last.at_ms - first.at_ms).max(WORTH_TELLING_MS);
-    Some((span, format!("the advisor gave no answer ({error})")))
+    Some(format!("the advisor gave no answer ({error})"))
 }
 
-fn unanswered_orders(trace: &Trace) -> Option<(f64, String)> {
-    let job = &trace.job;
-    let agent = events(trace, "orders unanswered").map(|line| (line, "the agent beside"));
-    let unknown = events(trace, "order carried out").filter(|line| {
-        line.line.is_of(job) && line.line.text("outcome").as_deref() == Some("Unknown")
-    });
-    let lines: Vec<_> = agent.chain(unknown.map(|line| (line, ""))).collect();
-    let (first, who) = lines.first()?;
-    let target = first.line.text("target").unwrap_or_default();
-    let span = lines
-        .last()
-        .map_or(0.0, |(last, _)| last.at_ms - first.at_ms);
-    let who = if who.is_empty() {
-        format!("target {target}")
-    } else {
-        format!("{who} target {target}")
-    };
-    Some((
-        span.max(WORTH_TELLING_MS),
-        format!("{who} left orders without an answer"),
-    ))
+/// An agent that gave no answer to the scheduler, or a target that gave none to its agent.
+fn unanswered_orders(trace: &Trace) -> Option<String> {
+    let by_agent = events(trace, "orders unanswered").next();
+    if let Some(line) = by_agent {
+        let target = line.line.text("target").unwrap_or_default();
+        return Some(format!(
+            "the agent beside target {target} left orders without an answer"
+        ));
+    }
+    let mut carried_out = events(trace, "order carried out");
+    let unknown = carried_out.find(|line| {
+        line.line.is_of(&trace.job) && line.line.text("outcome").as_deref() == Some("Unknown")
+    })?;
+    let target = unknown.line.text("target").unwrap_or_default();
+    Some(format!("target {target} left orders without an answer"))
 }
