--- a/crates/rattanwinch_front/src/leadership.rs
+++ b/crates/rattanwinch_front/src/leadership.rs
@@ -14,6 +14,7 @@
 use rattanwinch_fleet::FrontClient;
 use rattanwinch_fleet::LeaderInfo;
 use rattanwinch_site_store::StoreError;
+use slog::debug;
 use slog::warn;
 use tokio::task::JoinSet;
 
@@ -75,10 +76,18 @@
     let asker = Some(state.address);
     let mut asked = JoinSet::new();
     for &front in fronts.iter() {
-        asked.spawn(async move { FrontClient::new(front).leader(asker, PING_LIMIT).await });
+        let log = state.log.clone();
+        asked.spawn(async move {
+            let answer = FrontClient::new(front).leader(asker, PING_LIMIT).await;
+            // Fronts that are gone or cut off are expected here, so this is no warning.
+            answer.unwrap_or_else(|error| {
+                debug!(log, "no answer about who schedules"; "front" => %front, "error" => %error);
+                None
+            })
+        });
     }
     let answers = asked.join_all().await.into_iter();
-    let told = answers.filter_map(|answer| Some(answer.ok().flatten()?.leader));
+    let told = answers.filter_map(|answer| Some(answer?.leader));
     let others = told.filter(|info| info.address != state.address);
     let best = others.max_by_key(|info| info.epoch)?;
     (best.epoch >= state.highest_epoch()).then_some(best)
--- a/crates/rattanwinch_trace/src/trace.rs
+++ b/crates/rattanwinch_trace/src/trace.rs
@@ -109,7 +109,8 @@
     }
 }
 
-/// The targets that a line names.
+/// The targets that a line names; a list that can't be read names none, since lines of any
+/// process are looked at.
 pub(crate) fn targets(line: &LogLine) -> Vec<String> {
     let listed = line.text("targets").unwrap_or_default();
     let listed: Vec<String> = serde_json::from_str(&listed).unwrap_or_default();
