Let the executor refuse plain requests whose permission has ended

Cause: an agent checks its gate, then calls the executor. An agent that is frozen in between sends the call when it goes on, however long the zone has been closed by then. Ruled out by reading: the check itself, since the clock counts the time frozen, and answers to heartbeats, which count from their sending.

Change: the call carries the moment from which the gate would refuse, and the executor answers 503 'not run' from then on. Both are on one VM, so one clock tells both. Gang tasks needn't this: a loaded task's lease ends while its agent is frozen.

Before: a_request_that_reaches_the_executor_late_is_not_run fails, the request runs 2.5 s after the decision.

--- a/crates/rattanwinch_agent/src/plain_requests.rs
+++ b/crates/rattanwinch_agent/src/plain_requests.rs
@@ -84,11 +84,13 @@
             let message = "the deadline passed while the request waited for a slot";
             return Err(RequestError::not_run(ErrorKind::Deadline, message));
         };
-        // The zone may have been closed while the request waited.
+        // The zone may have been closed while the request waited. The executor goes by the end of
+        // the permission, because the agent may be frozen before the executor gets the call.
         let now = self.clock.now();
         let gate = self.gate.load_full();
         gate.check_plain(now)?;
         self.assert_may_start(&gate, false, now);
+        let start_before = gate.plain_until();
         let state = Arc::clone(self);
         // A task of its own, because the call's future is dropped with its connection while the
         // executor goes on: a slot that is given away then is refused by the executor.
@@ -96,7 +98,9 @@
             let _held = (in_flight, slot);
             let limit = now.until(req.deadline);
             let executor = &state.executor;
-            executor.run_request(&attempt, &req.payload, limit).await
+            executor
+                .run_request(&attempt, &req.payload, limit, start_before)
+                .await
         });
         run.await.unwrap_or_else(|error| Err(panicked(&error)))
     }
--- /dev/null
+++ b/crates/rattanwinch_agent/tests/gang/late_requests.rs
@@ -0,0 +1,113 @@
+//! Plain requests that reach the executor late.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rattanwinch_agent::AgentDaemon;
+use rattanwinch_agent::Serving;
+use rattanwinch_peers::AgentRpcClient as _;
+use rattanwinch_peers::WirePlainAttempt;
+use rattanwinch_peers::request_error;
+use rattanwinch_runtime::Clock;
+use rattanwinch_runtime::discard_logger;
+use rattanwinch_targets::Executor;
+use rattanwinch_targets::HttpExecutor;
+use rattanwinch_targets::Result;
+use rattanwinch_targets::TaskOrder;
+use rattanwinch_targets::TaskReport;
+use rattanwinch_types::Answer;
+use rattanwinch_types::AttemptKey;
+use rattanwinch_types::MemberKey;
+use rattanwinch_types::PlainRequest;
+use rattanwinch_types::StopMode;
+use rattanwinch_types::Timestamp;
+
+use crate::support::Rig;
+use crate::support::agent_settings;
+use crate::support::member;
+
+/// Longer than an answered heartbeat allows plain requests to start.
+const FROZEN: Duration = Duration::from_millis(2500);
+
+/// Long enough that no deadline plays a part.
+const DEADLINE: Duration = Duration::from_secs(60);
+
+/// Holds each plain request back, as an agent does that is frozen before it sends the call.
+struct HeldBack(HttpExecutor);
+
+impl Executor for HeldBack {
+    async fn run_request(
+        &self,
+        attempt: &AttemptKey,
+        payload: &Arc<str>,
+        limit: Duration,
+        start_before: Timestamp,
+    ) -> Result<Answer> {
+        tokio::time::sleep(FROZEN).await;
+        let executor = &self.0;
+        executor
+            .run_request(attempt, payload, limit, start_before)
+            .await
+    }
+
+    async fn load_task(&self, order: &TaskOrder) -> Result<()> {
+        self.0.load_task(order).await
+    }
+
+    async fn run_task(&self, member: &MemberKey) -> Result<()> {
+        self.0.run_task(member).await
+    }
+
+    async fn stop_task(&self, member: &MemberKey, mode: StopMode) -> Result<()> {
+        self.0.stop_task(member, mode).await
+    }
+
+    async fn renew_tasks(&self, members: &[MemberKey], lease: Duration) -> Result<()> {
+        self.0.renew_tasks(members, lease).await
+    }
+
+    async fn tasks(&self) -> Result<Vec<TaskReport>> {
+        self.0.tasks().await
+    }
+
+    async fn output(&self, member: &MemberKey) -> Result<Answer> {
+        self.0.output(member).await
+    }
+
+    async fn forget_task(&self, member: &MemberKey) -> Result<()> {
+        self.0.forget_task(member).await
+    }
+}
+
+async fn start_held_back(
+    executor: SocketAddr,
+    entry: SocketAddr,
+) -> AgentDaemon<HeldBack, Serving> {
+    let settings = agent_settings(executor, entry);
+    let held_back = HeldBack(HttpExecutor::new(executor));
+    let daemon = AgentDaemon::new(settings, held_back, discard_logger());
+    daemon.serve().await.expect("loopback can be bound")
+}
+
+/// Guards against an agent that is frozen between its decision and the call to the executor, and
+/// goes on after the zone was closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_reaches_the_executor_late_is_not_run() {
+    let rig = Rig::start_with(Duration::from_millis(1), start_held_back).await;
+    rig.entry
+        .respond(|it| it.plain_when_stale = Duration::from_secs(60));
+    rig.entry.heartbeats(2).await;
+    let incarnation = rig.entry.last().expect("heartbeats came").incarnation;
+    let req = PlainRequest::builder()
+        .key(member("order-1", 1, 0).attempt.key)
+        .idempotent(true)
+        .deadline(Clock::start().now() + DEADLINE)
+        .payload("work_ms=0".into())
+        .build();
+    let order = WirePlainAttempt::new(&req, 1, incarnation);
+    let run = rig.decider.run_request(order).await;
+    let error = request_error(&run.expect_err("the permission had ended"));
+    assert!(error.is_not_run(), "{error}");
+    assert_eq!(rig.executor.started(), 0);
+}
--- a/crates/rattanwinch_agent/tests/gang/main.rs
+++ b/crates/rattanwinch_agent/tests/gang/main.rs
@@ -3,4 +3,5 @@
 
 mod agent_process;
 mod gang_start;
+mod late_requests;
 mod support;
--- a/crates/rattanwinch_agent/tests/gang/support.rs
+++ b/crates/rattanwinch_agent/tests/gang/support.rs
@@ -166,11 +166,8 @@
     pub decider: WsClient,
 }
 
-pub async fn start_agent(
-    executor: SocketAddr,
-    entry: SocketAddr,
-) -> AgentDaemon<HttpExecutor, Serving> {
-    let settings = AgentSettings::builder()
+pub fn agent_settings(executor: SocketAddr, entry: SocketAddr) -> AgentSettings {
+    AgentSettings::builder()
         .target(TargetName::new("target-1").unwrap())
         .zone(ZoneName::new("az-1").unwrap())
         .rack(RackName::new("rack-1").unwrap())
@@ -178,7 +175,14 @@
         .executor(executor)
         .entries(vec![entry])
         .heartbeat_interval(Duration::from_millis(50))
-        .build();
+        .build()
+}
+
+pub async fn start_agent(
+    executor: SocketAddr,
+    entry: SocketAddr,
+) -> AgentDaemon<HttpExecutor, Serving> {
+    let settings = agent_settings(executor, entry);
     let daemon = AgentDaemon::new(settings, HttpExecutor::new(executor), discard_logger());
     daemon.serve().await.expect("loopback can be bound")
 }
--- a/crates/rattanwinch_decisions/src/gate.rs
+++ b/crates/rattanwinch_decisions/src/gate.rs
@@ -104,7 +104,7 @@
     /// was frozen would start what it has queued in a zone that was closed in the meantime.
     pub fn check_plain(&self, now: Timestamp) -> Result<()> {
         self.check_open()?;
-        if now >= self.fresh_until.max(self.heard_at + HEARD_FOR) {
+        if now >= self.heard_until() {
             return refuse("the target has heard no entry for too long");
         }
         if now >= self.fresh_until + self.plain_when_stale {
@@ -113,6 +113,18 @@
         Ok(())
     }
 
+    /// The moment from which no plain request may start any more, unless another heartbeat is
+    /// answered; [`Self::check_plain`] refuses from then on.
+    #[must_use]
+    pub fn plain_until(&self) -> Timestamp {
+        self.heard_until()
+            .min(self.fresh_until + self.plain_when_stale)
+    }
+
+    fn heard_until(&self) -> Timestamp {
+        self.fresh_until.max(self.heard_at + HEARD_FOR)
+    }
+
     fn check_open(&self) -> Result<()> {
         if self.leaving {
             return refuse("the target is leaving");
--- a/crates/rattanwinch_decisions/tests/gate.rs
+++ b/crates/rattanwinch_decisions/tests/gate.rs
@@ -32,6 +32,21 @@
     }
 }
 
+/// Guards against an executor that begins what the agent would no longer permit, or refuses what
+/// it still does.
+#[test]
+fn the_end_of_the_permission_is_where_plain_requests_are_refused() {
+    for (fresh, stale) in [(1, 0), (500, 0), (5_000, 0), (500, 1_000), (500, 60_000)] {
+        let mut heard = response(1, Duration::from_millis(fresh));
+        heard.plain_when_stale = Duration::from_millis(stale);
+        let gate = Gate::default().after_heartbeat(at(0), &heard);
+        let end = gate.plain_until();
+        let last = end - Duration::from_millis(1);
+        gate.check_plain(last).expect("permitted before the end");
+        gate.check_plain(end).expect_err("refused from the end on");
+    }
+}
+
 /// Guards against a process that was frozen across a closing and, on resuming, starts the plain
 /// requests that it had queued before it has heard an entry again.
 #[test]
--- a/crates/rattanwinch_standins/src/executor/standin_executor.rs
+++ b/crates/rattanwinch_standins/src/executor/standin_executor.rs
@@ -21,11 +21,13 @@
 use poem::post;
 use poem::web::Data;
 use poem::web::Json;
+use rattanwinch_runtime::Clock;
 use rattanwinch_runtime::Shutdown;
 use rattanwinch_targets::WireRequest;
 use rattanwinch_targets::WireResponse;
 use rattanwinch_types::AcceleratorSet;
 use rattanwinch_types::Answer;
+use rattanwinch_types::Timestamp;
 use tokio::sync::Semaphore;
 
 use super::TaskRun;
@@ -35,6 +37,7 @@
 
 /// What the stand-in's parts share.
 struct State {
+    clock: Clock,
     slots: Semaphore,
     fails_everything: AtomicBool,
     started: AtomicU64,
@@ -70,6 +73,7 @@
     /// If the listener has no TCP address, which can't be with a TCP listener.
     pub async fn start(address: SocketAddr, slots: usize) -> io::Result<Self> {
         let state = Arc::new(State {
+            clock: Clock::start(),
             slots: Semaphore::new(slots),
             fails_everything: AtomicBool::new(false),
             started: AtomicU64::new(0),
@@ -187,6 +191,9 @@
     let Ok(_slot) = state.slots.try_acquire() else {
         return (StatusCode::SERVICE_UNAVAILABLE, "all slots are taken").into_response();
     };
+    if state.clock.now() >= Timestamp::from_millis(req.start_before_unix_ms) {
+        return (StatusCode::SERVICE_UNAVAILABLE, "too late to start").into_response();
+    }
     state.started.fetch_add(1, Ordering::AcqRel);
     let run = format!("{}/{}#{}", req.organisation, req.id, req.attempt);
     state
--- a/crates/rattanwinch_targets/src/executor.rs
+++ b/crates/rattanwinch_targets/src/executor.rs
@@ -6,6 +6,7 @@
 use rattanwinch_types::MemberKey;
 use rattanwinch_types::RequestError;
 use rattanwinch_types::StopMode;
+use rattanwinch_types::Timestamp;
 
 use crate::TaskOrder;
 use crate::TaskReport;
@@ -16,11 +17,15 @@
 /// What an agent needs of the executor beside it.
 pub trait Executor: Send + Sync + 'static {
     /// Runs one attempt at a plain request and returns its whole answer, at most `limit` later.
+    ///
+    /// The executor refuses to begin at `start_before`, in Unix time, or later: the agent may be
+    /// frozen between its decision and this call, and its decision holds until then only.
     fn run_request(
         &self,
         attempt: &AttemptKey,
         payload: &Arc<str>,
         limit: Duration,
+        start_before: Timestamp,
     ) -> impl Future<Output = Result<Answer>> + Send;
 
     /// Loads a task without running it; it is dropped when its lease expires.
--- a/crates/rattanwinch_targets/src/http_executor.rs
+++ b/crates/rattanwinch_targets/src/http_executor.rs
@@ -8,6 +8,7 @@
 use rattanwinch_types::MemberKey;
 use rattanwinch_types::RequestError;
 use rattanwinch_types::StopMode;
+use rattanwinch_types::Timestamp;
 use rattanwinch_types::Verdict;
 use reqwest::Client;
 use reqwest::RequestBuilder;
@@ -72,9 +73,10 @@
         attempt: &AttemptKey,
         payload: &Arc<str>,
         limit: Duration,
+        start_before: Timestamp,
     ) -> Result<Answer> {
         let what = "a plain request";
-        let body = WireRequest::new(attempt, payload, limit);
+        let body = WireRequest::new(attempt, payload, limit, start_before);
         let url = format!("{}/requests", self.base);
         let sent = self
             .client
--- a/crates/rattanwinch_targets/src/wire.rs
+++ b/crates/rattanwinch_targets/src/wire.rs
@@ -13,6 +13,7 @@
 use rattanwinch_types::Organisation;
 use rattanwinch_types::RequestId;
 use rattanwinch_types::RequestKey;
+use rattanwinch_types::Timestamp;
 
 use crate::TaskOrder;
 use crate::TaskReport;
@@ -33,6 +34,8 @@
         pub attempt: u32,
         /// How long the caller waits, in milliseconds.
         pub limit_ms: u64,
+        /// From when the executor must not begin the attempt, in milliseconds since the Unix epoch.
+        pub start_before_unix_ms: u64,
         /// The text of the request.
         pub payload: String,
     }
@@ -41,12 +44,18 @@
 impl WireRequest {
     /// Packs a request.
     #[must_use]
-    pub fn new(attempt: &AttemptKey, payload: &Arc<str>, limit: Duration) -> Self {
+    pub fn new(
+        attempt: &AttemptKey,
+        payload: &Arc<str>,
+        limit: Duration,
+        start_before: Timestamp,
+    ) -> Self {
         Self {
             organisation: attempt.key.organisation.as_str().to_owned(),
             id: attempt.key.id.as_str().to_owned(),
             attempt: attempt.attempt,
             limit_ms: millis(limit),
+            start_before_unix_ms: start_before.as_millis(),
             payload: payload.as_ref().to_owned(),
         }
     }
