Count the silence of targets across a change of scheduler

Cause: a new scheduler doesn't know how long a target has been silent, so each takeover began the 16.1 s anew in which its leases may hold.

Change: silence of targets with runs is made durable in steps of 4 s, with the transaction chain of all other writes; a successor counts it as passed. While a VM is listed, its agent isn't confirmed and gets no starts, until its removal is known to be durable. Starts go only to targets heard within 2.5 s, since they set a lease and the wait counts from the last report; a start sent later could have held a lease beyond the wait.

Ruled out: a wait from the takeover with shorter leases (every cut would end healthy work), and the time of the last report by wall clock (needs two VMs' clocks).

--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -20,6 +20,7 @@
 use rattanwinch_scheduling::OrderOutcome;
 use rattanwinch_scheduling::RunId;
 use rattanwinch_scheduling::Scheduler;
+use rattanwinch_scheduling::SilentLives;
 use rattanwinch_site_advisor::AdvisorClient;
 use rattanwinch_types::Timestamp;
 use slog::info;
@@ -51,6 +52,8 @@
 pub(crate) struct Inherited {
     /// Where the agents serve the scheduler.
     pub agents: AgentAddresses,
+    /// How long lives of targets had been silent.
+    pub silences: SilentLives,
     /// The waves of upkeep, by their numbers.
     pub waves: BTreeMap<u32, WaveRecord>,
 }
@@ -83,10 +86,11 @@
     pub(crate) fn new(
         state: Arc<FrontState>,
         leading: Arc<Leading>,
-        scheduler: Scheduler,
+        mut scheduler: Scheduler,
         committer: Committer,
         inherited: Inherited,
     ) -> Self {
+        scheduler.inherit_silences(inherited.silences);
         let advisor = state.settings.advisor.map(AdvisorClient::new);
         let now = state.clock.now();
         let upkeep = Upkeep::new(&state, &leading, inherited.waves, now);
@@ -229,9 +233,13 @@
             .as_ref()
             .map(|target| &target.description.life);
         let acknowledged = life.map_or(0, |life| self.scheduler.acknowledged(life));
+        let listed_silent = !self.scheduler.may_confirm(&report.agent.vm);
+        if listed_silent {
+            info!(self.state.log, "agent heard again, not confirmed yet"; "vm" => &*report.agent.vm);
+        }
         let answer = ReportAnswer {
             epoch,
-            confirmed: self.leading.is_confirmed(now),
+            confirmed: self.leading.is_confirmed(now) && !listed_silent,
             acknowledged,
             fronts: self.fronts(),
         };
--- a/crates/rattanwinch_front/src/coordinator/commits.rs
+++ b/crates/rattanwinch_front/src/coordinator/commits.rs
@@ -5,6 +5,7 @@
 use rattanwinch_scheduling::JobId;
 use rattanwinch_types::Timestamp;
 use slog::debug;
+use slog::info;
 
 use crate::commands::Command;
 use crate::committer::Writes;
@@ -13,9 +14,11 @@
 use crate::records::ACCEPTED_PREFIX;
 use crate::records::AGENTS_KEY;
 use crate::records::PROGRESS_PREFIX;
+use crate::records::SILENCES_KEY;
 use crate::records::encode_accepted;
 use crate::records::encode_agents;
 use crate::records::encode_progress;
+use crate::records::encode_silences;
 
 /// The state of an ended job is kept this much longer than callers may ask for it, so that a
 /// late repetition of its submission still finds it.
@@ -44,6 +47,11 @@
             let key = AGENTS_KEY.to_owned();
             writes.puts.push((key, encode_agents(&agents)));
         }
+        if let Some(silences) = &changes.silences {
+            info!(self.state.log, "silences noted"; "targets" => silences.len());
+            let key = SILENCES_KEY.to_owned();
+            writes.puts.push((key, encode_silences(silences)));
+        }
         writes.puts.extend(self.upkeep.take_writes());
         self.committing = std::mem::take(&mut self.waiting);
         let commands = self.leading.commands.clone();
--- a/crates/rattanwinch_front/src/leadership/elected.rs
+++ b/crates/rattanwinch_front/src/leadership/elected.rs
@@ -18,11 +18,13 @@
 use crate::records::ACCEPTED_PREFIX;
 use crate::records::AGENTS_KEY;
 use crate::records::PROGRESS_PREFIX;
+use crate::records::SILENCES_KEY;
 use crate::records::WAVE_PREFIX;
 use crate::records::WaveRecord;
 use crate::records::decode_accepted;
 use crate::records::decode_agents;
 use crate::records::decode_progress;
+use crate::records::decode_silences;
 use crate::records::decode_wave;
 
 /// A front that is to schedule and doesn't know the jobs yet.
@@ -40,11 +42,12 @@
         let store = &self.state.store;
         let sent_at = self.state.clock.now();
         // A long read must not outlast the lease.
-        let (accepted, progress, waves, agents, renewed) = tokio::join!(
+        let (accepted, progress, waves, agents, silences, renewed) = tokio::join!(
             store.range(ACCEPTED_PREFIX),
             store.range(PROGRESS_PREFIX),
             store.range(WAVE_PREFIX),
             store.get(AGENTS_KEY),
+            store.get(SILENCES_KEY),
             store.renew(self.lease),
         );
         // Without an answer the lease may or may not have been renewed; the renewals that follow
@@ -60,12 +63,20 @@
             error!(self.state.log, "agents not told of the new scheduler"; "error" => %error);
             None
         });
+        let silences = silences?
+            .map(|item| decode_silences(&item.value))
+            .transpose();
+        let silences = silences.unwrap_or_else(|error| {
+            error!(self.state.log, "silences of targets counted anew"; "error" => %error);
+            None
+        });
         Ok(Restored {
             elected: self,
             jobs,
             confirmed_at: matches!(renewed, Ok(true)).then_some(sent_at),
             inherited: Inherited {
                 agents: agents.unwrap_or_default(),
+                silences: silences.unwrap_or_default(),
                 waves,
             },
         })
--- a/crates/rattanwinch_front/src/leadership/restored.rs
+++ b/crates/rattanwinch_front/src/leadership/restored.rs
@@ -130,6 +130,8 @@
 fn scheduling_limits(state: &FrontState) -> SchedulingLimits {
     SchedulingLimits::builder()
         .silence(silence_limit(state.settings.vm.longest_lease))
+        // A quarter of the wait for leases; each step is a write, which costs a tenth of a start.
+        .silence_step(Duration::from_secs(4))
         // Two reports and a half.
         .fresh(REPORT_INTERVAL * 5 / 2)
         // Many times the way of an order and its answer, which is a few milliseconds.
--- a/crates/rattanwinch_front/src/records.rs
+++ b/crates/rattanwinch_front/src/records.rs
@@ -15,6 +15,7 @@
 use rattanwinch_scheduling::QueueName;
 use rattanwinch_scheduling::QueueRules;
 use rattanwinch_scheduling::ServiceName;
+use rattanwinch_scheduling::SilentLives;
 use rattanwinch_scheduling::StepId;
 use rattanwinch_scheduling::TargetLife;
 use rattanwinch_scheduling::TaskId;
@@ -52,6 +53,37 @@
     serde_json::from_slice(value).map_err(invalid)
 }
 
+/// The key that holds which lives of targets are silent, and for how long.
+pub(crate) const SILENCES_KEY: &str = "rattanwinch/silent";
+
+/// The VM, the target, its life, and the silence in milliseconds.
+type StoredSilence = (Arc<str>, String, u64, u64);
+
+/// Writes the silences of targets.
+pub(crate) fn encode_silences(silences: &SilentLives) -> Vec<u8> {
+    let stored = silences.iter().map(|(life, silence)| -> StoredSilence {
+        let target = life.target.as_str().to_owned();
+        (Arc::clone(&life.vm), target, life.born_ms, millis(*silence))
+    });
+    let stored: Vec<_> = stored.collect();
+    serde_json::to_vec(&stored).expect("names and numbers are valid JSON")
+}
+
+/// Reads the silences of targets.
+pub(crate) fn decode_silences(value: &[u8]) -> Result<SilentLives> {
+    let stored: Vec<StoredSilence> = serde_json::from_slice(value).map_err(invalid)?;
+    let silences = stored.into_iter().map(|(vm, target, born_ms, silent_ms)| {
+        let target = TargetName::new(target).map_err(invalid)?;
+        let life = TargetLife {
+            vm,
+            target,
+            born_ms,
+        };
+        Ok((life, Duration::from_millis(silent_ms)))
+    });
+    silences.collect()
+}
+
 /// The keys of waves of upkeep; the wave's number follows.
 pub(crate) const WAVE_PREFIX: &str = "rattanwinch/wave/";
 
--- a/crates/rattanwinch_front/tests/site/harness.rs
+++ b/crates/rattanwinch_front/tests/site/harness.rs
@@ -53,7 +53,7 @@
 
 pub struct Worker {
     /// Runs until the worker is dropped.
-    _daemon: SideDaemon,
+    daemon: SideDaemon,
     pub door: StoreDoor,
     pub executor: SiteExecutor,
     options: ExecutorOptions,
@@ -214,7 +214,7 @@
             machines.keep(&format!("m{}", self.workers.len()), &executor);
         }
         self.workers.push(Worker {
-            _daemon: daemon,
+            daemon,
             door,
             executor,
             options,
@@ -230,6 +230,13 @@
         self.workers.push(worker);
     }
 
+    /// Ends a worker's executor and its agent at once, as if its VM had lost power.
+    pub async fn lose_worker(&mut self, worker: usize) {
+        let worker = self.workers.remove(worker);
+        worker.daemon.stop().await;
+        self.former_runs.extend(worker.executor.crash().await);
+    }
+
     /// Every run of a job's tasks that an executor has taken, in the order of their beginnings.
     pub fn runs(&self, id: &str) -> Vec<RunRecord> {
         let present = self.workers.iter();
--- a/crates/rattanwinch_front/tests/site/lost_targets.rs
+++ b/crates/rattanwinch_front/tests/site/lost_targets.rs
@@ -1,6 +1,14 @@
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::harness::Site;
+use crate::harness::Worker;
+
+/// The wait for the leases of a lost target, with leases of 6 s.
+const SILENCE: Duration = Duration::from_millis(16_120);
+
+/// Silence is made durable in steps of this length.
+const SILENCE_STEP: Duration = Duration::from_secs(4);
 
 /// After a power cut executors come back under other ids. Their VM tells which one is gone;
 /// without that, its work waited 16 s for leases that had long ended.
@@ -56,3 +64,37 @@
     site.wait_for(0, "00000000000000c1", "completed", Duration::from_secs(10))
         .await;
 }
+
+/// With every change of scheduler the wait for a lost target's leases began anew, so that its work
+/// didn't start again for as long as fronts came and went.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_of_scheduler_does_not_prolong_the_wait_for_a_lost_target() {
+    let mut site = Site::start(2, 2).await;
+    let id = "00000000000000d0";
+    let work = Duration::from_secs(2);
+    site.submit_until_accepted(0, id, 2_000, 1).await;
+    let runs_job = |worker: &Worker| {
+        let runs = worker.executor.runs();
+        runs.iter().any(|run| run.task.starts_with(id))
+    };
+    let asked_at = Instant::now();
+    let lost = loop {
+        if let Some(worker) = site.workers.iter().position(runs_job) {
+            break worker;
+        }
+        assert!(asked_at.elapsed() < work, "it isn't started");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    };
+    site.lose_worker(lost).await;
+    let lost_at = Instant::now();
+    tokio::time::sleep(SILENCE * 3 / 5).await;
+    let front = site.fronts.remove(site.scheduling());
+    front.stop().await;
+    site.wait_for(0, id, "completed", Duration::from_secs(40))
+        .await;
+    let took = lost_at.elapsed();
+    site.assert_nothing_runs_twice(id);
+    // The change itself may take a second, and a report of the start another.
+    let bound = SILENCE + SILENCE_STEP + work + Duration::from_secs(2);
+    assert!(took < bound, "completed {took:?} after the loss");
+}
--- a/crates/rattanwinch_scheduling/src/limits.rs
+++ b/crates/rattanwinch_scheduling/src/limits.rs
@@ -8,6 +8,8 @@
     pub struct SchedulingLimits {
         /// After this silence every lease of a target has run out, whatever was on its way.
         pub silence: Duration,
+        /// Silence of targets with runs is made durable in steps of this length.
+        pub silence_step: Duration,
         /// A target heard less recently than this gets no new tasks.
         pub fresh: Duration,
         /// The wait before an order is sent again.
--- a/crates/rattanwinch_scheduling/src/orders.rs
+++ b/crates/rattanwinch_scheduling/src/orders.rs
@@ -58,12 +58,20 @@
 
     fn is_due(&self, active: &ActiveRun, now: Timestamp) -> bool {
         let target = self.target(&active.target.target);
-        let heard = target.is_some_and(|target| target.description.life == active.target);
+        let Some(target) = target.filter(|target| target.description.life == active.target) else {
+            return false;
+        };
         let wanted = match active.intent {
-            Intent::Run => !active.started,
+            // A start sets a lease, and silence counts from the last report: a start that is sent
+            // later than just after one could hold a lease beyond the end of the wait.
+            Intent::Run => {
+                !active.started
+                    && now.since(target.heard_at) <= self.limits.fresh
+                    && self.may_confirm(&active.target.vm)
+            }
             Intent::Stop => true,
         };
-        heard && wanted && active.durable && !active.in_flight && now >= active.retry_at
+        wanted && active.durable && !active.in_flight && now >= active.retry_at
     }
 
     fn start_order(&self, run: &RunId) -> Option<StartOrder> {
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rattanwinch_types::TargetName;
@@ -119,13 +120,15 @@
         for name in silent {
             self.target_gone(&name, GoneCause::Silent);
         }
-        if now.since(self.started_at) > silence {
-            let unheard: Vec<_> = self
-                .active
-                .values()
-                .filter(|active| !self.targets.contains_key(&active.target.target))
-                .map(|active| active.target.clone())
-                .collect();
+        let unheard: BTreeSet<_> = self
+            .active
+            .values()
+            .map(|active| &active.target)
+            .filter(|life| !self.targets.contains_key(&life.target))
+            .filter(|life| self.silence(life, now) > silence)
+            .cloned()
+            .collect();
+        if !unheard.is_empty() {
             self.lapse(|life| unheard.contains(life));
         }
     }
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -18,6 +18,7 @@
 use crate::RunId;
 use crate::SchedulingLimits;
 use crate::SchedulingRules;
+use crate::SilentLives;
 use crate::StepDescription;
 use crate::StepId;
 use crate::TargetLife;
@@ -26,6 +27,7 @@
 use crate::active_run::Intent;
 use crate::advice::Advice;
 use crate::job::Job;
+use crate::silences::Silences;
 use crate::target::Target;
 use crate::target::Targets;
 
@@ -46,6 +48,7 @@
     pub(crate) advice: Advice,
     /// Targets that get no new work because their machines are about to go down.
     pub(crate) resting: BTreeSet<TargetName>,
+    pub(crate) silences: Silences,
     /// Since when the turn of a step's waiting tasks has come.
     pub(crate) ready_since: BTreeMap<StepId, Timestamp>,
     /// When this scheduler took over; earlier placements count from then.
@@ -64,6 +67,8 @@
 pub struct Changes {
     /// The jobs whose progress has changed.
     pub jobs: Vec<JobId>,
+    /// The lives that are silent, in place of those listed before.
+    pub silences: Option<SilentLives>,
     pub(crate) runs: Vec<RunId>,
     pub(crate) acknowledged: BTreeMap<TargetLife, u64>,
 }
@@ -72,7 +77,7 @@
     /// True if there is nothing to write and nothing to acknowledge.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.jobs.is_empty() && self.acknowledged.is_empty()
+        self.jobs.is_empty() && self.acknowledged.is_empty() && self.silences.is_none()
     }
 }
 
@@ -94,6 +99,7 @@
             active: BTreeMap::new(),
             advice: Advice::default(),
             resting: BTreeSet::new(),
+            silences: Silences::default(),
             ready_since: BTreeMap::new(),
             started_at: now,
             changed: BTreeSet::new(),
@@ -226,8 +232,10 @@
             self.save_at = now + self.limits.save_interval;
             self.changed.append(&mut self.unsaved);
         }
+        let silences = self.take_silences(now);
         let runs = self.active.iter().filter(|(_, active)| !active.durable);
         Changes {
+            silences,
             runs: runs.map(|(run, _)| run.clone()).collect(),
             jobs: self.take_changed(),
             acknowledged: std::mem::take(&mut self.unacknowledged),
@@ -254,6 +262,9 @@
                 target.acknowledged = target.acknowledged.max(sequence);
             }
         }
+        if changes.silences.is_some() {
+            self.silences.committed();
+        }
     }
 
     /// The highest end of a target that is durable, which it may forget.
--- /dev/null
+++ b/crates/rattanwinch_scheduling/src/silences.rs
@@ -0,0 +1,93 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rattanwinch_types::Timestamp;
+
+use crate::Scheduler;
+use crate::TargetLife;
+
+/// Lives of targets, and how long each had been silent at least when that was made durable.
+pub type SilentLives = BTreeMap<TargetLife, Duration>;
+
+/// What is durable of the silence of targets, so that the next scheduler counts it as passed
+/// instead of beginning the wait for their leases anew.
+///
+/// As long as a life may be listed durably, nobody lets its leases be renewed and nothing is
+/// started on it. So a scheduler that finds it listed knows that its leases end no later than if
+/// it had been silent ever since.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Silences {
+    /// What the scheduler before had listed.
+    inherited: SilentLives,
+    durable: SilentLives,
+    /// What is being written; it may be durable already.
+    writing: Option<SilentLives>,
+}
+
+impl Silences {
+    /// Takes the list to be written in place of the durable one, if they differ.
+    fn change(&mut self, wanted: SilentLives) -> Option<SilentLives> {
+        if self.writing.is_some() || wanted == self.durable {
+            return None;
+        }
+        self.writing = Some(wanted.clone());
+        Some(wanted)
+    }
+
+    /// Notes that the list given last is durable.
+    pub(crate) fn committed(&mut self) {
+        if let Some(written) = self.writing.take() {
+            self.durable = written;
+        }
+    }
+
+    fn may_list_vm(&self, vm: &str) -> bool {
+        let lists = std::iter::once(&self.durable).chain(&self.writing);
+        lists.flat_map(BTreeMap::keys).any(|life| *life.vm == *vm)
+    }
+}
+
+impl Scheduler {
+    /// Takes over how long lives had been silent when the scheduler before made that durable.
+    pub fn inherit_silences(&mut self, silences: SilentLives) {
+        self.silences = Silences {
+            inherited: silences.clone(),
+            durable: silences,
+            writing: None,
+        };
+    }
+
+    /// True if the agent of this VM may be told to renew leases: no life there is listed as
+    /// silent, durably or perhaps.
+    #[must_use]
+    pub fn may_confirm(&self, vm: &str) -> bool {
+        !self.silences.may_list_vm(vm)
+    }
+
+    /// How long a life has been silent at least.
+    pub(crate) fn silence(&self, life: &TargetLife, now: Timestamp) -> Duration {
+        let target = self.targets.get(&life.target);
+        match target.filter(|target| target.description.life == *life) {
+            Some(target) => now.since(target.heard_at),
+            None => {
+                let before = self.silences.inherited.get(life).copied();
+                now.since(self.started_at) + before.unwrap_or_default()
+            }
+        }
+    }
+
+    /// The lives with runs that have been silent for a while, if that is to be made durable.
+    pub(crate) fn take_silences(&mut self, now: Timestamp) -> Option<SilentLives> {
+        let step = self.limits.silence_step;
+        let mut wanted = SilentLives::new();
+        for active in self.active.values() {
+            let silence = self.silence(&active.target, now);
+            if silence >= step && !wanted.contains_key(&active.target) {
+                let steps = silence.as_millis() / step.as_millis().max(1);
+                let steps = u32::try_from(steps).unwrap_or(u32::MAX);
+                wanted.insert(active.target.clone(), step * steps);
+            }
+        }
+        self.silences.change(wanted)
+    }
+}
--- a/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
@@ -41,6 +41,7 @@
 pub fn limits() -> SchedulingLimits {
     SchedulingLimits::builder()
         .silence(Duration::from_secs(16))
+        .silence_step(Duration::from_secs(4))
         .fresh(Duration::from_millis(2500))
         .order_retry(Duration::from_millis(300))
         .stop_repeat(Duration::from_millis(1500))
--- a/crates/rattanwinch_scheduling/tests/decisions/main.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/main.rs
@@ -6,4 +6,5 @@
 mod placing;
 mod reclaiming;
 mod runs;
+mod silences;
 mod upkeep;
--- /dev/null
+++ b/crates/rattanwinch_scheduling/tests/decisions/silences.rs
@@ -0,0 +1,108 @@
+//! Silence of targets that outlasts a change of scheduler.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rattanwinch_scheduling::Changes;
+use rattanwinch_scheduling::JobId;
+use rattanwinch_scheduling::Scheduler;
+
+use crate::fixture::Fixture;
+use crate::fixture::limits;
+use crate::fixture::step;
+
+/// The wait for a target's leases.
+const SILENCE: Duration = Duration::from_secs(16);
+
+/// A site whose only target has a run and hasn't reported for so long; changes are durable.
+fn silent_for(silence: Duration) -> (Fixture, JobId, Changes) {
+    let mut site = Fixture::new(1);
+    let job = site.submit(1, "a", &[step(1, 1)]);
+    site.step();
+    site.now = site.now + silence;
+    let changes = site.scheduler.take_changes(site.now);
+    site.scheduler.committed(&changes);
+    (site, job, changes)
+}
+
+/// The scheduler after that one.
+fn next(site: &Fixture, job: &JobId, changes: &Changes) -> Scheduler {
+    let record = site.scheduler.record(job).expect("a job");
+    let mut next = Scheduler::restore(limits(), site.rules.clone(), [record], site.now);
+    next.inherit_silences(changes.silences.clone().unwrap_or_default());
+    next
+}
+
+fn is_placed(scheduler: &Scheduler, job: &JobId) -> bool {
+    let (_, progress) = scheduler.record(job).expect("a job");
+    progress.tasks.iter().any(|task| task.placed.is_some())
+}
+
+/// A scheduler that begins the wait for a lost target's leases anew keeps its work from starting
+/// again: with every change of scheduler 16 s more.
+#[test]
+fn the_next_scheduler_counts_the_silence_before_it() {
+    let (site, job, changes) = silent_for(Duration::from_secs(13));
+    let mut next = next(&site, &job, &changes);
+    let known = Duration::from_secs(12);
+    next.expire(site.now + (SILENCE - known));
+    assert!(is_placed(&next, &job), "its leases may still hold");
+    next.expire(site.now + (SILENCE - known) + Duration::from_millis(1));
+    assert!(!is_placed(&next, &job), "the wait has begun anew");
+}
+
+/// Short pauses between two reports are no reason for a write to the store.
+#[test]
+fn a_short_silence_is_not_written() {
+    let (_, _, changes) = silent_for(Duration::from_millis(3_900));
+    assert!(changes.is_empty());
+}
+
+/// A target whose leases are renewed while it is listed as silent would be taken for gone too
+/// early by the next scheduler, which would run its work twice.
+#[test]
+fn a_listed_target_is_confirmed_only_once_it_is_durably_off_the_list() {
+    let (mut site, _, _) = silent_for(Duration::from_secs(5));
+    assert!(!site.scheduler.may_confirm("vm0"));
+    site.wait(0);
+    assert!(!site.scheduler.may_confirm("vm0"), "still listed durably");
+    let changes = site.scheduler.take_changes(site.now);
+    assert!(changes.silences.as_ref().is_some_and(BTreeMap::is_empty));
+    assert!(
+        !site.scheduler.may_confirm("vm0"),
+        "not known to be durable"
+    );
+    site.scheduler.committed(&changes);
+    assert!(site.scheduler.may_confirm("vm0"));
+}
+
+/// While it isn't known whether a list has been written, it may have been.
+#[test]
+fn a_target_that_is_heard_while_it_is_being_listed_is_not_confirmed() {
+    let mut site = Fixture::new(1);
+    site.submit(1, "a", &[step(1, 1)]);
+    site.step();
+    site.now = site.now + Duration::from_secs(5);
+    let listing = site.scheduler.take_changes(site.now);
+    assert!(listing.silences.is_some());
+    site.wait(0);
+    assert!(!site.scheduler.may_confirm("vm0"));
+    site.scheduler.committed(&listing);
+    assert!(!site.scheduler.may_confirm("vm0"));
+}
+
+/// A start sets a lease as a renewal does.
+#[test]
+fn nothing_is_started_on_a_target_that_is_listed_or_silent() {
+    let mut site = Fixture::new(1);
+    site.submit(1, "a", &[step(1, 1)]);
+    site.scheduler.place(site.now, site.now);
+    site.commit();
+    site.now = site.now + Duration::from_secs(5);
+    assert!(site.scheduler.orders(site.now).is_empty(), "it is silent");
+    site.commit();
+    site.wait(0);
+    assert!(site.scheduler.orders(site.now).is_empty(), "it is listed");
+    site.commit();
+    assert_eq!(site.scheduler.orders(site.now).len(), 1);
+}
--- a/crates/rattanwinch_scheduling/tests/world/model.rs
+++ b/crates/rattanwinch_scheduling/tests/world/model.rs
@@ -24,6 +24,7 @@
 use rattanwinch_scheduling::SchedulingLimits;
 use rattanwinch_scheduling::SchedulingRules;
 use rattanwinch_scheduling::ServiceName;
+use rattanwinch_scheduling::SilentLives;
 use rattanwinch_scheduling::StartRefusal;
 use rattanwinch_scheduling::TargetLife;
 use rattanwinch_scheduling::TargetOrders;
@@ -39,7 +40,8 @@
 
 const STEP: Duration = Duration::from_millis(50);
 const FAULTS_END: Duration = Duration::from_secs(90);
-const PLAY_END: Duration = Duration::from_secs(400);
+/// Long enough for all jobs, with runs of up to 40 s.
+const PLAY_END: Duration = Duration::from_secs(1_000);
 const TARGETS: usize = 5;
 const MAX_ATTEMPTS: u32 = 3;
 const GANG_TIMEOUT: Duration = Duration::from_secs(3);
@@ -68,6 +70,7 @@
     /// No scheduler is at work until then.
     down_until: Timestamp,
     stored: Stored,
+    silences: SilentLives,
     committing: Option<(Timestamp, Changes, Stored)>,
     targets: Vec<ModelTarget>,
     messages: Vec<(Timestamp, Message)>,
@@ -83,6 +86,7 @@
 fn limits() -> SchedulingLimits {
     SchedulingLimits::builder()
         .silence(AUTONOMY + LEASE + Duration::from_secs(2))
+        .silence_step(Duration::from_secs(4))
         .fresh(Duration::from_millis(2500))
         .order_retry(Duration::from_millis(300))
         .stop_repeat(Duration::from_millis(1500))
@@ -131,6 +135,7 @@
             scheduler: Scheduler::restore(limits(), rules(), [], now),
             down_until: now,
             stored: Stored::new(),
+            silences: SilentLives::new(),
             committing: None,
             targets: (0..TARGETS).map(|vm| ModelTarget::new(vm, now)).collect(),
             messages: Vec::new(),
@@ -191,6 +196,7 @@
         if self.down_until > Timestamp::ZERO {
             let jobs: Vec<_> = self.stored.values().cloned().collect();
             self.scheduler = Scheduler::restore(limits(), rules(), jobs, self.now);
+            self.scheduler.inherit_silences(self.silences.clone());
             self.down_until = Timestamp::ZERO;
         }
         self.scheduler.expire(self.now);
@@ -216,7 +222,7 @@
     fn commit(&mut self) {
         match self.committing.take() {
             Some((done_at, changes, records)) if self.now >= done_at => {
-                self.stored.extend(records);
+                self.store(&changes, records);
                 self.scheduler.committed(&changes);
             }
             Some(waiting) => self.committing = Some(waiting),
@@ -234,10 +240,18 @@
             Some((id.clone(), record))
         });
         let records = records.collect();
-        let done_at = self.now + self.millis(1, 400);
+        let slowest = if self.chance(10.0) { 3_000 } else { 400 };
+        let done_at = self.now + self.millis(1, slowest);
         self.committing = Some((done_at, changes, records));
     }
 
+    fn store(&mut self, changes: &Changes, records: Stored) {
+        self.stored.extend(records);
+        if let Some(silences) = &changes.silences {
+            self.silences.clone_from(silences);
+        }
+    }
+
     fn report(&mut self) {
         for vm in 0..TARGETS {
             let target = &mut self.targets[vm];
@@ -249,10 +263,13 @@
                 continue;
             }
             target.epoch = target.epoch.max(self.epoch);
-            target.contact = self.now;
             let report = target.report(self.now);
             self.hear(self.now, &report);
-            let target = &self.targets[vm];
+            let target = &mut self.targets[vm];
+            if !self.scheduler.may_confirm(&target.life.vm) {
+                continue;
+            }
+            target.contact = self.now;
             let acknowledged = self.scheduler.acknowledged(&target.life);
             self.forget(vm, acknowledged);
         }
@@ -411,7 +428,13 @@
         }
         self.check_start(run, vm);
         let step = self.step(&run.task.step);
-        let work = self.millis(300, 6_000);
+        // Work that outlasts every lease shows whether a target is given up too early.
+        let outlasting = self.chance(15.0);
+        let work = if outlasting {
+            self.millis(15_000, 40_000)
+        } else {
+            self.millis(300, 6_000)
+        };
         let fails = self.chance(12.0);
         let started = ModelRun {
             number: run.number,
--- a/crates/rattanwinch_scheduling/tests/world/model/faults.rs
+++ b/crates/rattanwinch_scheduling/tests/world/model/faults.rs
@@ -29,13 +29,37 @@
         for vm in 0..TARGETS {
             if self.chance(0.1) {
                 self.targets[vm].cut_until = self.now + self.millis(500, 25_000);
+                self.plan_next_cut(vm);
             }
+            self.begin_next_cut(vm);
             if self.chance(0.05) {
                 self.targets[vm] = ModelTarget::new(vm, self.now);
             }
         }
     }
 
+    /// Some cuts are followed by another one, a moment after the target was heard again.
+    fn plan_next_cut(&mut self, vm: usize) {
+        if self.chance(60.0) {
+            let begin = self.targets[vm].cut_until + self.millis(50, 800);
+            self.targets[vm].next_cut = Some((begin, begin + self.millis(500, 25_000)));
+        }
+    }
+
+    fn begin_next_cut(&mut self, vm: usize) {
+        let now = self.now;
+        let next = self.targets[vm]
+            .next_cut
+            .take_if(|(begin, _)| *begin <= now);
+        let Some((_, end)) = next else { return };
+        self.targets[vm].cut_until = end;
+        self.plan_next_cut(vm);
+        // Troubles come together: what cuts a target off may take the scheduler with it.
+        if self.chance(50.0) {
+            self.lose_scheduler();
+        }
+    }
+
     fn submit(&mut self) {
         self.next_job += 1;
         let priority = self.rng.random_range(0..3);
@@ -87,10 +111,10 @@
     /// The scheduler is gone; another one starts from what is stored. What was being written may
     /// or may not have been.
     fn lose_scheduler(&mut self) {
-        if let Some((_, _, records)) = self.committing.take()
+        if let Some((_, changes, records)) = self.committing.take()
             && self.chance(50.0)
         {
-            self.stored.extend(records);
+            self.store(&changes, records);
         }
         self.epoch += 1;
         self.down_until = self.now + self.millis(100, 3_000);
--- a/crates/rattanwinch_scheduling/tests/world/target.rs
+++ b/crates/rattanwinch_scheduling/tests/world/target.rs
@@ -53,6 +53,8 @@
     /// When the last report was sent that a scheduler answered.
     pub contact: Timestamp,
     pub cut_until: Timestamp,
+    /// The next cut, shortly after this one: its begin and its end.
+    pub next_cut: Option<(Timestamp, Timestamp)>,
     pub next_report: Timestamp,
 }
 
@@ -75,6 +77,7 @@
             lease_until: Timestamp::ZERO,
             contact: Timestamp::ZERO,
             cut_until: Timestamp::ZERO,
+            next_cut: None,
             next_report: born,
         }
     }
