Pause between repeats of an order to an executor

Cause: an order whose call failed was repeated at once until 1.5 s had passed.

Change: a pause of 50 ms before the first repeat, doubled each time, so that a batch of orders makes at most five attempts a run.

After: the test passes.

--- a/crates/rattanwinch_front/tests/site/late_orders.rs
+++ b/crates/rattanwinch_front/tests/site/late_orders.rs
@@ -1,4 +1,12 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
+
+use reqwest::Method;
+use tokio::net::TcpListener;
 
 use crate::harness::Site;
 
@@ -57,3 +65,52 @@
     assert!(site.workers[0].executor.runs().is_empty());
     site.assert_nothing_runs_twice("00000000000000c1");
 }
+
+/// Counts the connections to an address, each of which is closed at once.
+async fn count_connections(address: SocketAddr) -> Arc<AtomicU32> {
+    let asked_at = Instant::now();
+    // The server that was there before ends a moment after it was told to.
+    let listener = loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => break listener,
+            Err(error) => assert!(asked_at.elapsed() < SOON, "{address}: {error}"),
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    };
+    let count = Arc::new(AtomicU32::new(0));
+    let counted = Arc::clone(&count);
+    tokio::spawn(async move {
+        while let Ok((connection, _)) = listener.accept().await {
+            counted.fetch_add(1, Ordering::AcqRel);
+            drop(connection);
+        }
+    });
+    count
+}
+
+/// An order to an executor that closed its connections at once was repeated without a pause, over
+/// a thousand times a second.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_are_not_repeated_in_a_tight_loop() {
+    let mut site = Site::start(1, 1).await;
+    let id = "00000000000000d1";
+    let tasks = 4;
+    site.submit_until_accepted(0, id, 60_000, tasks).await;
+    let asked = Instant::now();
+    while site.started(id).len() < tasks as usize {
+        assert!(asked.elapsed() < SOON, "they aren't started");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let worker = site.workers.remove(0);
+    let address = worker.executor.address();
+    worker.executor.crash().await;
+    let connections = count_connections(address).await;
+    let path = format!("/checks/{id}");
+    let (status, _) = site.call(0, Method::DELETE, &path, None).await;
+    assert!((200..300).contains(&status), "{status}");
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    // In 3 s a look each 200 ms, and for each task two orders of at most six attempts.
+    let most = 3_000 / 200 + 2 * 6 * tasks;
+    let made = connections.load(Ordering::Acquire);
+    assert!(made <= most, "{made} connections in 3 s");
+}
--- a/crates/rattanwinch_side/src/orders.rs
+++ b/crates/rattanwinch_side/src/orders.rs
@@ -27,6 +27,10 @@
 /// How long one call to the executor may take; it answers in about a millisecond, or not at all.
 const CALL_LIMIT: Duration = Duration::from_millis(300);
 
+/// The pause before an order is sent again, doubled each time: an executor that is gone, or
+/// resets its connections, fails a call at once.
+const REPEAT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Serves the front that schedules.
 pub(crate) struct OrderServer {
     pub state: Arc<SideState>,
@@ -126,6 +130,7 @@
     deadline: tokio::time::Instant,
 ) -> OrderOutcome {
     let mut sent = false;
+    let mut pause = REPEAT_PAUSE;
     while tokio::time::Instant::now() < deadline {
         let now = state.clock.now();
         let draining = state.with_view(client, |view| view.description().draining);
@@ -153,7 +158,7 @@
             Err(ExecutorError::Refused(refusal)) => return OrderOutcome::Refused(refusal),
             Err(ExecutorError::OtherLife) => return OrderOutcome::Unknown,
             // The same start can be repeated: a run that is there already stays as it is.
-            Err(ExecutorError::MayBeDone(_)) => {}
+            Err(ExecutorError::MayBeDone(_)) => wait_to_repeat(&mut pause).await,
         }
     }
     if sent {
@@ -170,13 +175,19 @@
     epoch: u64,
     deadline: tokio::time::Instant,
 ) -> OrderOutcome {
+    let mut pause = REPEAT_PAUSE;
     while tokio::time::Instant::now() < deadline && state.epoch() <= epoch {
         match client.stop(run, epoch, CALL_LIMIT).await {
             Ok(_) => return OrderOutcome::Stopped,
             Err(ExecutorError::Refused(refusal)) => return OrderOutcome::Refused(refusal),
             Err(ExecutorError::OtherLife) => return OrderOutcome::Unknown,
-            Err(ExecutorError::MayBeDone(_)) => {}
+            Err(ExecutorError::MayBeDone(_)) => wait_to_repeat(&mut pause).await,
         }
     }
     OrderOutcome::Unknown
 }
+
+async fn wait_to_repeat(pause: &mut Duration) {
+    tokio::time::sleep(*pause).await;
+    *pause *= 2;
+}
