Measure what a pass of the site scheduler costs by the number of targets

rattanwinch-trials passes: targets report in turn, with one pass after each report, while the fleet is full and steps wait.

--- a/crates/rattanwinch_trials/src/bin/rattanwinch-trials.rs
+++ b/crates/rattanwinch_trials/src/bin/rattanwinch-trials.rs
@@ -5,6 +5,7 @@
 use rattanwinch_trials::Profile;
 use rattanwinch_trials::Workload;
 use rattanwinch_trials::compare;
+use rattanwinch_trials::measure_passes;
 use rattanwinch_trials::measure_speed;
 use rattanwinch_trials::trace_waits;
 use serde::Serialize;
@@ -55,6 +56,18 @@
         #[arg(long)]
         json: bool,
     },
+    /// Measures what one pass of a site's scheduler costs against the number of targets.
+    Passes {
+        /// Targets of the site; repeatable.
+        #[arg(long, value_delimiter = ',', default_values_t = [11, 61, 300, 1000])]
+        targets: Vec<u32>,
+        /// Passes that each figure is the mean of.
+        #[arg(long, default_value_t = 2000)]
+        rounds: u32,
+        /// Prints JSON instead of a table.
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 fn print(report: &(impl Serialize + std::fmt::Display), json: bool) -> serde_json::Result<()> {
@@ -88,5 +101,10 @@
             rounds,
             json,
         } => print(&measure_speed(&workers, rounds), json),
+        Command::Passes {
+            targets,
+            rounds,
+            json,
+        } => print(&measure_passes(&targets, rounds), json),
     }
 }
--- /dev/null
+++ b/crates/rattanwinch_trials/src/passes.rs
@@ -0,0 +1,304 @@
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use rattanwinch_scheduling::AcceptedJob;
+use rattanwinch_scheduling::JobDescription;
+use rattanwinch_scheduling::JobId;
+use rattanwinch_scheduling::OrderOutcome;
+use rattanwinch_scheduling::QueueName;
+use rattanwinch_scheduling::QueueRules;
+use rattanwinch_scheduling::Resources;
+use rattanwinch_scheduling::RunningTask;
+use rattanwinch_scheduling::Scheduler;
+use rattanwinch_scheduling::SchedulingLimits;
+use rattanwinch_scheduling::SchedulingRules;
+use rattanwinch_scheduling::ServiceName;
+use rattanwinch_scheduling::StepDescription;
+use rattanwinch_scheduling::TargetDescription;
+use rattanwinch_scheduling::TargetLife;
+use rattanwinch_scheduling::TargetReport;
+use rattanwinch_types::Organisation;
+use rattanwinch_types::TargetName;
+use rattanwinch_types::Timestamp;
+use rattanwinch_types::ZoneName;
+use serde::Serialize;
+
+/// Tasks of one accelerator that run on each target of 8, so that nothing else finds room.
+const RUNNING_EACH: u32 = 8;
+
+/// The tasks of one wide job, as on the users' larger sheets.
+const JOB_TASKS: u32 = 40;
+
+/// Urgent gangs that wait for whole targets.
+const WAITING_GANGS: u64 = 3;
+
+/// The work that runs is too dear to be displaced after this long.
+const WORKED: Duration = Duration::from_secs(120);
+
+/// The cost of one pass of the scheduler of a site, at one number of targets.
+#[derive(Clone, Debug, Serialize)]
+pub struct PassRow {
+    /// Targets of 8 accelerators.
+    pub targets: u32,
+    /// Tasks that run.
+    pub running: u32,
+    /// Taking in one report that shows progress alone, in microseconds.
+    pub report_us: f64,
+    /// Looking for silent targets and placing, in microseconds.
+    pub place_us: f64,
+    /// Collecting changes, in microseconds.
+    pub changes_us: f64,
+    /// Collecting orders, in microseconds.
+    pub orders_us: f64,
+}
+
+/// The cost of passes against the number of targets.
+#[derive(Clone, Debug, Serialize)]
+pub struct PassReport {
+    /// Passes that each figure is the mean of.
+    pub rounds: u32,
+    /// One row for each size.
+    pub rows: Vec<PassRow>,
+}
+
+/// Measures on one thread: targets report in turn, with one pass after each report, while the
+/// fleet is full and steps wait.
+///
+/// # Panics
+///
+/// If the scheduler doesn't place what there is room for.
+#[must_use]
+pub fn measure_passes(sizes: &[u32], rounds: u32) -> PassReport {
+    let rows = sizes.iter().map(|targets| measure_size(*targets, rounds));
+    PassReport {
+        rounds,
+        rows: rows.collect(),
+    }
+}
+
+fn measure_size(targets: u32, rounds: u32) -> PassRow {
+    let mut site = FullSite::new(targets);
+    let mut spent = [Duration::ZERO; 4];
+    for round in 0..rounds {
+        site.now = site.now + Duration::from_millis(1000) / targets;
+        site.next_report(round % targets);
+        let report = &site.reports[(round % targets) as usize];
+        let (scheduler, now) = (&mut site.scheduler, site.now);
+        let begun = Instant::now();
+        scheduler.report(report, now);
+        let reported = Instant::now();
+        scheduler.expire(now);
+        scheduler.place(now, now);
+        let placed = Instant::now();
+        let changes = scheduler.take_changes(now);
+        scheduler.committed(&changes);
+        let committed = Instant::now();
+        let orders = scheduler.orders(now);
+        let ordered = Instant::now();
+        assert!(orders.is_empty(), "the fleet is full: {orders:?}");
+        spent[0] += reported - begun;
+        spent[1] += placed - reported;
+        spent[2] += committed - placed;
+        spent[3] += ordered - committed;
+        scheduler.take_events();
+    }
+    let mean = |spent: Duration| spent.as_secs_f64() * 1e6 / f64::from(rounds.max(1));
+    PassRow {
+        targets,
+        running: targets * RUNNING_EACH,
+        report_us: mean(spent[0]),
+        place_us: mean(spent[1]),
+        changes_us: mean(spent[2]),
+        orders_us: mean(spent[3]),
+    }
+}
+
+/// A site whose targets are full, with steps that wait.
+struct FullSite {
+    scheduler: Scheduler,
+    now: Timestamp,
+    reports: Vec<TargetReport>,
+}
+
+impl FullSite {
+    fn new(targets: u32) -> Self {
+        let now = Timestamp::from_millis(1_000_000);
+        let mut site = Self {
+            scheduler: Scheduler::restore(limits(), rules(), [], now),
+            now,
+            reports: (0..targets).map(empty_target).collect(),
+        };
+        site.report_all();
+        let running = targets * RUNNING_EACH;
+        for first in (0..running).step_by(JOB_TASKS as usize) {
+            let count = JOB_TASKS.min(running - first);
+            site.submit(1, count, 1, false);
+        }
+        site.start_all();
+        let started: usize = site.reports.iter().map(|report| report.running.len()).sum();
+        assert_eq!(started, running as usize, "there is room for all");
+        let worked = u32::try_from(WORKED.as_secs()).unwrap_or(u32::MAX);
+        for _ in 0..worked {
+            site.now = site.now + Duration::from_secs(1);
+            site.report_all();
+        }
+        for _ in 0..WAITING_GANGS {
+            site.submit(0, 6, 8, true);
+        }
+        site.submit(1, JOB_TASKS, 2, false);
+        site
+    }
+
+    fn submit(&mut self, priority: u32, count: u32, accelerators: u64, gang: bool) {
+        let step = StepDescription::builder()
+            .count(count)
+            .need(Resources {
+                cpu_millis: 1_000 * accelerators,
+                memory_mb: 1_000 * accelerators,
+                accelerators,
+            })
+            .estimate(Duration::from_secs(600))
+            .gang(gang)
+            .build();
+        let number = self.scheduler.states().count();
+        self.scheduler.submit(Arc::new(AcceptedJob {
+            id: JobId::from(format!("{number:016x}").as_str()),
+            queue: queue(priority),
+            rules: queue_rules(priority),
+            organisation: Organisation::new("letrafa").expect("a name"),
+            accepted_at: self.now,
+            description: JobDescription {
+                payload: Arc::from("work"),
+                steps: Arc::from([step]),
+                repeats: None,
+            },
+        }));
+    }
+
+    fn start_all(&mut self) {
+        self.scheduler.place(self.now, self.now);
+        let changes = self.scheduler.take_changes(self.now);
+        self.scheduler.committed(&changes);
+        for orders in self.scheduler.orders(self.now) {
+            let of_life = |report: &&mut TargetReport| report.description.life == orders.life;
+            let report = self.reports.iter_mut().find(of_life);
+            let report = report.expect("orders are for targets that are known");
+            for start in orders.starts {
+                report.running.push(RunningTask {
+                    run: start.run.clone(),
+                    checkpoint: None,
+                    percent: 0,
+                });
+                let started = OrderOutcome::Started;
+                self.scheduler
+                    .order_answered(&start.run, started, false, self.now);
+            }
+        }
+    }
+
+    /// The progress that a target shows next.
+    fn next_report(&mut self, target: u32) {
+        for running in &mut self.reports[target as usize].running {
+            running.percent = (running.percent + 1) % 99;
+        }
+    }
+
+    fn report_all(&mut self) {
+        for target in 0..self.reports.len() {
+            self.next_report(u32::try_from(target).unwrap_or(u32::MAX));
+            self.scheduler.report(&self.reports[target], self.now);
+        }
+    }
+}
+
+fn empty_target(number: u32) -> TargetReport {
+    let life = TargetLife {
+        vm: Arc::from(format!("side-{number}")),
+        target: TargetName::new(format!("i-{number:010x}")).expect("a name"),
+        born_ms: 1,
+    };
+    TargetReport {
+        description: TargetDescription {
+            life,
+            service: ServiceName::from("design"),
+            zone: ZoneName::new(format!("az-{}", number % 3)).expect("a name"),
+            capacity: Resources {
+                cpu_millis: 64_000,
+                memory_mb: 256_000,
+                accelerators: 8,
+            },
+            labels: ["a", &format!("rack-{}", number / 3)]
+                .map(Into::into)
+                .into_iter()
+                .collect(),
+            draining: false,
+        },
+        running: Vec::new(),
+        ended: Vec::new(),
+    }
+}
+
+fn queue(priority: u32) -> QueueName {
+    QueueName::from(format!("queue-{priority}").as_str())
+}
+
+fn queue_rules(priority: u32) -> QueueRules {
+    QueueRules {
+        service: ServiceName::from("design"),
+        priority,
+        max_attempts: 3,
+        objective: None,
+        advisor: None,
+    }
+}
+
+fn rules() -> SchedulingRules {
+    let queues = (0..2).map(|priority| (queue(priority), queue_rules(priority)));
+    SchedulingRules {
+        queues: queues.collect::<BTreeMap<_, _>>(),
+        ..SchedulingRules::default()
+    }
+}
+
+/// The limits of the front, with leases of 6 s.
+fn limits() -> SchedulingLimits {
+    SchedulingLimits::builder()
+        .silence(Duration::from_millis(16_120))
+        .silence_step(Duration::from_secs(4))
+        .fresh(Duration::from_millis(2_500))
+        .order_retry(Duration::from_millis(300))
+        .stop_repeat(Duration::from_millis(1_500))
+        .urgent_patience(Duration::from_millis(800))
+        .save_interval(Duration::from_secs(2))
+        .stall(Duration::from_millis(3_000))
+        .quarantine(Duration::from_secs(5))
+        .quarantine_most(Duration::from_secs(40))
+        .build()
+}
+
+impl fmt::Display for PassReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "means of {} passes, in microseconds", self.rounds)?;
+        writeln!(
+            f,
+            "{:>8} {:>8} {:>8} {:>8} {:>8} {:>8}",
+            "targets", "running", "report", "place", "changes", "orders"
+        )?;
+        for row in &self.rows {
+            writeln!(
+                f,
+                "{:>8} {:>8} {:>8.1} {:>8.1} {:>8.1} {:>8.1}",
+                row.targets,
+                row.running,
+                row.report_us,
+                row.place_us,
+                row.changes_us,
+                row.orders_us
+            )?;
+        }
+        Ok(())
+    }
+}
