Place after news and with each tick instead of after every report

Cause: each report was followed by a whole pass.

Change: the scheduler says whether something has happened that may let a task start (a job, an end, a target, rules, advice); after other commands placing is left out until the next tick, 150 ms. What runs where is gathered once a pass, targets that weren't heard since a takeover are kept in a list of their own, and runs that want no order are passed over first. No decision changes but for its moment: due times and patience are met up to 150 ms late, as the tick's comment has always said.

--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -121,11 +121,9 @@
         loop {
             let command = tokio::select! {
                 command = commands.recv() => command,
-                _ = tick.tick() => {
-                    self.note_ages(self.state.clock.now());
-                    None
-                }
+                _ = tick.tick() => None,
             };
+            let ticked = command.is_none();
             let mut next = command;
             while let Some(command) = next {
                 if !self.take(command) {
@@ -134,7 +132,7 @@
                 }
                 next = commands.try_recv().ok();
             }
-            self.act();
+            self.act(ticked);
         }
     }
 
@@ -329,12 +327,20 @@
     }
 
     /// Decides, writes what has to be durable, and sends the orders that are.
-    fn act(&mut self) {
+    ///
+    /// What only time brings is looked at with each tick. Most commands are reports that show
+    /// progress, and placing is the dearest part of this by far, so it is left out after those.
+    fn act(&mut self, ticked: bool) {
         let now = self.state.clock.now();
-        self.scheduler.expire(now);
+        if ticked {
+            self.note_ages(now);
+            self.scheduler.expire(now);
+        }
         if self.leading.is_confirmed(now) && self.leading.orders.load().is_some() {
             self.upkeep.act(&mut self.scheduler, now);
-            self.scheduler.place(now, self.state.clock.wall());
+            if ticked || self.scheduler.has_news() {
+                self.scheduler.place(now, self.state.clock.wall());
+            }
         }
         self.commit(now);
         for orders in self.scheduler.orders(now) {
--- a/crates/rattanwinch_scheduling/src/job.rs
+++ b/crates/rattanwinch_scheduling/src/job.rs
@@ -274,9 +274,19 @@
         }
     }
 
+    /// The tasks of one occurrence of a step, in the order of their indices.
+    fn tasks_of(&self, step: &StepId) -> &[Task] {
+        let first = self.position(&TaskId {
+            step: step.clone(),
+            index: 0,
+        });
+        let count = self.step(step.step).map_or(0, |described| described.count);
+        let tasks = first.and_then(|first| self.tasks.get(first..first + count as usize));
+        tasks.unwrap_or_default()
+    }
+
     fn step_done(&self, step: &StepId) -> bool {
-        self.step_tasks(step)
-            .all(|id| self.task(&id).is_some_and(|task| task.done))
+        self.tasks_of(step).iter().all(|task| task.done)
     }
 
     /// The steps with tasks whose turn has come and that aren't placed anywhere.
@@ -314,14 +324,10 @@
 
     /// The tasks of a step that may be placed: all of a gang or none, any others one by one.
     pub(crate) fn waiting(&self, step: &StepId) -> SmallVec<[u32; 8]> {
-        let waits = |id: &TaskId| {
-            let task = self.task(id);
-            task.is_some_and(|task| !task.done && task.placed.is_none())
-        };
-        let waiting: SmallVec<[u32; 8]> = self
-            .step_tasks(step)
-            .filter(|id| waits(id))
-            .map(|id| id.index)
+        let tasks = (0_u32..).zip(self.tasks_of(step));
+        let waiting: SmallVec<[u32; 8]> = tasks
+            .filter(|(_, task)| !task.done && task.placed.is_none())
+            .map(|(index, _)| index)
             .collect();
         let Some(described) = self.step(step.step) else {
             return SmallVec::new();
--- a/crates/rattanwinch_scheduling/src/making_room.rs
+++ b/crates/rattanwinch_scheduling/src/making_room.rs
@@ -6,6 +6,7 @@
 use rattanwinch_types::Organisation;
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
+use smallvec::SmallVec;
 
 use crate::Event;
 use crate::Resources;
@@ -29,8 +30,9 @@
 const CHECKPOINT_AGE: Duration = Duration::from_secs(2);
 
 /// Runs that end together.
-struct RunSet {
+pub(crate) struct RunSet {
     runs: Vec<RunId>,
+    holds: SmallVec<[(TargetName, Resources); 1]>,
     priority: u32,
     organisation: Organisation,
     loss: u64,
@@ -44,19 +46,25 @@
         waiting: &Waiting,
         demand: &Demand,
         free: &mut BTreeMap<TargetName, Resources>,
+        sets: &mut Option<Vec<RunSet>>,
         now: Timestamp,
     ) {
-        let sets = self.run_sets(now);
+        let known = sets.take().unwrap_or_else(|| self.run_sets(now));
         let candidates = self.candidates(waiting, demand, free, now);
-        let occupants = self.occupants(&sets, |set| {
-            let gives_way = self.gives_way(set, waiting);
+        let mut guaranteed = BTreeMap::new();
+        let occupants = occupants(&known, |set| {
+            let gives_way = self.gives_way(set, waiting, &mut guaranteed);
             (set.stopping || gives_way).then_some(set.loss)
         });
         let Some(found) = plan(demand, &candidates, &occupants) else {
-            return self.await_room(waiting, demand, &sets, free, now);
+            self.await_room(waiting, demand, &known, free, now);
+            *sets = Some(known);
+            return;
         };
         self.reserve(&found, demand, free);
-        self.stop_sets(waiting, &sets, &found);
+        if !self.stop_sets(waiting, &known, &found) {
+            *sets = Some(known);
+        }
     }
 
     /// Keeps the targets free that are likely to have room first.
@@ -73,7 +81,7 @@
             return;
         }
         let candidates = self.candidates(waiting, demand, free, now);
-        let occupants = self.occupants(sets, |set| Some(self.remaining_work(set)));
+        let occupants = occupants(sets, |set| Some(self.remaining_work(set)));
         if let Some(found) = plan(demand, &candidates, &occupants) {
             self.reserve(&found, demand, free);
         }
@@ -87,25 +95,29 @@
         }
     }
 
-    fn stop_sets(&mut self, waiting: &Waiting, sets: &[RunSet], plan: &Plan) {
+    /// Stops what the plan is in need of; false if nothing more has to stop.
+    fn stop_sets(&mut self, waiting: &Waiting, sets: &[RunSet], plan: &Plan) -> bool {
         let chosen = plan.sets.iter().filter_map(|&set| sets.get(set));
         let victims: Vec<RunId> = chosen
             .filter(|set| !set.stopping)
             .flat_map(|set| set.runs.iter().cloned())
             .collect();
         if victims.is_empty() {
-            return;
+            return false;
         }
         self.stop_runs(|run| victims.contains(run));
         self.note(Event::Reclaimed {
             step: waiting.step.clone(),
             victims,
         });
+        true
     }
 
     /// The runs that are at work, by what can be stopped without breaking more.
     fn run_sets(&self, now: Timestamp) -> Vec<RunSet> {
-        let mut sets: BTreeMap<(StepId, Option<u32>), RunSet> = BTreeMap::new();
+        let mut sets: Vec<RunSet> = Vec::new();
+        let mut last: Option<(&StepId, Option<u32>)> = None;
+        // Runs are in the order of their tasks, so those of a set follow each other.
         for (run, active) in &self.active {
             let Some(job) = self.jobs.get(&run.task.step.job) else {
                 continue;
@@ -113,16 +125,19 @@
             let Some(step) = job.step(run.task.step.step) else {
                 continue;
             };
-            let index = (!step.gang).then_some(run.task.index);
-            let set = sets
-                .entry((run.task.step.clone(), index))
-                .or_insert_with(|| RunSet {
+            let key = (&run.task.step, (!step.gang).then_some(run.task.index));
+            if last != Some(key) {
+                last = Some(key);
+                sets.push(RunSet {
                     runs: Vec::new(),
+                    holds: SmallVec::new(),
                     priority: job.rules.priority,
                     organisation: job.accepted.organisation.clone(),
                     loss: 0,
                     stopping: true,
                 });
+            }
+            let Some(set) = sets.last_mut() else { continue };
             let mut worked = now.since(active.placed_at);
             if step.checkpointing {
                 worked = worked.min(CHECKPOINT_AGE);
@@ -131,8 +146,12 @@
             set.loss += active.need.weight_millis() * worked / 1000;
             set.stopping &= active.intent == Intent::Stop;
             set.runs.push(run.clone());
+            let target = &active.target.target;
+            match set.holds.iter_mut().find(|(held, _)| held == target) {
+                Some((_, holds)) => *holds = holds.plus(active.need),
+                None => set.holds.push((target.clone(), active.need)),
+            }
         }
-        let mut sets: Vec<_> = sets.into_values().collect();
         for set in sets.iter_mut().filter(|set| set.stopping) {
             set.loss = 0;
         }
@@ -143,41 +162,24 @@
     ///
     /// Within a guarantee all that has no guarantee of its own gives way. Beyond it, urgent steps
     /// displace only less urgent runs whose loss is small against being late.
-    fn gives_way(&self, set: &RunSet, waiting: &Waiting) -> bool {
+    ///
+    /// `guaranteed` keeps what was found of other organisations.
+    fn gives_way(
+        &self,
+        set: &RunSet,
+        waiting: &Waiting,
+        guaranteed: &mut BTreeMap<Organisation, bool>,
+    ) -> bool {
         if !waiting.guaranteed {
             return waiting.priority == 0 && set.priority > 0 && set.loss <= LOSS_FOR_URGENCY;
         }
-        set.priority > 0
-            || (set.organisation != waiting.organisation
-                && !self.within_guarantee(&set.organisation))
-    }
-
-    fn occupants(
-        &self,
-        sets: &[RunSet],
-        loss: impl Fn(&RunSet) -> Option<u64>,
-    ) -> BTreeMap<TargetName, Vec<Occupant>> {
-        let mut occupants: BTreeMap<TargetName, Vec<Occupant>> = BTreeMap::new();
-        for (number, set) in sets.iter().enumerate() {
-            let loss = loss(set);
-            let mut holds: BTreeMap<&TargetName, Resources> = BTreeMap::new();
-            for run in &set.runs {
-                if let Some(active) = self.active.get(run) {
-                    let held = holds
-                        .entry(&active.target.target)
-                        .or_insert(Resources::NONE);
-                    *held = held.plus(active.need);
-                }
-            }
-            for (target, holds) in holds {
-                occupants.entry(target.clone()).or_default().push(Occupant {
-                    set: number,
-                    holds,
-                    loss,
-                });
-            }
+        if set.priority > 0 {
+            return true;
         }
-        occupants
+        set.organisation != waiting.organisation
+            && !*guaranteed
+                .entry(set.organisation.clone())
+                .or_insert_with(|| self.within_guarantee(&set.organisation))
     }
 
     /// How much of their work the runs have left, as a rough order of when they end.
@@ -187,3 +189,22 @@
         left.max().unwrap_or(0)
     }
 }
+
+/// What is on each target, with what is lost if it is stopped; `None` if it may not be.
+fn occupants(
+    sets: &[RunSet],
+    mut loss: impl FnMut(&RunSet) -> Option<u64>,
+) -> BTreeMap<TargetName, Vec<Occupant>> {
+    let mut occupants: BTreeMap<TargetName, Vec<Occupant>> = BTreeMap::new();
+    for (number, set) in sets.iter().enumerate() {
+        let loss = loss(set);
+        for (target, holds) in &set.holds {
+            occupants.entry(target.clone()).or_default().push(Occupant {
+                set: number,
+                holds: *holds,
+                loss,
+            });
+        }
+    }
+    occupants
+}
--- a/crates/rattanwinch_scheduling/src/orders.rs
+++ b/crates/rattanwinch_scheduling/src/orders.rs
@@ -57,21 +57,24 @@
     }
 
     fn is_due(&self, active: &ActiveRun, now: Timestamp) -> bool {
+        // Most runs are at work and want nothing, so that is looked at first.
+        let wanted = active.intent == Intent::Stop || !active.started;
+        if !wanted || !active.durable || active.in_flight || now < active.retry_at {
+            return false;
+        }
         let target = self.target(&active.target.target);
         let Some(target) = target.filter(|target| target.description.life == active.target) else {
             return false;
         };
-        let wanted = match active.intent {
+        match active.intent {
             // A start sets a lease, and silence counts from the last report: a start that is sent
             // later than just after one could hold a lease beyond the end of the wait.
             Intent::Run => {
-                !active.started
-                    && now.since(target.heard_at) <= self.limits.fresh
+                now.since(target.heard_at) <= self.limits.fresh
                     && self.may_confirm(&active.target.vm)
             }
             Intent::Stop => true,
-        };
-        wanted && active.durable && !active.in_flight && now >= active.retry_at
+        }
     }
 
     fn start_order(&self, run: &RunId) -> Option<StartOrder> {
--- a/crates/rattanwinch_scheduling/src/placing.rs
+++ b/crates/rattanwinch_scheduling/src/placing.rs
@@ -24,9 +24,11 @@
     ///
     /// `wall` is the time of day, by which repeated jobs are due.
     pub fn place(&mut self, now: Timestamp, wall: Timestamp) {
+        self.take_news();
         self.stop_stalled(now);
         let mut free = self.free_room(now);
         let mut reserved = 0;
+        let mut sets = None;
         for waiting in self.waiting_steps(now, wall) {
             let demand = self.demand(&waiting);
             let candidates = self.candidates(&waiting, &demand, &free, now);
@@ -43,7 +45,7 @@
                 reserved += 1;
                 let mut rest = demand;
                 rest.count -= chosen.len();
-                self.make_room(&waiting, &rest, &mut free, now);
+                self.make_room(&waiting, &rest, &mut free, &mut sets, now);
             }
         }
     }
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -34,12 +34,25 @@
     pub fn report(&mut self, report: &TargetReport, now: Timestamp) {
         let life = &report.description.life;
         self.end_former_lives(life);
-        let target = self
-            .targets
-            .entry(life.target.clone())
-            .or_insert_with(|| Target::new(report.description.clone(), now));
-        target.description = report.description.clone();
-        target.heard_at = now;
+        self.unheard.remove(life);
+        let fresh = self.limits.fresh;
+        let known = self.targets.get(&life.target);
+        let same = known.is_some_and(|target| {
+            target.description == report.description && now.since(target.heard_at) <= fresh
+        });
+        if same {
+            if let Some(target) = self.targets.get_mut(&life.target) {
+                target.heard_at = now;
+            }
+        } else {
+            self.note_news();
+            let target = self
+                .targets
+                .entry(life.target.clone())
+                .or_insert_with(|| Target::new(report.description.clone(), now));
+            target.description = report.description.clone();
+            target.heard_at = now;
+        }
         for ended in &report.ended {
             self.note_end(life, ended, now);
         }
@@ -71,6 +84,9 @@
         let Some(known) = self.targets.get_mut(target) else {
             return;
         };
+        if known.strangers == strangers {
+            return;
+        }
         let before = std::mem::replace(&mut known.strangers, strangers);
         let new: Vec<_> = known
             .strangers
@@ -78,6 +94,7 @@
             .filter(|run| !before.contains(run))
             .cloned()
             .collect();
+        self.note_news();
         for run in new {
             self.note(Event::Stranger {
                 run,
@@ -120,16 +137,13 @@
         for name in silent {
             self.target_gone(&name, GoneCause::Silent);
         }
-        let unheard: BTreeSet<_> = self
-            .active
-            .values()
-            .map(|active| &active.target)
-            .filter(|life| !self.targets.contains_key(&life.target))
+        let unheard = self.unheard.iter();
+        let over: BTreeSet<_> = unheard
             .filter(|life| self.silence(life, now) > silence)
             .cloned()
             .collect();
-        if !unheard.is_empty() {
-            self.lapse(|life| unheard.contains(life));
+        if !over.is_empty() {
+            self.lapse(|life| over.contains(life));
         }
     }
 
@@ -151,6 +165,7 @@
     }
 
     fn lapse(&mut self, affected: impl Fn(&TargetLife) -> bool) {
+        self.unheard.retain(|life| !affected(life));
         let lapsed: Vec<_> = self
             .active
             .iter()
@@ -223,6 +238,7 @@
             && job.end(run, ended.end, &life.target)
         {
             // The run had been given up, and its task hasn't been started again since.
+            self.note_news();
             self.mark_changed(&job_id);
             self.close_if_final(&job_id);
         }
@@ -321,6 +337,7 @@
     }
 
     fn release(&mut self, run: &RunId, end: RunEnd, target: &TargetName) {
+        self.note_news();
         let step = run.task.step.clone();
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return;
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -49,6 +49,10 @@
     /// Targets that get no new work because their machines are about to go down.
     pub(crate) resting: BTreeSet<TargetName>,
     pub(crate) silences: Silences,
+    /// Lives with placements of the scheduler before that haven't been heard by this one.
+    pub(crate) unheard: BTreeSet<TargetLife>,
+    /// Something has happened since the last placing that may let a waiting task start.
+    news: bool,
     /// Since when the turn of a step's waiting tasks has come.
     pub(crate) ready_since: BTreeMap<StepId, Timestamp>,
     /// When this scheduler took over; earlier placements count from then.
@@ -100,6 +104,8 @@
             advice: Advice::default(),
             resting: BTreeSet::new(),
             silences: Silences::default(),
+            unheard: BTreeSet::new(),
+            news: true,
             ready_since: BTreeMap::new(),
             started_at: now,
             changed: BTreeSet::new(),
@@ -128,6 +134,7 @@
             let Some(step) = job.step(run.task.step.step) else {
                 continue;
             };
+            self.unheard.insert(life.clone());
             let inherited = ActiveRun {
                 target: life,
                 need: occupied(step),
@@ -161,6 +168,24 @@
             }
         }
         self.rules = rules;
+        self.news = true;
+    }
+
+    /// True if something has happened since the last [`Self::place`] that may let a task start.
+    ///
+    /// What only the passing of time brings, such as due times, is not told here; placing a few
+    /// times a second takes care of that.
+    #[must_use]
+    pub const fn has_news(&self) -> bool {
+        self.news
+    }
+
+    pub(crate) fn note_news(&mut self) {
+        self.news = true;
+    }
+
+    pub(crate) fn take_news(&mut self) {
+        self.news = false;
     }
 
     /// Adds a job; it counts as accepted once it is durable.
@@ -169,6 +194,7 @@
         self.jobs.insert(id.clone(), Job::new(accepted));
         self.open.insert(id.clone());
         self.changed.insert(id);
+        self.news = true;
     }
 
     /// Cancels a job; false if it isn't known.
@@ -289,6 +315,7 @@
         now: Timestamp,
     ) {
         self.advice.answered(question, answer, sent_at, now);
+        self.news = true;
     }
 
     /// How long the advisor may take for a question, in the queue's own figures.
@@ -317,6 +344,7 @@
 
     /// Keeps new work from these targets and no others.
     pub fn rest(&mut self, targets: BTreeSet<TargetName>) {
+        self.news |= self.resting != targets;
         self.resting = targets;
     }
 
--- a/crates/rattanwinch_scheduling/src/silences.rs
+++ b/crates/rattanwinch_scheduling/src/silences.rs
@@ -79,13 +79,18 @@
     /// The lives with runs that have been silent for a while, if that is to be made durable.
     pub(crate) fn take_silences(&mut self, now: Timestamp) -> Option<SilentLives> {
         let step = self.limits.silence_step;
+        let known = self.targets.values();
+        let known = known.map(|target| &target.description.life);
+        let silent = known
+            .chain(&self.unheard)
+            .map(|life| (life, self.silence(life, now)))
+            .filter(|(_, silence)| *silence >= step);
         let mut wanted = SilentLives::new();
-        for active in self.active.values() {
-            let silence = self.silence(&active.target, now);
-            if silence >= step && !wanted.contains_key(&active.target) {
+        for (life, silence) in silent {
+            if self.active.values().any(|active| active.target == *life) {
                 let steps = silence.as_millis() / step.as_millis().max(1);
                 let steps = u32::try_from(steps).unwrap_or(u32::MAX);
-                wanted.insert(active.target.clone(), step * steps);
+                wanted.insert(life.clone(), step * steps);
             }
         }
         self.silences.change(wanted)
--- a/crates/rattanwinch_scheduling/tests/decisions/placing.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/placing.rs
@@ -196,3 +196,42 @@
     assert_eq!(now_on.len(), 1);
     assert_ne!(now_on, hung);
 }
+
+/// A pass is left out after a report that shows progress alone; each of these may let a task
+/// start, which would otherwise wait for the next tick.
+#[test]
+fn what_may_let_a_task_start_is_news() {
+    type Happening = fn(&mut Fixture);
+    let cases: [(&str, bool, Happening); 7] = [
+        ("progress", false, |site| site.wait(100)),
+        ("a job", true, |site| {
+            site.submit(1, "a", &[step(1, 1)]);
+        }),
+        ("a new target", true, |site| site.add_target(1, 0)),
+        ("a target that is heard again", true, |site| {
+            site.now = site.now + Duration::from_secs(3);
+            site.wait(0);
+        }),
+        ("a target that drains no longer", true, |site| {
+            site.report_mut(0).description.draining = true;
+            site.wait(0);
+            site.scheduler.place(site.now, site.now);
+            site.report_mut(0).description.draining = false;
+            site.wait(0);
+        }),
+        ("rules", true, Fixture::set_rules),
+        ("an end", true, |site| {
+            let run = site.report_mut(0).running[0].run.clone();
+            site.end(&run, RunEnd::Done);
+        }),
+    ];
+    for (case, news, happen) in cases {
+        let mut site = Fixture::new(1);
+        site.submit(1, "a", &[step(1, 1)]);
+        site.step();
+        site.scheduler.place(site.now, site.now);
+        assert!(!site.scheduler.has_news(), "{case}: before");
+        happen(&mut site);
+        assert_eq!(site.scheduler.has_news(), news, "{case}");
+    }
+}
--- a/crates/rattanwinch_scheduling/tests/world/model.rs
+++ b/crates/rattanwinch_scheduling/tests/world/model.rs
@@ -42,6 +42,7 @@
 const FAULTS_END: Duration = Duration::from_secs(90);
 /// Long enough for all jobs, with runs of up to 40 s.
 const PLAY_END: Duration = Duration::from_secs(1_000);
+const TICK: Duration = Duration::from_millis(150);
 const TARGETS: usize = 5;
 const MAX_ATTEMPTS: u32 = 3;
 const GANG_TIMEOUT: Duration = Duration::from_secs(3);
@@ -81,6 +82,7 @@
     noted_failures: BTreeMap<TaskId, BTreeSet<u32>>,
     cancelled: BTreeSet<JobId>,
     next_job: u32,
+    next_tick: Timestamp,
 }
 
 fn limits() -> SchedulingLimits {
@@ -144,6 +146,7 @@
             noted_failures: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             next_job: 0,
+            next_tick: now,
         }
     }
 
@@ -200,7 +203,11 @@
             self.down_until = Timestamp::ZERO;
         }
         self.scheduler.expire(self.now);
-        self.scheduler.place(self.now, self.now);
+        // As the front does: at once if something has happened, else with each tick.
+        if self.scheduler.has_news() || self.now >= self.next_tick {
+            self.next_tick = self.now + TICK;
+            self.scheduler.place(self.now, self.now);
+        }
         self.commit();
         let epoch = self.epoch;
         for orders in self.scheduler.orders(self.now) {
