Bound the records of each event, outcomes last

Cause: the log's queue took whatever came until it was full and dropped what came next, so an event that comes in masses pushed out the lines that tell why a request was refused, lost or stopped; how many were dropped was told, but not of what kind.

Change: before the queue, 500 records a second of one event are written, and 2,000 of those that tell an outcome, are warnings or errors; 'records left out' counts the others by event.

--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -12,6 +12,7 @@
 use rattanwinch_fleet::OrderResults;
 use rattanwinch_fleet::Refusal;
 use rattanwinch_fleet::ReportAnswer;
+use rattanwinch_runtime::OUTCOME;
 use rattanwinch_scheduling::AcceptedJob;
 use rattanwinch_scheduling::Changes;
 use rattanwinch_scheduling::Event;
@@ -188,7 +189,7 @@
 
     fn cancel(&mut self, job: JobId, reply: oneshot::Sender<CallerAnswer>) {
         if self.scheduler.cancel(&job) {
-            info!(self.state.log, "job cancelled"; "job" => %job);
+            info!(self.state.log, #OUTCOME, "job cancelled"; "job" => %job);
             self.answer_when_durable(job, reply, CallerAnswer::Cancelled);
         } else {
             answer(reply, CallerAnswer::Refused(Refusal::UnknownJob));
--- a/crates/rattanwinch_front/src/explain.rs
+++ b/crates/rattanwinch_front/src/explain.rs
@@ -1,3 +1,4 @@
+use rattanwinch_runtime::OUTCOME;
 use rattanwinch_scheduling::Event;
 use rattanwinch_scheduling::RunId;
 use rattanwinch_types::TargetName;
@@ -22,7 +23,7 @@
         }
         Event::Reclaimed { step, victims } => {
             count("reclaimed");
-            info!(log, "guarantee reclaimed"; "job" => %step.job, "step" => step.step,
+            info!(log, #OUTCOME, "guarantee reclaimed"; "job" => %step.job, "step" => step.step,
                 "victims" => victims.iter().map(full_name).collect::<Vec<_>>().join(","));
         }
         Event::Started { run, after_ms } => {
@@ -85,7 +86,7 @@
         }
         Event::Finished { job, state } => {
             count("finished");
-            info!(log, "job ended"; "job" => %job, "state" => ?state);
+            info!(log, #OUTCOME, "job ended"; "job" => %job, "state" => ?state);
         }
     }
 }
@@ -101,7 +102,7 @@
 }
 
 fn on_target(log: &Logger, what: &'static str, run: &RunId, target: &TargetName, reason: &str) {
-    info!(log, "{}", what; "job" => %run.task.step.job, "run" => run.within_job(),
+    info!(log, #OUTCOME, "{}", what; "job" => %run.task.step.job, "run" => run.within_job(),
         "target" => %target, "reason" => reason);
 }
 
--- a/crates/rattanwinch_front/src/relay.rs
+++ b/crates/rattanwinch_front/src/relay.rs
@@ -3,6 +3,7 @@
 use rattanwinch_fleet::CallerAnswer;
 use rattanwinch_fleet::CallerCall;
 use rattanwinch_fleet::Refusal;
+use rattanwinch_runtime::OUTCOME;
 use rattanwinch_site_callers::CallerBackend;
 use slog::info;
 
@@ -60,7 +61,7 @@
         metrics::histogram!("rattanwinch_call_seconds", "action" => call.action_name())
             .record(took.as_secs_f64());
         if let CallerAnswer::Refused(refusal) = &answer {
-            info!(self.log, "call refused"; "path" => &*call.path, "action" => call.action_name(),
+            info!(self.log, #OUTCOME, "call refused"; "path" => &*call.path, "action" => call.action_name(),
                 "reason" => %refusal, "attempts" => attempts, "took_ms" => took.as_millis());
         }
         answer
--- a/crates/rattanwinch_runtime/src/lib.rs
+++ b/crates/rattanwinch_runtime/src/lib.rs
@@ -11,6 +11,7 @@
 mod boot_clock;
 mod clock;
 mod daemon_arguments;
+mod event_limits;
 mod log_level;
 mod logger;
 mod metrics_text;
@@ -23,6 +24,7 @@
 pub use boot_clock::BootClock;
 pub use clock::Clock;
 pub use daemon_arguments::DaemonArguments;
+pub use event_limits::OUTCOME;
 pub use log_level::InvalidLogLevel;
 pub use log_level::LogLevel;
 pub use logger::discard_logger;
--- a/crates/rattanwinch_runtime/src/logger.rs
+++ b/crates/rattanwinch_runtime/src/logger.rs
@@ -9,6 +9,7 @@
 use slog::o;
 
 use crate::LogLevel;
+use crate::event_limits::EventLimits;
 
 /// Log records that may wait for the writer; more are dropped and counted by `slog-async`.
 const QUEUED_RECORDS: usize = 4096;
@@ -16,7 +17,9 @@
 /// Makes a logger that writes one JSON object a line to standard error.
 ///
 /// Each line has `ts_unix_ms`, `level`, `msg` and `process`, then the fields of the record. A
-/// thread of its own writes them; records that it can't keep up with are dropped and counted.
+/// thread of its own writes them; records that it can't keep up with are dropped and counted. Of
+/// one event 500 records a second are written, of those that tell an outcome 2,000; a line
+/// `records left out` counts the others by event.
 pub fn json_logger(process: &str) -> Logger {
     logger(process, io::stderr())
 }
@@ -52,6 +55,7 @@
         .chan_size(QUEUED_RECORDS)
         .build()
         .fuse();
+    let drain = EventLimits::new(drain).fuse();
     Logger::root(drain, o!("process" => process.to_owned()))
 }
 
--- a/crates/rattanwinch_side/src/orders.rs
+++ b/crates/rattanwinch_side/src/orders.rs
@@ -10,6 +10,7 @@
 use rattanwinch_fleet::WireLeader;
 use rattanwinch_fleet::WireOrders;
 use rattanwinch_fleet::WireResults;
+use rattanwinch_runtime::OUTCOME;
 use rattanwinch_scheduling::OrderOutcome;
 use rattanwinch_scheduling::RunId;
 use rattanwinch_scheduling::StartOrder;
@@ -110,7 +111,7 @@
     orders: &AgentOrders,
     refusal: Option<StartRefusal>,
 ) -> OrderResults {
-    info!(state.log, "orders refused"; "epoch" => orders.epoch, "obeyed" => state.epoch(),
+    info!(state.log, #OUTCOME, "orders refused"; "epoch" => orders.epoch, "obeyed" => state.epoch(),
         "target" => %orders.orders.life.target);
     let outcome = refusal.map_or(OrderOutcome::Unknown, OrderOutcome::Refused);
     let starts = orders.orders.starts.iter().map(|start| &start.run);
