List targets as silent only while agents could be heard

Cause: agents don't report while no scheduler is confirmed. After 4 s of a store's outage all targets with runs counted as silent and were listed durably, and the first report of each agent was answered as unconfirmed until its entry was gone.

Change: a life is listed only after 4 s in which agents could be heard. The time doesn't count while the store doesn't confirm the scheduler, nor across a gap in its own work. That an entry comes later is safe, since the list only shortens a successor's wait.

Before: the new test fails.

--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -343,6 +343,9 @@
                 self.scheduler.place(now, self.state.clock.wall());
             }
         }
+        if !self.leading.is_confirmed(now) {
+            self.scheduler.pause_listening(now);
+        }
         self.commit(now);
         for orders in self.scheduler.orders(now) {
             self.send(orders, now);
--- a/crates/rattanwinch_scheduling/src/silences.rs
+++ b/crates/rattanwinch_scheduling/src/silences.rs
@@ -22,6 +22,9 @@
     durable: SilentLives,
     /// What is being written; it may be durable already.
     writing: Option<SilentLives>,
+    /// Since when agents could be heard without a break.
+    listening_since: Timestamp,
+    looked_at: Timestamp,
 }
 
 impl Silences {
@@ -53,10 +56,16 @@
         self.silences = Silences {
             inherited: silences.clone(),
             durable: silences,
-            writing: None,
+            ..Silences::default()
         };
     }
 
+    /// Notes that agents have no reason to report at present, since they aren't confirmed. Their
+    /// silence then says nothing of them; to list them all would only hold up their first report.
+    pub const fn pause_listening(&mut self, now: Timestamp) {
+        self.silences.listening_since = now;
+    }
+
     /// True if the agent of this VM may be told to renew leases: no life there is listed as
     /// silent, durably or perhaps.
     #[must_use]
@@ -79,6 +88,12 @@
     /// The lives with runs that have been silent for a while, if that is to be made durable.
     pub(crate) fn take_silences(&mut self, now: Timestamp) -> Option<SilentLives> {
         let step = self.limits.silence_step;
+        // A process that was frozen has heard nobody meanwhile.
+        if now.since(self.silences.looked_at) > self.limits.fresh {
+            self.pause_listening(now);
+        }
+        self.silences.looked_at = now;
+        let listened = now.since(self.silences.listening_since);
         let known = self.targets.values();
         let known = known.map(|target| &target.description.life);
         let silent = known
@@ -87,7 +102,9 @@
             .filter(|(_, silence)| *silence >= step);
         let mut wanted = SilentLives::new();
         for (life, silence) in silent {
-            if self.active.values().any(|active| active.target == *life) {
+            let listed = self.silences.durable.contains_key(life);
+            let told = listened >= step || listed;
+            if told && self.active.values().any(|active| active.target == *life) {
                 let steps = silence.as_millis() / step.as_millis().max(1);
                 let steps = u32::try_from(steps).unwrap_or(u32::MAX);
                 wanted.insert(life.clone(), step * steps);
--- a/crates/rattanwinch_scheduling/tests/decisions/silences.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/silences.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use rattanwinch_scheduling::Changes;
 use rattanwinch_scheduling::JobId;
 use rattanwinch_scheduling::Scheduler;
+use rattanwinch_scheduling::SilentLives;
 
 use crate::fixture::Fixture;
 use crate::fixture::limits;
@@ -15,21 +15,33 @@
 const SILENCE: Duration = Duration::from_secs(16);
 
 /// A site whose only target has a run and hasn't reported for so long; changes are durable.
-fn silent_for(silence: Duration) -> (Fixture, JobId, Changes) {
+fn silent_for(silence: Duration) -> (Fixture, JobId, SilentLives) {
     let mut site = Fixture::new(1);
     let job = site.submit(1, "a", &[step(1, 1)]);
     site.step();
-    site.now = site.now + silence;
-    let changes = site.scheduler.take_changes(site.now);
-    site.scheduler.committed(&changes);
-    (site, job, changes)
+    let listed = look_for(&mut site, silence);
+    (site, job, listed)
+}
+
+/// Lets time pass in which the scheduler is at work and no target reports; gives what was listed
+/// last.
+fn look_for(site: &mut Fixture, time: Duration) -> SilentLives {
+    let end = site.now + time;
+    let mut listed = SilentLives::new();
+    while site.now < end {
+        site.now = end.min(site.now + Duration::from_millis(150));
+        let changes = site.scheduler.take_changes(site.now);
+        site.scheduler.committed(&changes);
+        listed = changes.silences.unwrap_or(listed);
+    }
+    listed
 }
 
 /// The scheduler after that one.
-fn next(site: &Fixture, job: &JobId, changes: &Changes) -> Scheduler {
+fn next(site: &Fixture, job: &JobId, listed: &SilentLives) -> Scheduler {
     let record = site.scheduler.record(job).expect("a job");
     let mut next = Scheduler::restore(limits(), site.rules.clone(), [record], site.now);
-    next.inherit_silences(changes.silences.clone().unwrap_or_default());
+    next.inherit_silences(listed.clone());
     next
 }
 
@@ -42,8 +54,8 @@
 /// again: with every change of scheduler 16 s more.
 #[test]
 fn the_next_scheduler_counts_the_silence_before_it() {
-    let (site, job, changes) = silent_for(Duration::from_secs(13));
-    let mut next = next(&site, &job, &changes);
+    let (site, job, listed) = silent_for(Duration::from_secs(13));
+    let mut next = next(&site, &job, &listed);
     let known = Duration::from_secs(12);
     next.expire(site.now + (SILENCE - known));
     assert!(is_placed(&next, &job), "its leases may still hold");
@@ -54,8 +66,8 @@
 /// Short pauses between two reports are no reason for a write to the store.
 #[test]
 fn a_short_silence_is_not_written() {
-    let (_, _, changes) = silent_for(Duration::from_millis(3_900));
-    assert!(changes.is_empty());
+    let (_, _, listed) = silent_for(Duration::from_millis(3_900));
+    assert!(listed.is_empty());
 }
 
 /// A target whose leases are renewed while it is listed as silent would be taken for gone too
@@ -82,7 +94,8 @@
     let mut site = Fixture::new(1);
     site.submit(1, "a", &[step(1, 1)]);
     site.step();
-    site.now = site.now + Duration::from_secs(5);
+    look_for(&mut site, Duration::from_millis(3_900));
+    site.now = site.now + Duration::from_millis(300);
     let listing = site.scheduler.take_changes(site.now);
     assert!(listing.silences.is_some());
     site.wait(0);
@@ -98,11 +111,35 @@
     site.submit(1, "a", &[step(1, 1)]);
     site.scheduler.place(site.now, site.now);
     site.commit();
-    site.now = site.now + Duration::from_secs(5);
+    look_for(&mut site, Duration::from_secs(5));
     assert!(site.scheduler.orders(site.now).is_empty(), "it is silent");
-    site.commit();
     site.wait(0);
     assert!(site.scheduler.orders(site.now).is_empty(), "it is listed");
     site.commit();
     assert_eq!(site.scheduler.orders(site.now).len(), 1);
 }
+
+/// While the store doesn't confirm the scheduler, and while it is frozen, no agent reports. To list
+/// all of them as silent then held up each one's first report after it.
+#[test]
+fn silence_that_the_scheduler_brings_about_is_not_written() {
+    for frozen in [true, false] {
+        let mut site = Fixture::new(1);
+        site.submit(1, "a", &[step(1, 1)]);
+        site.step();
+        if frozen {
+            site.now = site.now + Duration::from_secs(8);
+        } else {
+            for _ in 0..54 {
+                site.now = site.now + Duration::from_millis(150);
+                site.scheduler.pause_listening(site.now);
+                assert!(site.scheduler.take_changes(site.now).silences.is_none());
+            }
+        }
+        assert!(site.scheduler.take_changes(site.now).silences.is_none());
+        look_for(&mut site, Duration::from_millis(3_900));
+        assert!(site.scheduler.may_confirm("vm0"));
+        look_for(&mut site, Duration::from_millis(300));
+        assert!(!site.scheduler.may_confirm("vm0"), "it is silent by itself");
+    }
+}
