--- a/crates/rattanwinch_scheduling/src/placing.rs
+++ b/crates/rattanwinch_scheduling/src/placing.rs
@@ -24,7 +24,7 @@
     ///
     /// `wall` is the time of day, by which repeated jobs are due.
     pub fn place(&mut self, now: Timestamp, wall: Timestamp) {
-        self.take_news();
+        self.clear_news();
         self.stop_stalled(now);
         let mut free = self.free_room(now);
         let mut reserved = 0;
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -184,7 +184,7 @@
         self.news = true;
     }
 
-    pub(crate) fn take_news(&mut self) {
+    pub(crate) fn clear_news(&mut self) {
         self.news = false;
     }
 
