Tell in a trace that an end couldn't be shown while the store was away

Cause: a trace counts until the end of a job is known.

Change: the write that was unanswered then is followed to where it is done, also beyond the job's last line, and the sentence tells of it.

Before: the new test fails.

--- a/crates/rattanwinch_trace/src/cause.rs
+++ b/crates/rattanwinch_trace/src/cause.rs
@@ -6,6 +6,9 @@
 use crate::LogLine;
 use crate::Trace;
 use crate::TraceLine;
+use crate::trace::DONE_COMMIT;
+use crate::trace::UNANSWERED_COMMIT;
+use crate::trace::commit;
 
 /// A shorter wait isn't worth a word: it is below the objective of the users' quickest queue, for
 /// which 250 ms and half of its run time are allowed.
@@ -164,12 +167,32 @@
     delays.extend(without_advice(own));
     delays.extend(unanswered_orders(trace));
     delays.extend(longest_wait(trace, own));
+    delays.extend(late_commit(trace, own));
     if delays.is_empty() {
         return "; nothing held it up".to_owned();
     }
     format!("; {}", delays.join("; "))
 }
 
+/// An end that was known and couldn't be shown, since it wasn't durable yet. Writes follow each
+/// other, so it doesn't matter which of them holds the end.
+fn late_commit(trace: &Trace, own: &[&TraceLine]) -> Option<String> {
+    let ended = own.iter().find(|line| line.line.event == "job ended")?;
+    let mut unanswered = events(trace, UNANSWERED_COMMIT);
+    unanswered.find_map(|sent| {
+        let done = events(trace, DONE_COMMIT).find(|done| commit(done) == commit(sent))?;
+        let late = done.at_ms - ended.at_ms;
+        let held_up = sent.at_ms <= ended.at_ms + WORTH_TELLING_MS && late >= WORTH_TELLING_MS;
+        held_up.then(|| {
+            let error = sent.line.text("error").unwrap_or_default();
+            format!(
+                "its end could be shown only {} later, since the store didn't answer ({error})",
+                seconds(late)
+            )
+        })
+    })
+}
+
 fn longest_wait(trace: &Trace, own: &[&TraceLine]) -> Option<String> {
     let job = &trace.job;
     let placed = own
--- a/crates/rattanwinch_trace/src/trace.rs
+++ b/crates/rattanwinch_trace/src/trace.rs
@@ -6,6 +6,12 @@
 use crate::cause::cause;
 use crate::clocks::offsets;
 
+/// A write to the store got no answer.
+pub(crate) const UNANSWERED_COMMIT: &str = "commit unanswered, sent again";
+
+/// Such a write is done.
+pub(crate) const DONE_COMMIT: &str = "commit done";
+
 /// Events that concern every job of their time.
 const SITE_EVENTS: [&str; 14] = [
     "elected",
@@ -15,8 +21,8 @@
     "lease ended",
     "scheduler lost",
     "scheduler replaced before its lease ended",
-    "commit unanswered, sent again",
-    "commit done",
+    UNANSWERED_COMMIT,
+    DONE_COMMIT,
     "operators' orders taken over",
     "operators' orders unreadable",
     "operators' orders readable again",
@@ -82,6 +88,11 @@
         let times: Vec<_> = named.clone().map(|line| line.at_ms).collect();
         let (first, last) = (times.first()? - BEFORE_MS, *times.last()?);
         let targets: BTreeSet<_> = named.flat_map(|line| targets(&line.line)).collect();
+        // A write that was unanswered at the job's time may be done long after its last line.
+        let unanswered = all.iter().filter(|line| {
+            line.line.event == UNANSWERED_COMMIT && line.at_ms >= first && line.at_ms <= last
+        });
+        let pending: BTreeSet<_> = unanswered.map(commit).collect();
         let concerns = |line: &TraceLine| {
             let event = line.line.event.as_str();
             let target = || line.line.text("target").unwrap_or_default();
@@ -89,6 +100,7 @@
             line.line.names(job)
                 || (around && SITE_EVENTS.contains(&event))
                 || (around && TARGET_EVENTS.contains(&event) && targets.contains(&target()))
+                || (event == DONE_COMMIT && pending.contains(&commit(line)))
         };
         let lines: Vec<_> = all.into_iter().filter(concerns).collect();
         let shifted = files.iter().zip(offsets);
@@ -109,6 +121,11 @@
     }
 }
 
+/// The process and the number of the write that a line tells of.
+pub(crate) fn commit(line: &TraceLine) -> (String, Option<String>) {
+    (line.file.clone(), line.line.text("change"))
+}
+
 /// The targets that a line names; a list that can't be read names none, since lines of any
 /// process are looked at.
 pub(crate) fn targets(line: &LogLine) -> Vec<String> {
--- a/crates/rattanwinch_trace/tests/traces.rs
+++ b/crates/rattanwinch_trace/tests/traces.rs
@@ -137,3 +137,30 @@
         assert_eq!(LogLine::parse(text), None, "{text}");
     }
 }
+
+/// A job whose end couldn't be made durable was told to have been held up by nothing, while its
+/// caller was refused.
+#[test]
+fn an_end_that_could_not_be_shown_is_told() {
+    let unanswered = "\"change\":13,\"error\":\"the store is unavailable\"";
+    let done = "\"change\":13,\"copies\":19";
+    for (done_at, told) in [
+        (
+            104_733,
+            "its end could be shown only 3.8 s later, since the store didn't answer (the store is unavailable)",
+        ),
+        (101_000, "step 0 waited 4.9 s for room"),
+    ] {
+        let log = [
+            front(100_000),
+            line(100_914, "commit unanswered, sent again", unanswered),
+            of_job(101_000, "call refused", "\"reason\":\"not run\""),
+            line(done_at, "commit done", done),
+            line(done_at + 1, "commit done", "\"change\":99,\"copies\":2"),
+        ];
+        let files = LogFile::parse("front", &log.concat());
+        let trace = Trace::of(JOB, files).expect("the job is named");
+        let cause = trace.cause();
+        assert!(cause.ends_with(told), "{cause}");
+    }
+}
