Keep one copy of a site's scheduling limits

Cause: rattanwinch-trials passes had a copy of the limits that the front gives its scheduler, which would go on measuring the old ones after a change.

Change: SchedulingLimits::of_site holds them with their sources; the front and the trial call it. A test of the trial guards against a fleet with room left. Two log calls are broken at the line's width.

--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -234,7 +234,8 @@
         let acknowledged = life.map_or(0, |life| self.scheduler.acknowledged(life));
         let listed_silent = !self.scheduler.may_confirm(&report.agent.vm);
         if listed_silent {
-            info!(self.state.log, "agent heard again, not confirmed yet"; "vm" => &*report.agent.vm);
+            info!(self.state.log, "agent heard again, not confirmed yet";
+                "vm" => &*report.agent.vm);
         }
         let answer = ReportAnswer {
             epoch,
--- a/crates/rattanwinch_front/src/leadership/restored.rs
+++ b/crates/rattanwinch_front/src/leadership/restored.rs
@@ -1,5 +1,4 @@
 use std::sync::Arc;
-use std::time::Duration;
 
 use rattanwinch_fleet::REPORT_INTERVAL;
 use rattanwinch_fleet::silence_limit;
@@ -18,7 +17,6 @@
 use crate::committer::Committer;
 use crate::coordinator::Coordinator;
 use crate::coordinator::Inherited;
-use crate::front_state::FrontState;
 use crate::job_board::JobBoard;
 use crate::job_board::PublishedJob;
 use crate::leadership::announcing::announce;
@@ -54,7 +52,10 @@
         let (commands, received) = mpsc::channel(QUEUED_COMMANDS);
         let now = state.clock.now();
         let scheduler = Scheduler::restore(
-            scheduling_limits(&state),
+            SchedulingLimits::of_site(
+                silence_limit(state.settings.vm.longest_lease),
+                REPORT_INTERVAL,
+            ),
             SchedulingRules::default(),
             self.jobs,
             now,
@@ -126,28 +127,3 @@
     });
     jobs.collect()
 }
-
-fn scheduling_limits(state: &FrontState) -> SchedulingLimits {
-    SchedulingLimits::builder()
-        .silence(silence_limit(state.settings.vm.longest_lease))
-        // A quarter of the wait for leases; each step is a write, which costs a tenth of a start.
-        .silence_step(Duration::from_secs(4))
-        // Two reports and a half.
-        .fresh(REPORT_INTERVAL * 5 / 2)
-        // Many times the way of an order and its answer, which is a few milliseconds.
-        .order_retry(Duration::from_millis(300))
-        // The longest stop on the users' sheets takes 900 ms.
-        .stop_repeat(Duration::from_millis(1500))
-        // A third of the shortest reclaim time on the users' sheets, with the stop after it.
-        .urgent_patience(Duration::from_millis(800))
-        // Tasks save their state every 0.5 or 2 s, and a write costs a tenth of a start.
-        .save_interval(Duration::from_secs(2))
-        // Progress is reported in whole per cent each second; one per cent of the longest task
-        // on the slowest target of the users' sheets takes 2 s.
-        .stall(Duration::from_millis(3000))
-        // Targets that fail all they start do so for 6.5 s on the users' sheets; one that goes on
-        // is tried again less and less often.
-        .quarantine(Duration::from_secs(5))
-        .quarantine_most(Duration::from_secs(40))
-        .build()
-}
--- a/crates/rattanwinch_front/src/relay.rs
+++ b/crates/rattanwinch_front/src/relay.rs
@@ -61,7 +61,8 @@
         metrics::histogram!("rattanwinch_call_seconds", "action" => call.action_name())
             .record(took.as_secs_f64());
         if let CallerAnswer::Refused(refusal) = &answer {
-            info!(self.log, #OUTCOME, "call refused"; "path" => &*call.path, "action" => call.action_name(),
+            info!(self.log, #OUTCOME, "call refused"; "path" => &*call.path,
+                "action" => call.action_name(),
                 "reason" => %refusal, "attempts" => attempts, "took_ms" => took.as_millis());
         }
         answer
--- a/crates/rattanwinch_scheduling/src/limits.rs
+++ b/crates/rattanwinch_scheduling/src/limits.rs
@@ -29,3 +29,36 @@
         pub quarantine_most: Duration,
     }
 }
+
+impl SchedulingLimits {
+    /// The limits of a site; the others follow from the users' sheets.
+    ///
+    /// `silence` is how long a target's leases can hold after its last report, and
+    /// `report_interval` how often it is heard if nothing happens.
+    #[must_use]
+    pub fn of_site(silence: Duration, report_interval: Duration) -> Self {
+        Self::builder()
+            .silence(silence)
+            // A quarter of the wait for leases; each step is a write, which costs a tenth of a
+            // start.
+            .silence_step(Duration::from_secs(4))
+            // Two reports and a half.
+            .fresh(report_interval * 5 / 2)
+            // Many times the way of an order and its answer, which is a few milliseconds.
+            .order_retry(Duration::from_millis(300))
+            // The longest stop on the users' sheets takes 900 ms.
+            .stop_repeat(Duration::from_millis(1500))
+            // A third of the shortest reclaim time on the users' sheets, with the stop after it.
+            .urgent_patience(Duration::from_millis(800))
+            // Tasks save their state every 0.5 or 2 s, and a write costs a tenth of a start.
+            .save_interval(Duration::from_secs(2))
+            // Progress is reported in whole per cent each second; one per cent of the longest
+            // task on the slowest target of the users' sheets takes 2 s.
+            .stall(Duration::from_millis(3000))
+            // Targets that fail all they start do so for 6.5 s on the users' sheets; one that
+            // goes on is tried again less and less often.
+            .quarantine(Duration::from_secs(5))
+            .quarantine_most(Duration::from_secs(40))
+            .build()
+    }
+}
--- a/crates/rattanwinch_trials/src/passes.rs
+++ b/crates/rattanwinch_trials/src/passes.rs
@@ -35,6 +35,10 @@
 /// Urgent gangs that wait for whole targets.
 const WAITING_GANGS: u64 = 3;
 
+/// How long leases of 6 s hold after the last report, and how often a target reports.
+const SILENCE: Duration = Duration::from_millis(16_120);
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The work that runs is too dear to be displaced after this long.
 const WORKED: Duration = Duration::from_secs(120);
 
@@ -83,7 +87,7 @@
     let mut site = FullSite::new(targets);
     let mut spent = [Duration::ZERO; 4];
     for round in 0..rounds {
-        site.now = site.now + Duration::from_millis(1000) / targets;
+        site.now = site.now + REPORT_INTERVAL / targets;
         site.next_report(round % targets);
         let report = &site.reports[(round % targets) as usize];
         let (scheduler, now) = (&mut site.scheduler, site.now);
@@ -126,8 +130,9 @@
 impl FullSite {
     fn new(targets: u32) -> Self {
         let now = Timestamp::from_millis(1_000_000);
+        let limits = SchedulingLimits::of_site(SILENCE, REPORT_INTERVAL);
         let mut site = Self {
-            scheduler: Scheduler::restore(limits(), rules(), [], now),
+            scheduler: Scheduler::restore(limits, rules(), [], now),
             now,
             reports: (0..targets).map(empty_target).collect(),
         };
@@ -263,22 +268,6 @@
     }
 }
 
-/// The limits of the front, with leases of 6 s.
-fn limits() -> SchedulingLimits {
-    SchedulingLimits::builder()
-        .silence(Duration::from_millis(16_120))
-        .silence_step(Duration::from_secs(4))
-        .fresh(Duration::from_millis(2_500))
-        .order_retry(Duration::from_millis(300))
-        .stop_repeat(Duration::from_millis(1_500))
-        .urgent_patience(Duration::from_millis(800))
-        .save_interval(Duration::from_secs(2))
-        .stall(Duration::from_millis(3_000))
-        .quarantine(Duration::from_secs(5))
-        .quarantine_most(Duration::from_secs(40))
-        .build()
-}
-
 impl fmt::Display for PassReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "means of {} passes, in microseconds", self.rounds)?;
--- a/crates/rattanwinch_trials/tests/trials.rs
+++ b/crates/rattanwinch_trials/tests/trials.rs
@@ -5,6 +5,7 @@
 use rattanwinch_trials::SchedulerKind;
 use rattanwinch_trials::Workload;
 use rattanwinch_trials::compare;
+use rattanwinch_trials::measure_passes;
 use rattanwinch_trials::run_trial;
 use rattanwinch_trials::trace_waits;
 
@@ -51,3 +52,13 @@
         assert!(overlong.is_empty(), "{text}");
     }
 }
+
+/// Guards against a fleet that isn't full while passes are measured: with room left the waiting
+/// steps start, and the passes are those of an idle site.
+#[test]
+fn passes_are_measured_on_a_full_fleet() {
+    let report = measure_passes(&[3, 6], 12);
+    let running: Vec<_> = report.rows.iter().map(|row| row.running).collect();
+    assert_eq!(running, [24, 48]);
+    assert!(report.rows.iter().all(|row| row.place_us > 0.0), "{report}");
+}
