Keep reclaims from pass to pass and hold their room

Cause: each placement pass planned preemptions anew. The plan changed because only three blocked steps held room, stopping runs were counted for several steps, and runs beyond a fixed loss (argued by the price list) dropped out while fresh restarts stayed cheap. Change: a reclaim has a life of its own (Reclaim<Planned>, Reclaim<Underway>), is kept until its step is placed or it is given up with a reason, and its room is held against all other steps; a lost target alone is planned again. Runs that end by themselves in time are awaited. Beyond a guarantee the stopped runs may lose at most the work of the urgent step, and no task is stopped twice; within one, tasks that were stopped twice come last. Jobs are covered by a guarantee in the order of their acceptance. New settings reclaim_ms and stop_ms. Sums of resources saturate.

--- a/crates/rattanwinch_cli/tests/cli/queue.rs
+++ b/crates/rattanwinch_cli/tests/cli/queue.rs
@@ -72,6 +72,8 @@
         machines: None,
         ended_job_retention: Duration::from_secs(120),
         grace: Duration::from_secs(6),
+        reclaim_time: Duration::from_millis(2700),
+        stop_time: Duration::from_millis(900),
     };
     let side = SideSettings {
         vm: vm("side", side_ip, front_ip, store_endpoint.address()),
--- a/crates/rattanwinch_front/src/event_log.rs
+++ b/crates/rattanwinch_front/src/event_log.rs
@@ -21,10 +21,21 @@
                 "step" => step.step, "run" => number, "targets" => ?targets,
                 "waited_ms" => waited_ms);
         }
-        Event::Preempted { step, victims } => {
+        Event::Preempted {
+            step,
+            victims,
+            lost_core_ms,
+            guaranteed,
+        } => {
             count_decision("reclaimed");
             info!(log, #OUTCOME_TAG, "guarantee reclaimed"; "job" => %step.job, "step" => step.step,
-                "victims" => victims.iter().map(full_name).collect::<Vec<_>>().join(","));
+                "victims" => victims.iter().map(full_name).collect::<Vec<_>>().join(","),
+                "lost_core_ms" => lost_core_ms, "guaranteed" => guaranteed);
+        }
+        Event::ReclaimGivenUp { step, end } => {
+            count_decision("reclaim_given_up");
+            info!(log, "reclaimed room released"; "job" => %step.job, "step" => step.step,
+                "reason" => end.as_str());
         }
         Event::Started { run, after_ms } => {
             count_decision("started");
--- a/crates/rattanwinch_front/src/front_settings.rs
+++ b/crates/rattanwinch_front/src/front_settings.rs
@@ -9,6 +9,12 @@
 /// Result of reading the settings.
 pub type Result<T> = std::result::Result<T, SettingsErrors>;
 
+/// The shortest reclaim time in the users' requirements.
+const DEFAULT_RECLAIM_MS: u64 = 2700;
+
+/// The slowest stop in the users' requirements.
+const DEFAULT_STOP_MS: u64 = 900;
+
 /// The settings of a front daemon; `docs/settings.md` explains each key.
 #[derive(Clone, Debug)]
 pub struct FrontSettings {
@@ -26,6 +32,10 @@
     pub ended_job_retention: Duration,
     /// Maximum duration of a graceful stop.
     pub grace: Duration,
+    /// Time within which guaranteed capacity is reclaimed.
+    pub reclaim_time: Duration,
+    /// Longest time that a target takes to stop a run.
+    pub stop_time: Duration,
 }
 
 impl FrontSettings {
@@ -43,6 +53,8 @@
         let machines = file.list::<SocketAddr>("machines", "address", "IP:PORT");
         let ended_job_retention = file.required("limits", "keep_ended_s", "seconds");
         let grace = file.required("limits", "grace_s", "seconds");
+        let reclaim_ms = file.optional("limits", "reclaim_ms", DEFAULT_RECLAIM_MS, "milliseconds");
+        let stop_ms = file.optional("limits", "stop_ms", DEFAULT_STOP_MS, "milliseconds");
         let settings = (|| {
             Some(Self {
                 vm: vm?,
@@ -52,6 +64,8 @@
                 machines: machines?.first().copied(),
                 ended_job_retention: Duration::from_secs(ended_job_retention?),
                 grace: Duration::from_secs(grace?),
+                reclaim_time: Duration::from_millis(reclaim_ms?),
+                stop_time: Duration::from_millis(stop_ms?),
             })
         })();
         file.finish(settings)
--- a/crates/rattanwinch_front/src/leadership/restored.rs
+++ b/crates/rattanwinch_front/src/leadership/restored.rs
@@ -55,6 +55,8 @@
             SchedulingLimits::for_site(
                 target_silence_timeout(state.settings.vm.max_lease),
                 REPORT_INTERVAL,
+                state.settings.reclaim_time,
+                state.settings.stop_time,
             ),
             SchedulingRules::default(),
             self.jobs,
--- a/crates/rattanwinch_front/tests/site/harness.rs
+++ b/crates/rattanwinch_front/tests/site/harness.rs
@@ -183,6 +183,8 @@
             machines: self.machines.as_ref().map(SiteMachines::address),
             ended_job_retention: Duration::from_secs(120),
             grace: Duration::from_secs(6),
+            reclaim_time: Duration::from_millis(2700),
+            stop_time: Duration::from_millis(900),
         };
         let daemon = FrontDaemon::start(settings, self.logger("rattanwinch-front", ip))
             .await
--- a/crates/rattanwinch_runtime/src/settings_file.rs
+++ b/crates/rattanwinch_runtime/src/settings_file.rs
@@ -71,7 +71,7 @@
         self.convert(section, key, &text?, expected)
     }
 
-    /// Reads a value, or returns `default` if the key is absent.
+    /// Reads a value, or returns `default` if the key is absent or its value empty.
     pub fn optional<T: FromStr>(
         &mut self,
         section: &str,
@@ -79,7 +79,7 @@
         default: T,
         expected: &str,
     ) -> Option<T> {
-        match self.take(section, key) {
+        match self.take(section, key).filter(|text| !text.is_empty()) {
             Some(text) => self.convert(section, key, &text, expected),
             None => Some(default),
         }
--- a/crates/rattanwinch_scheduling/src/active_run.rs
+++ b/crates/rattanwinch_scheduling/src/active_run.rs
@@ -21,6 +21,8 @@
     pub target: TargetInstance,
     pub resources: Resources,
     pub desired: DesiredState,
+    /// Since when the run should stop, as seen by placement passes.
+    pub stopping_since: Option<Timestamp>,
     /// The placement is durable; orders are sent only then.
     pub durable: bool,
     /// An order was sent and its outcome is not known yet.
--- a/crates/rattanwinch_scheduling/src/event.rs
+++ b/crates/rattanwinch_scheduling/src/event.rs
@@ -3,6 +3,7 @@
 
 use crate::JobId;
 use crate::JobState;
+use crate::ReclaimEnd;
 use crate::RunId;
 use crate::RunOutcome;
 use crate::StartRefusal;
@@ -29,6 +30,17 @@
             step: StepId,
             /// The preempted runs.
             victims: Vec<RunId>,
+            /// The work that the runs lose, in core-milliseconds.
+            lost_core_ms: u64,
+            /// The step is covered by its organisation's guarantee.
+            guaranteed: bool,
+        },
+        /// Room that was made for a step is no longer held for it.
+        ReclaimGivenUp {
+            /// The step.
+            step: StepId,
+            /// Why the room is no longer held.
+            end: ReclaimEnd,
         },
         /// A run has started on its target.
         Started {
--- a/crates/rattanwinch_scheduling/src/job.rs
+++ b/crates/rattanwinch_scheduling/src/job.rs
@@ -114,6 +114,10 @@
     pub checkpoint: Option<Checkpoint>,
     /// Targets on which the task failed; other targets are preferred.
     pub failed_on: SmallVec<[TargetName; 2]>,
+    /// How often a run of the task was stopped for another step, by this scheduler.
+    pub preemptions: u32,
+    /// The work lost by these stops, in core-milliseconds.
+    pub lost_core_millis: u64,
 }
 
 /// A job with the state of its tasks.
--- a/crates/rattanwinch_scheduling/src/lateness.rs
+++ b/crates/rattanwinch_scheduling/src/lateness.rs
@@ -43,6 +43,16 @@
     }
 }
 
+impl Lateness {
+    /// Returns the time until the latest start for being on time; zero if the step is late.
+    pub(crate) fn slack(self, wall: Timestamp) -> Duration {
+        match self {
+            Self::OnTime(latest_start) => latest_start.since(wall),
+            Self::Late(_) | Self::Overdue(_) => Duration::ZERO,
+        }
+    }
+}
+
 /// Returns when the job was submitted, or when the occurrence was due if that is later.
 fn submitted_at(job: &Job, step: &StepId) -> Timestamp {
     let accepted = &job.accepted;
--- a/crates/rattanwinch_scheduling/src/limits.rs
+++ b/crates/rattanwinch_scheduling/src/limits.rs
@@ -19,6 +19,10 @@
         /// How long a step of priority 0 waits for its preferred racks; other steps wait as long as
         /// their estimated run time.
         pub urgent_locality_wait: Duration,
+        /// The longest time within which a guaranteed step must have started on reclaimed room.
+        pub max_reclaim_time: Duration,
+        /// The longest time that a target takes to stop a run.
+        pub max_stop_time: Duration,
         /// The interval at which checkpoints of running tasks are made durable.
         pub checkpoint_write_interval: Duration,
         /// A run without progress for this long is stopped and started elsewhere.
@@ -33,11 +37,19 @@
 impl SchedulingLimits {
     /// Derives the limits of a site; the other limits follow from the users' requirements.
     ///
-    /// `silence_timeout` is how long the leases of a target can last after its last report, and
+    /// `max_reclaim_time` and `max_stop_time` are what the site promises to its organisations and
+    /// what its targets promise; `silence_timeout` is how long the leases of a target can last after its last report, and
     /// `report_interval` the interval of its reports while nothing changes.
     #[must_use]
-    pub fn for_site(silence_timeout: Duration, report_interval: Duration) -> Self {
+    pub fn for_site(
+        silence_timeout: Duration,
+        report_interval: Duration,
+        max_reclaim_time: Duration,
+        max_stop_time: Duration,
+    ) -> Self {
         Self::builder()
+            .max_reclaim_time(max_reclaim_time)
+            .max_stop_time(max_stop_time)
             .silence_timeout(silence_timeout)
             // A quarter of the wait for leases. Each interval causes a write, which costs a
             // tenth of a start.
--- a/crates/rattanwinch_scheduling/src/placement.rs
+++ b/crates/rattanwinch_scheduling/src/placement.rs
@@ -71,7 +71,7 @@
     // The rack with the least free accelerators first, to keep the others free for wide gangs.
     racks.sort_by_key(|rack| {
         let free = rack.iter().map(|candidate| candidate.free.accelerators);
-        free.sum::<u64>()
+        free.fold(0, u64::saturating_add)
     });
     racks
 }
@@ -129,6 +129,27 @@
     (chosen, failed_here_count)
 }
 
+value! { copy
+    /// What is lost by stopping runs. The fewest tasks that were stopped too often come first, then
+    /// the least work.
+    #[derive(Default)]
+    pub(crate) struct Loss {
+        /// The number of tasks that have been stopped for others too often already.
+        pub worn_out: u32,
+        /// The lost work, and that lost by earlier stops of the same tasks.
+        pub core_millis: u64,
+    }
+}
+
+impl Loss {
+    pub(crate) const fn plus(self, other: Self) -> Self {
+        Self {
+            worn_out: self.worn_out.saturating_add(other.worn_out),
+            core_millis: self.core_millis.saturating_add(other.core_millis),
+        }
+    }
+}
+
 value! {
     /// The part of a run set on one target.
     pub(crate) struct Occupant {
@@ -136,8 +157,8 @@
         pub set: usize,
         /// The resources that the run set occupies on this target.
         pub resources: Resources,
-        /// The work lost by stopping the whole set; `None` if it may not be stopped.
-        pub loss: Option<u64>,
+        /// What is lost by stopping the whole set.
+        pub loss: Loss,
     }
 }
 
@@ -148,21 +169,22 @@
         pub targets: Vec<TargetName>,
         /// The run sets that must end first.
         pub sets: BTreeSet<usize>,
-        pub loss: u64,
+        pub loss: Loss,
     }
 }
 
-/// Plans the preemption with the least lost work: for a gang all tasks or none, otherwise as many
-/// tasks as possible. Returns `None` if no task can be placed.
+/// Plans the preemption with the least loss: for a gang all tasks or none, otherwise as many tasks as
+/// possible. Returns `None` if no task can be placed for at most `max_lost_work`, in core-milliseconds.
 pub(crate) fn plan_preemption(
     demand: &Demand,
     candidates: &[Candidate],
     occupants: &BTreeMap<TargetName, Vec<Occupant>>,
+    max_lost_work: u64,
 ) -> Option<PreemptionPlan> {
     let groups = demand.groups(candidates);
     let plans = groups
         .iter()
-        .filter_map(|group| plan_group(demand, group, occupants));
+        .filter_map(|group| plan_group(demand, group, occupants, max_lost_work));
     plans.min_by_key(|plan| (Reverse(plan.targets.len()), plan.loss, plan.sets.len()))
 }
 
@@ -170,11 +192,12 @@
     demand: &Demand,
     group: &[&Candidate],
     occupants: &BTreeMap<TargetName, Vec<Occupant>>,
+    max_lost_work: u64,
 ) -> Option<PreemptionPlan> {
     let mut plan = PreemptionPlan {
         targets: Vec::new(),
         sets: BTreeSet::new(),
-        loss: 0,
+        loss: Loss::default(),
     };
     let mut taken: BTreeMap<&TargetName, usize> = BTreeMap::new();
     while plan.targets.len() < demand.count {
@@ -191,10 +214,14 @@
         let Some((loss, _, candidate, sets)) = best else {
             break;
         };
+        let total = plan.loss.plus(loss);
+        if total.core_millis > max_lost_work {
+            break;
+        }
         *taken.entry(&candidate.name).or_default() += 1;
         plan.targets.push(candidate.name.clone());
         plan.sets.extend(sets);
-        plan.loss += loss;
+        plan.loss = total;
     }
     let required = if demand.gang { demand.count } else { 1 };
     (plan.targets.len() >= required).then_some(plan)
@@ -207,7 +234,7 @@
     taken: usize,
     occupants_here: &[Occupant],
     ending: &BTreeSet<usize>,
-) -> Option<(BTreeSet<usize>, u64)> {
+) -> Option<(BTreeSet<usize>, Loss)> {
     if taken >= candidate.max_tasks {
         return None;
     }
@@ -224,18 +251,17 @@
     let mut others: Vec<_> = occupants_here
         .iter()
         .filter(|occupant| !ending.contains(&occupant.set))
-        .filter_map(|occupant| occupant.loss.map(|loss| (loss, occupant)))
         .collect();
-    others.sort_by_key(|(loss, _)| *loss);
+    others.sort_by_key(|occupant| occupant.loss);
     let mut sets = BTreeSet::new();
-    let mut total = 0;
-    for (loss, occupant) in others {
+    let mut total = Loss::default();
+    for occupant in others {
         if free.fits(demand.resources) {
             break;
         }
         free = free.plus(occupant.resources);
         sets.insert(occupant.set);
-        total += loss;
+        total = total.plus(occupant.loss);
     }
     free.fits(demand.resources).then_some((sets, total))
 }
--- a/crates/rattanwinch_scheduling/src/placement_pass.rs
+++ b/crates/rattanwinch_scheduling/src/placement_pass.rs
@@ -4,7 +4,6 @@
 use rattanwinch_types::Timestamp;
 
 use crate::Event;
-use crate::Resources;
 use crate::RunId;
 use crate::Scheduler;
 use crate::TaskId;
@@ -13,45 +12,66 @@
 use crate::placement::Candidate;
 use crate::placement::Demand;
 use crate::placement::choose_targets;
+use crate::room::Availability;
+use crate::room::Room;
 use crate::scheduler::occupied_resources;
 use crate::waiting::WaitingStep;
 
-/// The maximum number of blocked steps with a reservation per pass; more would leave targets idle.
-const MAX_RESERVED_STEPS: usize = 3;
+/// The maximum number of blocked steps for which a pass looks for room, beside those within a
+/// guarantee; more would leave targets idle.
+const MAX_BLOCKED_STEPS: usize = 3;
 
 impl Scheduler {
-    /// Runs a placement pass: places waiting tasks, and reserves or preempts for blocked steps.
+    /// Runs a placement pass: places waiting tasks, and holds or makes room for blocked steps.
     ///
     /// `wall` is the wall-clock time, which decides when repeated jobs are due.
     pub fn place_tasks(&mut self, now: Timestamp, wall: Timestamp) {
         self.clear_placement_request();
         self.stop_stalled_runs(now);
-        let mut free = self.free_resources(now);
-        let mut reserved = 0;
-        let mut sets = None;
-        for waiting in self.waiting_steps(now, wall) {
-            let demand = self.demand(&waiting);
-            let candidates = self.candidates(&waiting, &demand, &free, now);
+        let guaranteed_jobs = self.guaranteed_jobs();
+        let steps = self.waiting_steps(&guaranteed_jobs, now, wall);
+        let room = self.room(now);
+        let mut pass = self.begin_reclaim_pass(&steps, guaranteed_jobs, room, now);
+        let mut blocked = 0;
+        for waiting in steps {
+            let mut reclaim = pass.underway.remove(&waiting.group);
+            if let Some(reclaim) = &reclaim {
+                reclaim.release(&mut pass.room);
+            }
+            let mut demand = self.demand(&waiting);
+            let candidates = self.candidates(&waiting, &demand, &pass.room, Availability::Now, now);
             let chosen = choose_targets(&demand, &candidates);
             for target in &chosen {
-                if let Some(available) = free.get_mut(target) {
-                    *available = available.minus(demand.resources);
-                }
+                pass.room.occupy(target, demand.resources);
             }
             if !chosen.is_empty() {
                 self.start_tasks(&waiting, &chosen, now);
             }
-            if chosen.len() < waiting.task_indices.len() && reserved < MAX_RESERVED_STEPS {
-                reserved += 1;
-                let mut rest = demand;
-                rest.count -= chosen.len();
-                self.reserve_or_preempt(&waiting, &rest, &mut free, &mut sets, now);
+            demand.count -= chosen.len();
+            if demand.count == 0 {
+                continue;
+            }
+            let mut is_held = false;
+            if let Some(reclaim) = &mut reclaim {
+                reclaim.drop_used_holds(&chosen, demand.count);
+                let missing =
+                    self.continue_reclaim(reclaim, &waiting, &demand, &mut pass.room, now);
+                is_held = missing == 0;
+            }
+            if let Some(reclaim) = reclaim.take_if(|_| is_held) {
+                pass.kept.insert(waiting.group.clone(), reclaim);
+                continue;
+            }
+            if waiting.guaranteed || reclaim.is_some() || blocked < MAX_BLOCKED_STEPS {
+                blocked += 1;
+                self.make_room(&waiting, &demand, reclaim, &mut pass, now);
             }
         }
+        self.reclaims = pass.kept;
     }
 
-    /// Returns the free resources of each target that may get new tasks.
-    fn free_resources(&self, now: Timestamp) -> BTreeMap<TargetName, Resources> {
+    /// Returns the room on the targets that may get new tasks.
+    fn room(&self, now: Timestamp) -> Room {
         let usable = self.targets.iter().filter(|(_, target)| {
             !target.description.draining
                 && !self.cordoned.contains(&target.description.instance.target)
@@ -60,23 +80,21 @@
                 && now.since(target.last_report_at) <= self.limits.max_report_age
                 && !self.rules.closed_zones.contains(&target.description.zone)
         });
-        let mut free: BTreeMap<_, _> = usable
-            .map(|(name, target)| (name.clone(), target.description.capacity))
-            .collect();
+        let mut room =
+            Room::new(usable.map(|(name, target)| (name.clone(), target.description.capacity)));
         for active in self.active.values() {
-            let available = free.get_mut(&active.target.target);
-            if let Some(available) = available {
-                *available = available.minus(active.resources);
-            }
+            room.occupy(&active.target.target, active.resources);
         }
-        free
+        room
     }
 
+    /// Returns the targets that may run tasks of the step, with their available resources.
     pub(crate) fn candidates(
         &mut self,
         waiting: &WaitingStep,
         demand: &Demand,
-        free: &BTreeMap<TargetName, Resources>,
+        room: &Room,
+        availability: Availability,
         now: Timestamp,
     ) -> Vec<Candidate> {
         let Some(job) = self.jobs.get(&waiting.step.job) else {
@@ -91,7 +109,7 @@
         let failed_on = job.failed_on(&first);
         let mut suitable = Vec::new();
         let mut tasks_elsewhere = 0_u64;
-        for (name, &available) in free {
+        for (name, available) in room.iter(availability) {
             let Some(target) = self.targets.get(name) else {
                 continue;
             };
@@ -113,6 +131,7 @@
         // for another target, if any other is large enough.
         let required_tasks = if demand.gang { demand.count } else { 1 };
         let avoids_failed_targets = tasks_elsewhere >= required_tasks as u64;
+        let tasks_here = self.tasks_by_target(waiting);
         let mut candidates = Vec::new();
         for (name, available) in suitable {
             let Some(target) = self.targets.get(name) else {
@@ -133,21 +152,30 @@
                 name: name.clone(),
                 rack: target.rack().cloned(),
                 free: available,
-                max_tasks: self.remaining_task_limit(waiting, name),
+                max_tasks: waiting
+                    .description
+                    .max_per_target
+                    .map_or(usize::MAX, |max_tasks| {
+                        let here = tasks_here.get(name).copied().unwrap_or(0);
+                        (max_tasks as usize).saturating_sub(here)
+                    }),
                 failed_here: failed_on.contains(name),
             });
         }
         candidates
     }
 
-    fn remaining_task_limit(&self, waiting: &WaitingStep, target: &TargetName) -> usize {
-        let Some(max_tasks) = waiting.description.max_per_target else {
-            return usize::MAX;
-        };
-        let here = self.active.iter().filter(|(run, active)| {
-            run.task.step == waiting.step && active.target.target == *target
-        });
-        (max_tasks as usize).saturating_sub(here.count())
+    /// Counts the step's active tasks on each target, if their number there is limited.
+    fn tasks_by_target(&self, waiting: &WaitingStep) -> BTreeMap<TargetName, usize> {
+        let mut counts = BTreeMap::new();
+        if waiting.description.max_per_target.is_some() {
+            let of_step = self.active.iter();
+            let of_step = of_step.filter(|(run, _)| run.task.step == waiting.step);
+            for (_, active) in of_step {
+                *counts.entry(active.target.target.clone()).or_default() += 1;
+            }
+        }
+        counts
     }
 
     fn start_tasks(&mut self, waiting: &WaitingStep, targets: &[TargetName], now: Timestamp) {
@@ -180,6 +208,7 @@
                 target: instance.clone(),
                 resources: occupied_resources(&waiting.description),
                 desired: DesiredState::Run,
+                stopping_since: None,
                 durable: false,
                 in_flight: false,
                 maybe_sent: false,
--- a/crates/rattanwinch_scheduling/src/resources.rs
+++ b/crates/rattanwinch_scheduling/src/resources.rs
@@ -12,8 +12,8 @@
     }
 }
 
-/// The weight of an accelerator in cores when lost work is compared; the ratio of the platform's
-/// prices for wasted work.
+/// The weight of an accelerator in cores when lost work is compared. Targets have 8 to 16 cores for
+/// each accelerator, so a task with an accelerator keeps about as many cores from other use.
 const CORES_PER_ACCELERATOR: u64 = 8;
 
 impl Resources {
@@ -42,13 +42,23 @@
             && self.accelerators >= required.accelerators
     }
 
-    /// Returns the sum.
+    /// Returns the sum, saturating at the highest value.
     #[must_use]
     pub const fn plus(self, other: Self) -> Self {
         Self {
-            cpu_millis: self.cpu_millis + other.cpu_millis,
-            memory_mb: self.memory_mb + other.memory_mb,
-            accelerators: self.accelerators + other.accelerators,
+            cpu_millis: self.cpu_millis.saturating_add(other.cpu_millis),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// Returns the lower of both values of each resource.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.min(other.cpu_millis),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
         }
     }
 
@@ -62,21 +72,12 @@
         }
     }
 
-    /// Returns how many tasks that require `required` fit side by side, at most `max`.
-    #[must_use]
-    pub fn slots(self, required: Self, max: usize) -> usize {
-        let mut left = self;
-        let mut slots = 0;
-        while slots < max && left.fits(required) {
-            left = left.minus(required);
-            slots += 1;
-        }
-        slots
-    }
-
     /// Returns the weight in thousandths of a core, with accelerators counted as cores.
     #[must_use]
     pub const fn weighted_cpu_millis(self) -> u64 {
-        self.cpu_millis + self.accelerators * CORES_PER_ACCELERATOR * 1000
+        let accelerators = self
+            .accelerators
+            .saturating_mul(CORES_PER_ACCELERATOR * 1000);
+        self.cpu_millis.saturating_add(accelerators)
     }
 }
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -27,6 +27,9 @@
 use crate::active_run::DesiredState;
 use crate::advisor_tickets::TicketCache;
 use crate::job::Job;
+use crate::reclaim::Reclaim;
+use crate::reclaim::TaskGroup;
+use crate::reclaim::Underway;
 use crate::silences::SilenceRecords;
 use crate::target::Target;
 use crate::target::Targets;
@@ -46,6 +49,8 @@
     pub(crate) open_jobs: BTreeSet<JobId>,
     pub(crate) targets: Targets,
     pub(crate) active: BTreeMap<RunId, ActiveRun>,
+    /// Room that is being made for waiting steps.
+    pub(crate) reclaims: BTreeMap<TaskGroup, Reclaim<Underway>>,
     pub(crate) advisor_tickets: TicketCache,
     /// Targets that get no new tasks because their machines are about to go down.
     pub(crate) cordoned: BTreeSet<TargetName>,
@@ -105,6 +110,7 @@
             open_jobs: BTreeSet::new(),
             targets: Targets::new(),
             active: BTreeMap::new(),
+            reclaims: BTreeMap::new(),
             advisor_tickets: TicketCache::default(),
             cordoned: BTreeSet::new(),
             silence_records: SilenceRecords::default(),
@@ -149,6 +155,7 @@
                 } else {
                     DesiredState::Run
                 },
+                stopping_since: None,
                 durable: true,
                 in_flight: false,
                 maybe_sent: true,
@@ -378,7 +385,7 @@
             .values()
             .filter(|active| active.target.target == *target);
         here.map(|active| active.resources.weighted_cpu_millis())
-            .sum()
+            .fold(0, u64::saturating_add)
     }
 
     /// Stops the runs on the target, except where a step allows no more unavailable tasks.
--- a/crates/rattanwinch_scheduling/src/waiting.rs
+++ b/crates/rattanwinch_scheduling/src/waiting.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 use smallvec::smallvec;
 
+use crate::JobId;
 use crate::Scheduler;
 use crate::StepDescription;
 use crate::StepId;
@@ -15,11 +16,13 @@
 use crate::job::Job;
 use crate::lateness::Lateness;
 use crate::placement::Demand;
+use crate::reclaim::TaskGroup;
 use crate::scheduler::occupied_resources;
 
 /// A step with tasks that are ready and not placed.
 pub(crate) struct WaitingStep {
     pub step: StepId,
+    pub group: TaskGroup,
     pub description: StepDescription,
     pub task_indices: SmallVec<[u32; 8]>,
     pub priority: u32,
@@ -27,13 +30,16 @@
     pub accepted_at: Timestamp,
     pub organisation: Organisation,
     pub waited: Duration,
+    /// The time until the latest start at which the job is still on time; zero if it is late, and
+    /// unlimited without an objective.
+    pub slack: Duration,
     /// The step is covered by its organisation's guarantee.
     pub guaranteed: bool,
 }
 
 /// Groups the ready tasks of a job for placement: by step, with each failed task on its own, since
 /// it avoids the targets on which it failed.
-fn ready_task_groups(job: &Job, wall: Timestamp) -> Vec<(StepId, SmallVec<[u32; 8]>)> {
+fn ready_task_groups(job: &Job, wall: Timestamp) -> Vec<(TaskGroup, SmallVec<[u32; 8]>)> {
     let mut groups = Vec::new();
     for step in job.ready_steps(wall) {
         let waiting = job.waiting_tasks(&step);
@@ -41,7 +47,7 @@
             .step(step.step)
             .is_some_and(|description| description.gang)
         {
-            groups.push((step, waiting));
+            groups.push((first_attempts(step), waiting));
             continue;
         }
         let has_failed = |index: &u32| {
@@ -54,36 +60,60 @@
         let (failed, fresh): (SmallVec<[u32; 8]>, SmallVec<[u32; 8]>) =
             waiting.into_iter().partition(has_failed);
         for index in failed {
-            groups.push((step.clone(), smallvec![index]));
+            let group = TaskGroup {
+                step: step.clone(),
+                retried_task: Some(index),
+            };
+            groups.push((group, smallvec![index]));
         }
         if !fresh.is_empty() {
-            groups.push((step, fresh));
+            groups.push((first_attempts(step), fresh));
         }
     }
     groups
 }
 
+fn first_attempts(step: StepId) -> TaskGroup {
+    TaskGroup {
+        step,
+        retried_task: None,
+    }
+}
+
 impl Scheduler {
-    pub(crate) fn waiting_steps(&mut self, now: Timestamp, wall: Timestamp) -> Vec<WaitingStep> {
+    /// Returns the waiting steps in the order in which they are placed.
+    pub(crate) fn waiting_steps(
+        &mut self,
+        guaranteed_jobs: &BTreeSet<JobId>,
+        now: Timestamp,
+        wall: Timestamp,
+    ) -> Vec<WaitingStep> {
         let mut all = Vec::new();
         let mut ready = BTreeSet::new();
         for id in &self.open_jobs {
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            for (step, task_indices) in ready_task_groups(job, wall) {
+            for (group, task_indices) in ready_task_groups(job, wall) {
+                let step = group.step.clone();
                 let Some(description) = job.step(step.step) else {
                     continue;
                 };
                 let since = *self.ready_since.entry(step.clone()).or_insert(now);
                 ready.insert(step.clone());
                 let organisation = &job.accepted.organisation;
+                let lateness = Lateness::of(job, &step, wall);
                 all.push(WaitingStep {
-                    guaranteed: job.rules.priority == 0 && self.within_guarantee(organisation),
+                    group,
+                    guaranteed: guaranteed_jobs.contains(id),
                     description: description.clone(),
                     task_indices,
                     priority: job.rules.priority,
-                    lateness: Lateness::of(job, &step, wall),
+                    slack: job
+                        .rules
+                        .objective
+                        .map_or(Duration::MAX, |_| lateness.slack(wall)),
+                    lateness,
                     accepted_at: job.accepted.accepted_at,
                     organisation: organisation.clone(),
                     waited: now.since(since),
@@ -116,18 +146,4 @@
             any_rack: waiting.waited >= locality_wait,
         }
     }
-
-    /// Returns true if the organisation's urgent jobs together fit into its guarantee.
-    pub(crate) fn within_guarantee(&self, organisation: &Organisation) -> bool {
-        let Some(&guarantee) = self.rules.guarantees.get(organisation) else {
-            return false;
-        };
-        let urgent = self.open_jobs.iter().filter_map(|id| self.jobs.get(id));
-        let urgent = urgent
-            .filter(|job| job.rules.priority == 0 && job.accepted.organisation == *organisation);
-        let needed: u64 = urgent
-            .map(|job| job.accepted.description.max_step_accelerators())
-            .sum();
-        needed <= guarantee
-    }
 }
--- a/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
@@ -34,6 +34,9 @@
     pub rules: SchedulingRules,
     /// Runs make no progress while this is set.
     pub is_hung: bool,
+    /// Stops take up to this long, different for each run; zero if they end at once.
+    pub max_stop_time: Duration,
+    stopping: BTreeMap<RunId, Timestamp>,
     reports: BTreeMap<TargetName, TargetReport>,
     jobs: u64,
 }
@@ -46,6 +49,8 @@
         .order_retry_delay(Duration::from_millis(300))
         .stop_retry_delay(Duration::from_millis(1500))
         .urgent_locality_wait(Duration::from_millis(800))
+        .max_reclaim_time(Duration::from_millis(2700))
+        .max_stop_time(Duration::from_millis(900))
         .checkpoint_write_interval(Duration::from_secs(2))
         .stall_timeout(Duration::from_secs(3))
         .initial_quarantine(Duration::from_secs(5))
@@ -93,6 +98,8 @@
             now,
             rules,
             is_hung: false,
+            max_stop_time: Duration::ZERO,
+            stopping: BTreeMap::new(),
             reports: BTreeMap::new(),
             jobs: 0,
         };
@@ -187,6 +194,26 @@
         }
     }
 
+    /// Waits in short steps with a placement pass each, while stops end.
+    pub fn play(&mut self, millis: u64) {
+        const STEP_MS: u64 = 20;
+        for _ in 0..millis / STEP_MS {
+            self.wait(STEP_MS);
+            let now = self.now;
+            let ended: Vec<_> = self.stopping.extract_if(.., |_, at| *at <= now).collect();
+            for (run, _) in ended {
+                self.end(&run, RunOutcome::Stopped);
+            }
+            self.step();
+        }
+    }
+
+    /// Returns when a stop of the run ends: later for each next one of a few runs.
+    fn stop_end(&self, run: &RunId) -> Timestamp {
+        let spread = run.task.index % 5;
+        self.now + self.max_stop_time * (spread + 1) / 6
+    }
+
     pub fn report_mut(&mut self, number: usize) -> &mut TargetReport {
         self.reports.get_mut(&target(number)).expect("a target")
     }
@@ -201,6 +228,7 @@
         self.scheduler.place_tasks(self.now, self.now);
         self.commit();
         let mut started = Vec::new();
+        let mut stopping = Vec::new();
         for orders in self.scheduler.take_due_orders(self.now) {
             let name = orders.instance.target.clone();
             let report = self.reports.get_mut(&name).expect("a target");
@@ -215,6 +243,13 @@
                 started.push((name.clone(), start));
             }
             for run in orders.stops {
+                if self.max_stop_time > Duration::ZERO
+                    && report.running.iter().any(|running| running.run == run)
+                {
+                    outcomes.push((run.clone(), OrderOutcome::Stopped));
+                    stopping.push(run);
+                    continue;
+                }
                 end_run_in_report(report, &run, RunOutcome::Stopped);
                 outcomes.push((run, OrderOutcome::Stopped));
             }
@@ -225,6 +260,10 @@
                     .handle_order_outcome(&run, outcome, true, self.now);
             }
         }
+        for run in stopping {
+            let end = self.stop_end(&run);
+            self.stopping.entry(run).or_insert(end);
+        }
         started
     }
 
--- a/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
@@ -1,9 +1,163 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rattanwinch_scheduling::Event;
+use rattanwinch_scheduling::JobId;
 use rattanwinch_scheduling::JobState;
 use rattanwinch_scheduling::RunOutcome;
+use rattanwinch_scheduling::StepDescription;
+use rattanwinch_scheduling::TaskId;
 
 use crate::fixture::Fixture;
 use crate::fixture::step;
 
+fn gang(count: u32, accelerators: u64) -> StepDescription {
+    StepDescription {
+        gang: true,
+        ..step(count, accelerators)
+    }
+}
+
+/// Returns how often each task was stopped for another step.
+fn preemptions(site: &mut Fixture) -> BTreeMap<TaskId, usize> {
+    let mut counts = BTreeMap::new();
+    for event in site.scheduler.take_events() {
+        if let Event::Preempted { victims, .. } = event {
+            for run in victims {
+                *counts.entry(run.task).or_default() += 1;
+            }
+        }
+    }
+    counts
+}
+
+/// A site whose targets are full of small tasks, with more of them waiting and slow stops.
+fn full_site(targets: u32) -> (Fixture, JobId) {
+    let mut site = Fixture::new(targets as usize);
+    site.max_stop_time = Duration::from_millis(900);
+    let small = site.submit(2, "b", &[step(targets * 8 + 40, 1)]);
+    site.step();
+    site.wait(1_000);
+    (site, small)
+}
+
+/// Guards against plans that change from pass to pass: the room that was freed for a gang went to
+/// other tasks, which were stopped again, several times for each of the gang's.
+#[test]
+fn a_gang_stops_no_more_runs_than_it_needs_and_each_once() {
+    let (mut site, _) = full_site(6);
+    site.guarantee("a", 32);
+    let urgent = site.submit(0, "a", &[gang(3, 8)]);
+    site.play(2_000);
+    assert_eq!(site.running(&urgent).len(), 3);
+    let counts = preemptions(&mut site);
+    assert_eq!(counts.values().sum::<usize>(), 24, "{counts:?}");
+    assert!(counts.values().all(|count| *count == 1), "{counts:?}");
+}
+
+/// Guards against reclaims that take room from each other: with several urgent gangs, more than a
+/// pass reserved room for, small tasks were started on freed targets and stopped again.
+#[test]
+fn several_gangs_reclaim_side_by_side() {
+    let (mut site, _) = full_site(12);
+    let organisations = ["a", "c", "d", "e", "f"];
+    for organisation in organisations {
+        site.guarantee(organisation, 16);
+    }
+    let mut gangs = Vec::new();
+    for organisation in organisations {
+        gangs.push(site.submit(0, organisation, &[gang(2, 8)]));
+        site.play(100);
+    }
+    site.play(2_000);
+    for urgent in &gangs {
+        assert_eq!(site.running(urgent).len(), 2);
+    }
+    let counts = preemptions(&mut site);
+    assert_eq!(counts.values().sum::<usize>(), 80, "{counts:?}");
+    assert!(counts.values().all(|count| *count == 1), "{counts:?}");
+}
+
+/// Guards against a reclaim that waits for a target that no longer gets tasks: only the missing
+/// part is planned again.
+#[test]
+fn a_lost_target_is_replaced_in_a_reclaim() {
+    let (mut site, _) = full_site(6);
+    site.guarantee("a", 32);
+    let urgent = site.submit(0, "a", &[gang(3, 8)]);
+    site.play(100);
+    let stopped = preemptions(&mut site);
+    assert_eq!(stopped.len(), 24);
+    let first_victim = stopped.keys().next().expect("a victim").clone();
+    let lost = (0..6).find(|&number| {
+        let running = &site.report_mut(number).running;
+        running
+            .iter()
+            .any(|running| running.run.task == first_victim)
+    });
+    let lost = lost.expect("the victim's target");
+    site.report_mut(lost).description.draining = true;
+    site.play(2_000);
+    assert_eq!(site.running(&urgent).len(), 3);
+    let counts = preemptions(&mut site);
+    assert_eq!(counts.values().sum::<usize>(), 8, "{counts:?}");
+}
+
+/// Guards against stopping runs that end in time by themselves: the work of the runs is kept, and
+/// the step is still within its reclaim time.
+#[test]
+fn runs_that_end_in_time_are_awaited() {
+    let mut site = Fixture::new(1);
+    site.guarantee("a", 8);
+    let small = site.submit(2, "b", &[step(1, 8)]);
+    site.step();
+    // 81 of 100 after 4.05 s: the run ends in about a second.
+    for _ in 0..81 {
+        site.wait(50);
+    }
+    let urgent = site.submit(0, "a", &[step(1, 8)]);
+    site.play(900);
+    assert!(preemptions(&mut site).is_empty());
+    site.end_job(&small, RunOutcome::Done);
+    site.step();
+    assert_eq!(site.running(&urgent).len(), 1);
+}
+
+/// Guards against a guarantee that waits too long for a run that ends later than expected.
+#[test]
+fn an_awaited_run_that_does_not_end_is_stopped_in_time() {
+    let mut site = Fixture::new(1);
+    site.guarantee("a", 8);
+    site.submit(2, "b", &[step(1, 8)]);
+    site.step();
+    for _ in 0..81 {
+        site.wait(50);
+    }
+    site.is_hung = true;
+    let urgent = site.submit(0, "a", &[step(1, 8)]);
+    site.play(1_700);
+    site.is_hung = false;
+    assert_eq!(site.running(&urgent).len(), 1);
+}
+
+/// Guards against a later job of an organisation that takes the guarantee from the one before it:
+/// together they exceeded it, so that neither was reclaimed for.
+#[test]
+fn a_job_beyond_the_guarantee_takes_nothing_from_an_earlier_one() {
+    let mut site = Fixture::new(2);
+    site.guarantee("a", 8);
+    let borrowed = site.submit(1, "b", &[step(2, 8)]);
+    site.step();
+    site.wait(60_000);
+    let first = site.submit(0, "a", &[step(1, 8)]);
+    let second = site.submit(0, "a", &[step(1, 8)]);
+    site.step();
+    site.step();
+    assert_eq!(site.running(&first).len(), 1);
+    assert!(site.running(&second).is_empty());
+    assert_eq!(site.running(&borrowed).len(), 1);
+}
+
 /// Guards against a wide step that preempts only for all of its tasks at once: such a step
 /// preempted nothing, and took the resources that later steps had freed for themselves.
 #[test]
--- a/crates/rattanwinch_scheduling/tests/world/model.rs
+++ b/crates/rattanwinch_scheduling/tests/world/model.rs
@@ -93,6 +93,8 @@
         .order_retry_delay(Duration::from_millis(300))
         .stop_retry_delay(Duration::from_millis(1500))
         .urgent_locality_wait(Duration::from_millis(800))
+        .max_reclaim_time(Duration::from_millis(2700))
+        .max_stop_time(Duration::from_millis(900))
         .checkpoint_write_interval(Duration::from_secs(2))
         .stall_timeout(Duration::from_secs(30))
         .initial_quarantine(Duration::from_secs(5))
--- a/crates/rattanwinch_trials/src/passes.rs
+++ b/crates/rattanwinch_trials/src/passes.rs
@@ -39,6 +39,10 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(16_120);
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The reclaim time and the longest stop of the measured site.
+const RECLAIM_TIME: Duration = Duration::from_millis(2700);
+const STOP_TIME: Duration = Duration::from_millis(900);
+
 /// The run time after which the running tasks are too expensive to preempt.
 const NON_PREEMPTIBLE_AFTER: Duration = Duration::from_secs(120);
 
@@ -130,7 +134,8 @@
 impl FullSite {
     fn new(targets: u32) -> Self {
         let now = Timestamp::from_millis(1_000_000);
-        let limits = SchedulingLimits::for_site(SILENCE_TIMEOUT, REPORT_INTERVAL);
+        let limits =
+            SchedulingLimits::for_site(SILENCE_TIMEOUT, REPORT_INTERVAL, RECLAIM_TIME, STOP_TIME);
         let mut site = Self {
             scheduler: Scheduler::restore(limits, rules(), [], now),
             now,
