Let one odd entry hide only itself, and start panicked tasks again

Cause: found by reading, then shown by tests. A heartbeat could state any capacity and clock; one with a huge sequence number made the agent ignore all later ones, and one of another id that nobody answers hid the true executor for good. Estimates, intervals and resources of one caller's job overflowed in the scheduler: the job of the new test ends it with a panic (overflow when adding durations). A task of a daemon that panicked was missing from then on in a process that looked healthy. The agent's polls and reports and the front's leadership are started again after a panic, with an error line and the counter rattanwinch_task_panics_total.

--- a/crates/rattanwinch_front/src/front_daemon.rs
+++ b/crates/rattanwinch_front/src/front_daemon.rs
@@ -17,6 +17,7 @@
 use rattanwinch_runtime::MetricsText;
 use rattanwinch_runtime::SiteDaemon;
 use rattanwinch_runtime::install_metrics;
+use rattanwinch_runtime::supervise;
 use rattanwinch_site_callers::caller_endpoint;
 use rattanwinch_site_callers::readiness_endpoint;
 use slog::Logger;
@@ -94,7 +95,12 @@
         );
         let route = metrics_route(install_metrics());
         daemon.serve("metrics", metrics, route).await?;
-        daemon.leadership.spawn(run_leadership(Arc::clone(&state)));
+        let elected = Arc::clone(&state);
+        daemon
+            .leadership
+            .spawn(supervise(state.log.clone(), "leadership", move || {
+                run_leadership(Arc::clone(&elected))
+            }));
         info!(state.log, "started"; "vm" => &*state.settings.vm.name, "address" => %state.address,
             "callers" => %state.settings.caller_listen, "store" => %state.settings.vm.store);
         Ok(daemon)
--- a/crates/rattanwinch_front/tests/settings.rs
+++ b/crates/rattanwinch_front/tests/settings.rs
@@ -29,6 +29,7 @@
         ("{{bounds.hold_max_ms}}", "6000"),
         ("{{bounds.status_s}}", "120"),
         ("{{bounds.grace_s}}", "6"),
+        ("{{limits.cpu_share}}", "0.12"),
         ("{{bounds.reclaim_ms}}", "2900"),
         // A site that does not state the bound.
         ("{{bounds.stop_ms}}", ""),
@@ -50,6 +51,7 @@
     let path = write("front.ini", &render("front.ini"));
     let front = FrontSettings::read(&path).expect("valid settings");
     assert_eq!(front.vm.peer_address().to_string(), "10.1.0.19:7000");
+    assert_eq!(front.cpu_percent(), 12);
     assert_eq!(front.reclaim_time, Duration::from_millis(2900));
     assert_eq!(front.stop_time, Duration::from_millis(900));
     let seeds: Vec<_> = front
--- a/crates/rattanwinch_runtime/src/lib.rs
+++ b/crates/rattanwinch_runtime/src/lib.rs
@@ -19,6 +19,7 @@
 mod settings_file;
 mod shutdown;
 mod site_daemon;
+mod supervise;
 mod vm_settings;
 
 pub use boot_clock::BootClock;
@@ -40,4 +41,5 @@
 pub use shutdown::Shutdown;
 pub use site_daemon::SiteDaemon;
 pub use site_daemon::run_site_daemon;
+pub use supervise::supervise;
 pub use vm_settings::VmSettings;
--- a/crates/rattanwinch_scheduling/src/job_description.rs
+++ b/crates/rattanwinch_scheduling/src/job_description.rs
@@ -94,7 +94,7 @@
     #[must_use]
     pub fn due(&self, occurrence: u32) -> Option<Timestamp> {
         let recurrence = self.recurrence?;
-        Some(recurrence.first_due_at + recurrence.interval * occurrence)
+        Some(recurrence.first_due_at + recurrence.interval.saturating_mul(occurrence))
     }
 
     /// Returns the estimated run time of the critical path that starts with step `first`.
@@ -104,7 +104,8 @@
         // Steps depend only on earlier ones, so in reverse order all dependents come first.
         for (number, step) in self.steps.iter().enumerate().rev() {
             let number = u32::try_from(number).unwrap_or(u32::MAX);
-            let critical_path = critical_paths[number as usize] + step.estimated_run_time;
+            let critical_path =
+                critical_paths[number as usize].saturating_add(step.estimated_run_time);
             critical_paths[number as usize] = critical_path;
             for &earlier in &step.depends_on {
                 if let Some(longest) = critical_paths.get_mut(earlier as usize) {
@@ -139,8 +140,8 @@
     #[must_use]
     pub fn max_step_accelerators(&self) -> u64 {
         let step_accelerators = self.steps.iter();
-        let step_accelerators =
-            step_accelerators.map(|step| u64::from(step.count) * step.resources.accelerators);
+        let step_accelerators = step_accelerators
+            .map(|step| u64::from(step.count).saturating_mul(step.resources.accelerators));
         step_accelerators.max().unwrap_or(0)
     }
 
--- a/crates/rattanwinch_scheduling/src/lateness.rs
+++ b/crates/rattanwinch_scheduling/src/lateness.rs
@@ -30,7 +30,7 @@
         let Some(limit) = limit(job) else {
             return Self::OnTime(submitted);
         };
-        let useful_until = submitted + limit * USEFUL_OBJECTIVE_MULTIPLE;
+        let useful_until = submitted + limit.saturating_mul(USEFUL_OBJECTIVE_MULTIPLE);
         if wall > useful_until {
             return Self::Overdue(submitted);
         }
--- a/crates/rattanwinch_scheduling/src/rules.rs
+++ b/crates/rattanwinch_scheduling/src/rules.rs
@@ -39,7 +39,8 @@
     /// Returns the time limit of a job with the given critical path.
     #[must_use]
     pub fn limit(&self, critical_path: Duration) -> Duration {
-        self.base + critical_path * self.stretch_percent / 100
+        self.base
+            .saturating_add(critical_path.saturating_mul(self.stretch_percent) / 100)
     }
 }
 
--- a/crates/rattanwinch_scheduling/tests/decisions/placing.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/placing.rs
@@ -3,8 +3,12 @@
 
 use rattanwinch_scheduling::JobDescription;
 use rattanwinch_scheduling::JobState;
+use rattanwinch_scheduling::LatencyObjective;
 use rattanwinch_scheduling::Recurrence;
+use rattanwinch_scheduling::Resources;
 use rattanwinch_scheduling::RunOutcome;
+use rattanwinch_scheduling::StepDescription;
+use rattanwinch_types::Timestamp;
 use rattanwinch_types::ZoneName;
 
 use crate::fixture::Fixture;
@@ -237,3 +241,41 @@
         assert_eq!(site.scheduler.needs_placement(), expected, "{case}");
     }
 }
+
+/// Guards against numbers of one caller's job that overflow and end the scheduler for all.
+#[test]
+fn numbers_out_of_all_proportion_stop_nothing() {
+    let mut site = Fixture::new(1);
+    site.guarantee("a", 8);
+    for queue in site.rules.queues.values_mut() {
+        queue.objective = Some(LatencyObjective {
+            base: Duration::from_secs(1),
+            stretch_percent: u32::MAX,
+        });
+    }
+    site.set_rules();
+    let huge = |depends_on: &[u32]| StepDescription {
+        estimated_run_time: Duration::MAX,
+        depends_on: depends_on.iter().copied().collect(),
+        resources: Resources {
+            cpu_millis: u64::MAX,
+            memory_mb: u64::MAX,
+            accelerators: u64::MAX,
+        },
+        ..step(2, 1)
+    };
+    let steps = [huge(&[]), huge(&[0]), huge(&[1])];
+    let description = JobDescription {
+        payload: Arc::from("work"),
+        steps: Arc::from(steps),
+        recurrence: Some(Recurrence {
+            first_due_at: Timestamp::ZERO,
+            interval: Duration::MAX,
+            count: 3,
+        }),
+    };
+    site.submit_described(0, "a", description);
+    let sound = site.submit(0, "a", &[step(1, 8)]);
+    site.step();
+    assert_eq!(site.running(&sound).len(), 1);
+}
--- a/crates/rattanwinch_side/src/side_daemon.rs
+++ b/crates/rattanwinch_side/src/side_daemon.rs
@@ -8,6 +8,7 @@
 use rattanwinch_fleet::MAX_PEER_CONNECTIONS;
 use rattanwinch_peers::RpcServer;
 use rattanwinch_runtime::SiteDaemon;
+use rattanwinch_runtime::supervise;
 use rattanwinch_site_executors::executor_endpoint;
 use slog::Logger;
 use slog::info;
@@ -62,8 +63,14 @@
                     "error" => %error);
             }
         });
-        tasks.spawn(poll_executor(Arc::clone(&state)));
-        tasks.spawn(report_to_leader(Arc::clone(&state)));
+        let polled = Arc::clone(&state);
+        tasks.spawn(supervise(state.log.clone(), "executor polls", move || {
+            poll_executor(Arc::clone(&polled))
+        }));
+        let reported = Arc::clone(&state);
+        tasks.spawn(supervise(state.log.clone(), "reports", move || {
+            report_to_leader(Arc::clone(&reported))
+        }));
         info!(state.log, "started"; "vm" => &*state.settings.vm.name, "address" => %address,
             "executor_listen" => %state.settings.executor_listen);
         Ok(Self { tasks, rpc, state })
--- a/crates/rattanwinch_side/src/side_state.rs
+++ b/crates/rattanwinch_side/src/side_state.rs
@@ -242,7 +242,9 @@
                 }
                 self.report_needed.notify_one();
             }
-        } else if known_instance.started_at_ms < instance.started_at_ms {
+        } else if known_instance.started_at_ms < instance.started_at_ms
+            || !known.view.has_answered()
+        {
             self.track_instance(&heartbeat, &mut target);
             drop(target);
             self.notify_instance_change();
--- a/crates/rattanwinch_side/src/target_view.rs
+++ b/crates/rattanwinch_side/src/target_view.rs
@@ -9,6 +9,10 @@
 use rattanwinch_site_executors::ExecutorLists;
 use rattanwinch_types::Timestamp;
 
+/// Two heartbeats whose sequence numbers differ by more than this are not of the same sequence: one
+/// is from another writer.
+const MAX_SEQUENCE_JUMP: u64 = 100_000;
+
 /// The agent's view of one instance of its target.
 ///
 /// The executor's answers may be received out of order, so lists are ordered by its own clock. A
@@ -54,7 +58,10 @@
 
     /// Applies a heartbeat of the same instance; true if the description has changed.
     pub fn apply_heartbeat(&mut self, heartbeat: &ExecutorHeartbeat, now: Timestamp) -> bool {
-        if heartbeat.sequence <= self.sequence {
+        let is_earlier = heartbeat.sequence <= self.sequence;
+        let is_odd = heartbeat.sequence.abs_diff(self.sequence) > MAX_SEQUENCE_JUMP;
+        // An odd number is not followed. If the present one is odd, the others are followed again.
+        if is_earlier != is_odd {
             return false;
         }
         self.sequence = heartbeat.sequence;
@@ -73,13 +80,14 @@
         let (clock_ms, at) = self.clock;
         let elapsed = now.since(at);
         let elapsed = elapsed - elapsed / 50;
-        clock_ms + u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+        clock_ms.saturating_add(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
     }
 
     /// End of a lease of `length` from `now`, on the executor's clock.
     #[must_use]
     pub fn lease_end(&self, length: Duration, now: Timestamp) -> u64 {
-        self.clock_ms(now) + u64::try_from(length.as_millis()).unwrap_or(u64::MAX)
+        self.clock_ms(now)
+            .saturating_add(u64::try_from(length.as_millis()).unwrap_or(u64::MAX))
     }
 
     fn update_clock(&mut self, clock_ms: u64, now: Timestamp) {
@@ -88,6 +96,13 @@
         }
     }
 
+    /// True if this instance has answered a request for its lists. Until then, its heartbeats may be
+    /// those of another writer.
+    #[must_use]
+    pub const fn has_answered(&self) -> bool {
+        self.lists_clock_ms.is_some()
+    }
+
     /// Records that the executor confirmed a start.
     pub fn record_start(&mut self, run: &RunId, clock_ms: u64, now: Timestamp) {
         self.update_clock(clock_ms, now);
