Prefer fronts with more processor time as leader, and ask a few fronts at a time

Change: a front knows its share of a core (setting cpu_share) and states it when it asks for the leader. One with less than the largest share waits 450 ms with its claim, and a leader hands over once a larger front asks that the store has answered. The list of fronts goes to an agent when it changes and with each 16th report. A panic in a part of the scheduler gives up leadership. Result: tests of a site with unequal fronts: the larger one takes over without a second start, and a small one keeps leading while the store rejects the larger one.

--- a/crates/rattanwinch_cli/tests/cli/queue.rs
+++ b/crates/rattanwinch_cli/tests/cli/queue.rs
@@ -72,6 +72,7 @@
         machines: None,
         ended_job_retention: Duration::from_secs(120),
         grace: Duration::from_secs(6),
+        cpu_share: 1.0,
         reclaim_time: Duration::from_millis(2700),
         stop_time: Duration::from_millis(900),
     };
--- a/crates/rattanwinch_fleet/src/front_client.rs
+++ b/crates/rattanwinch_fleet/src/front_client.rs
@@ -4,6 +4,7 @@
 use crate::AgentReport;
 use crate::CallerAnswer;
 use crate::CallerCall;
+use crate::FrontInfo;
 use crate::LeaderInfo;
 use crate::LeaderStatus;
 use crate::ReportAnswer;
@@ -36,17 +37,25 @@
         self.peer.address
     }
 
-    /// Asks for the leader; `asker` is the address of the asking front, if a front asks.
+    /// Asks for the leader; `asker` is the asking front, if a front asks.
     ///
     /// # Errors
     ///
     /// [`RpcError`] if no answer arrived within `timeout`.
     pub async fn leader(
         &self,
-        asker: Option<SocketAddr>,
+        asker: Option<FrontInfo>,
         timeout: Duration,
     ) -> Result<Option<LeaderStatus>> {
-        let answer = with_timeout(timeout, self.peer.http.leader(asker)).await?;
+        let answer = with_timeout(
+            timeout,
+            self.peer.http.leader(
+                asker.map(|front| front.address),
+                asker.map(|front| front.cpu_percent),
+                asker.map(|front| front.can_lead),
+            ),
+        )
+        .await?;
         Ok(answer.map(LeaderStatus::from))
     }
 
--- a/crates/rattanwinch_fleet/src/rpc.rs
+++ b/crates/rattanwinch_fleet/src/rpc.rs
@@ -16,9 +16,15 @@
 #[rpc(client, server, namespace = "front")]
 pub trait FrontRpc {
     /// Returns the leader, if this front has had recent contact with it. `asker` is the address of
-    /// the asking front, if a front asks.
+    /// the asking front, if a front asks, `cpu_percent` its share of a core, and `can_lead`
+    /// states whether the store has answered it recently.
     #[method(name = "leader")]
-    async fn leader(&self, asker: Option<SocketAddr>) -> RpcResult<Option<WireLeaderStatus>>;
+    async fn leader(
+        &self,
+        asker: Option<SocketAddr>,
+        cpu_percent: Option<u32>,
+        can_lead: Option<bool>,
+    ) -> RpcResult<Option<WireLeaderStatus>>;
 
     /// Returns the time since this front's last contact with the leader, in milliseconds.
     #[method(name = "leader_silence_ms")]
--- a/crates/rattanwinch_fleet/src/wire/calls.rs
+++ b/crates/rattanwinch_fleet/src/wire/calls.rs
@@ -43,6 +43,10 @@
 pub struct WireLeaderStatus {
     leader: WireLeader,
     confirmed_ms_ago: u64,
+    #[serde(default)]
+    cpu_percent: u32,
+    #[serde(default)]
+    largest_cpu_percent: u32,
 }
 
 impl From<LeaderStatus> for WireLeaderStatus {
@@ -51,6 +55,8 @@
             leader: status.leader.into(),
             confirmed_ms_ago: u64::try_from(status.confirmation_age.as_millis())
                 .unwrap_or(u64::MAX),
+            cpu_percent: status.cpu_percent,
+            largest_cpu_percent: status.largest_cpu_percent,
         }
     }
 }
@@ -60,6 +66,8 @@
         Self {
             leader: wire.leader.into(),
             confirmation_age: Duration::from_millis(wire.confirmed_ms_ago),
+            cpu_percent: wire.cpu_percent,
+            largest_cpu_percent: wire.largest_cpu_percent,
         }
     }
 }
--- a/crates/rattanwinch_front/src/agents.rs
+++ b/crates/rattanwinch_front/src/agents.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +16,9 @@
 /// failure delayed longer.
 const ORDER_VALIDITY: Duration = Duration::from_millis(1000);
 
+/// Number of an agent's reports after which an unchanged list of fronts is sent again.
+const REPORTS_PER_FRONT_LIST: u64 = 16;
+
 /// An agent that has reported to this leader.
 #[derive(Debug)]
 pub(crate) struct Agent {
@@ -26,6 +30,8 @@
     /// The agent's clock in its last report, and when that was received.
     clock: (Timestamp, Timestamp),
     pub instance: Option<TargetInstance>,
+    /// The last list of fronts that was sent to the agent.
+    sent_fronts: Option<Arc<[SocketAddr]>>,
 }
 
 impl Agent {
@@ -65,6 +71,7 @@
                     client: AgentClient::new(report.address),
                     clock: (report.clock, now),
                     instance: instance.cloned(),
+                    sent_fronts: None,
                 },
             );
             return true;
@@ -91,6 +98,24 @@
         true
     }
 
+    /// Returns true if the answer to a report has to contain the list of fronts: it is new to the
+    /// agent, or an earlier answer may have been lost.
+    pub(crate) fn needs_fronts(
+        &mut self,
+        report: &AgentReport,
+        fronts: &Arc<[SocketAddr]>,
+    ) -> bool {
+        let Some(agent) = self.agents.get_mut(&report.agent.vm) else {
+            return true;
+        };
+        let is_known = agent
+            .sent_fronts
+            .as_ref()
+            .is_some_and(|sent| Arc::ptr_eq(sent, fronts));
+        agent.sent_fronts = Some(Arc::clone(fronts));
+        !is_known || report.sequence.is_multiple_of(REPORTS_PER_FRONT_LIST)
+    }
+
     /// Starts with the addresses that the previous leader committed.
     pub(crate) fn restore(addresses: AgentAddresses) -> Self {
         Self {
--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -67,6 +67,10 @@
     local_leader: Arc<LocalLeader>,
     scheduler: Scheduler,
     agents: Agents,
+    /// All fronts, this one included.
+    fronts: Arc<[SocketAddr]>,
+    /// The other fronts as `fronts` was made from them.
+    listed_fronts: Option<Arc<BTreeSet<SocketAddr>>>,
     /// When this leader took over.
     elected_at: Timestamp,
     advisor: Option<AdvisorClient>,
@@ -105,6 +109,8 @@
             local_leader,
             scheduler,
             agents: Agents::restore(inherited.agents),
+            fronts: Arc::from([]),
+            listed_fronts: None,
             elected_at: now,
             advisor,
             upkeep,
@@ -252,18 +258,30 @@
             epoch,
             confirmed: self.local_leader.is_lease_confirmed(now) && !is_listed_silent,
             acknowledged,
-            fronts: self.fronts(),
+            fronts: self.fronts_for(report),
         };
         // Delivery fails if the agent has stopped waiting; its next report gets a new answer.
         let _ = reply.send(answer);
         true
     }
 
-    fn fronts(&self) -> Vec<SocketAddr> {
-        let others = self.state.fronts.load();
-        let mut fronts: BTreeSet<SocketAddr> = BTreeSet::clone(&others);
-        fronts.insert(self.state.address);
-        fronts.into_iter().collect()
+    /// The fronts that the answer to a report names; none if the agent knows them.
+    fn fronts_for(&mut self, report: &AgentReport) -> Vec<SocketAddr> {
+        let others = self.state.fronts.load_full();
+        if self
+            .listed_fronts
+            .as_ref()
+            .is_none_or(|listed| !Arc::ptr_eq(listed, &others))
+        {
+            let own = std::iter::once(self.state.address);
+            self.fronts = others.iter().copied().chain(own).collect();
+            self.listed_fronts = Some(others);
+        }
+        if self.agents.needs_fronts(report, &self.fronts) {
+            self.fronts.to_vec()
+        } else {
+            Vec::new()
+        }
     }
 
     /// Applies an agent's report, unless a newer one has been applied.
--- a/crates/rattanwinch_front/src/front_settings.rs
+++ b/crates/rattanwinch_front/src/front_settings.rs
@@ -20,6 +20,8 @@
 pub struct FrontSettings {
     /// The VM and its peers.
     pub vm: VmSettings,
+    /// Share of a core that this process may use.
+    pub cpu_share: f64,
     /// Address that callers connect to.
     pub caller_listen: SocketAddr,
     /// Address of the balancer's readiness checks.
@@ -47,6 +49,7 @@
     pub fn read(path: &Path) -> Result<Self> {
         let mut file = SettingsFile::open(path)?;
         let vm = VmSettings::from_file(&mut file, path);
+        let cpu_share = file.optional("vm", "cpu_share", 1.0, "a share of a core");
         let caller_listen = file.required("listen", "callers", "IP:PORT");
         let ready_listen = file.required("listen", "readiness", "IP:PORT");
         let advisor = file.list::<SocketAddr>("advisor", "address", "IP:PORT");
@@ -58,6 +61,7 @@
         let settings = (|| {
             Some(Self {
                 vm: vm?,
+                cpu_share: cpu_share?,
                 caller_listen: caller_listen?,
                 ready_listen: ready_listen?,
                 advisor: advisor?.first().copied(),
@@ -72,6 +76,14 @@
     }
 }
 
+impl FrontSettings {
+    /// The share of a core in per cent, as it is told to other fronts.
+    #[must_use]
+    pub fn cpu_percent(&self) -> u32 {
+        (self.cpu_share * 100.0).round() as u32
+    }
+}
+
 impl AsRef<VmSettings> for FrontSettings {
     fn as_ref(&self) -> &VmSettings {
         &self.vm
--- a/crates/rattanwinch_front/src/front_state.rs
+++ b/crates/rattanwinch_front/src/front_state.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -9,6 +10,8 @@
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
 use rattanwinch_fleet::FrontClient;
+use rattanwinch_fleet::FrontInfo;
+use rattanwinch_fleet::FrontSampler;
 use rattanwinch_fleet::LeaderInfo;
 use rattanwinch_runtime::BootClock;
 use rattanwinch_site_store::StoreClient;
@@ -32,6 +35,12 @@
 /// queried when the leader is searched for.
 const MAX_FRONTS: usize = 64;
 
+/// A standby front asks every 300 ms, so one that has asked within this time is alive.
+const MAX_ASKER_AGE: Duration = Duration::from_millis(1000);
+
+/// A front whose last answer of the store is older than this doesn't offer to lead.
+const MAX_STORE_CONTACT_AGE: Duration = Duration::from_millis(1500);
+
 /// The leader in another process, and the client that calls it.
 #[derive(Clone, Debug)]
 pub(crate) struct RemoteLeader {
@@ -57,6 +66,14 @@
     stopping: AtomicBool,
     /// Other fronts that can be asked for the leader.
     pub fronts: ArcSwap<BTreeSet<SocketAddr>>,
+    sampler: FrontSampler,
+    /// When the last read that the store answered was sent, in milliseconds.
+    store_contact_ms: AtomicU64,
+    /// The largest share of a core, in per cent, that a front of the site has.
+    largest_cpu_percent: AtomicU32,
+    /// When a front that can lead and has a larger share of a core than this one last asked for the
+    /// leader, in milliseconds.
+    larger_front_ms: AtomicU64,
 }
 
 impl FrontState {
@@ -77,6 +94,10 @@
             highest_epoch: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             fronts: ArcSwap::from_pointee(fronts.filter(|front| *front != address).collect()),
+            sampler: FrontSampler::new(address),
+            store_contact_ms: AtomicU64::new(0),
+            largest_cpu_percent: AtomicU32::new(settings.cpu_percent()),
+            larger_front_ms: AtomicU64::new(0),
             settings,
         }
     }
@@ -168,6 +189,61 @@
         });
     }
 
+    /// This front as it introduces itself to others.
+    pub(crate) fn info(&self, now: Timestamp) -> FrontInfo {
+        let store_contact = Timestamp::from_millis(self.store_contact_ms.load(Ordering::Acquire));
+        FrontInfo {
+            address: self.address,
+            cpu_percent: self.settings.cpu_percent(),
+            can_lead: store_contact > Timestamp::ZERO
+                && now.since(store_contact) < MAX_STORE_CONTACT_AGE,
+        }
+    }
+
+    /// Records that a front has asked for the leader.
+    pub(crate) fn record_asker(&self, asker: FrontInfo, now: Timestamp) {
+        self.add_front(asker.address);
+        self.observe_cpu_percent(asker.cpu_percent);
+        if asker.can_lead && asker.cpu_percent > self.settings.cpu_percent() {
+            self.larger_front_ms
+                .fetch_max(now.as_millis(), Ordering::AcqRel);
+        }
+    }
+
+    /// Records the share of a core of a front, in per cent.
+    pub(crate) fn observe_cpu_percent(&self, cpu_percent: u32) {
+        self.largest_cpu_percent
+            .fetch_max(cpu_percent, Ordering::AcqRel);
+    }
+
+    /// The largest share of a core, in per cent, that a front of the site has.
+    pub(crate) fn largest_cpu_percent(&self) -> u32 {
+        self.largest_cpu_percent.load(Ordering::Acquire)
+    }
+
+    /// True if another front of the site has a larger share of a core than this one.
+    pub(crate) fn is_small(&self) -> bool {
+        self.settings.cpu_percent() < self.largest_cpu_percent()
+    }
+
+    /// True if a front with a larger share of a core could take over now.
+    pub(crate) fn has_larger_front(&self, now: Timestamp) -> bool {
+        let seen = Timestamp::from_millis(self.larger_front_ms.load(Ordering::Acquire));
+        seen > Timestamp::ZERO && now.since(seen) < MAX_ASKER_AGE
+    }
+
+    /// Returns a few other fronts, others with each call.
+    pub(crate) fn sample_fronts(&self) -> impl Iterator<Item = SocketAddr> + use<> {
+        let fronts: Vec<_> = self.fronts.load().iter().copied().collect();
+        self.sampler.sample(&fronts).into_iter()
+    }
+
+    /// Records that the store has answered a read sent at `sent_at`.
+    pub(crate) fn record_store_contact(&self, sent_at: Timestamp) {
+        self.store_contact_ms
+            .fetch_max(sent_at.as_millis(), Ordering::AcqRel);
+    }
+
     pub(crate) fn stop(&self) {
         self.stopping.store(true, Ordering::Release);
         self.leader_changes.send_modify(|changes| *changes += 1);
--- a/crates/rattanwinch_front/src/leadership.rs
+++ b/crates/rattanwinch_front/src/leadership.rs
@@ -69,13 +69,12 @@
     }
 }
 
-/// Asks the other fronts for the leader; returns the one with the highest epoch, unless this front
+/// Asks some of the other fronts for the leader; returns the one with the highest epoch, unless this front
 /// has seen a higher one.
 async fn find_leader(state: &FrontState) -> Option<LeaderInfo> {
-    let fronts = state.fronts.load_full();
-    let asker = Some(state.address);
+    let asker = Some(state.info(state.clock.now()));
     let mut queries = JoinSet::new();
-    for &front in fronts.iter() {
+    for front in state.sample_fronts() {
         let log = state.log.clone();
         queries.spawn(async move {
             let answer = FrontClient::new(front).leader(asker, PING_TIMEOUT).await;
--- a/crates/rattanwinch_front/src/leadership/restored.rs
+++ b/crates/rattanwinch_front/src/leadership/restored.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use rattanwinch_fleet::REPORT_INTERVAL;
 use rattanwinch_fleet::target_silence_timeout;
@@ -9,6 +10,7 @@
 use rattanwinch_scheduling::SchedulingLimits;
 use rattanwinch_scheduling::SchedulingRules;
 use rattanwinch_types::Timestamp;
+use slog::error;
 use slog::info;
 use slog::warn;
 use tokio::sync::mpsc;
@@ -26,6 +28,9 @@
 use crate::published_jobs::PublishedJob;
 use crate::published_jobs::PublishedJobs;
 
+/// Interval at which a leader checks whether a front with a larger share of a core can take over.
+const HANDOVER_CHECK_INTERVAL: Duration = Duration::from_millis(1000);
+
 /// Capacity of the command queue; senders wait while it is full.
 const COMMAND_QUEUE_CAPACITY: usize = 1024;
 
@@ -107,9 +112,27 @@
             self.inherited.agents,
         ));
         let mut changes = state.leader_changes();
+        let mut handover_check = tokio::time::interval(HANDOVER_CHECK_INTERVAL);
+        let mut gives_up = false;
         loop {
             tokio::select! {
                 () = local_leader.leadership_lost.notified() => break,
+                Some(Err(failure)) = tasks.join_next() => {
+                    metrics::counter!("rattanwinch_task_panics_total", "task" => "scheduling")
+                        .increment(1);
+                    error!(state.log, "task of the scheduler failed; leadership given up";
+                        "epoch" => epoch, "error" => %failure);
+                    gives_up = true;
+                    break;
+                }
+                _ = handover_check.tick() => {
+                    if state.has_larger_front(state.clock.now()) {
+                        info!(state.log, "handing over to a front with more processor time";
+                            "epoch" => epoch);
+                        gives_up = true;
+                        break;
+                    }
+                }
                 _ = changes.changed() => {
                     if state.is_stopping() || state.highest_epoch() > epoch {
                         break;
@@ -120,7 +143,7 @@
         state.set_local_leader(None);
         tasks.shutdown().await;
         info!(state.log, "no longer scheduling"; "epoch" => epoch);
-        if state.is_stopping() {
+        if state.is_stopping() || gives_up {
             // Lets the next front take over at once instead of after the lease expires.
             if let Err(error) = state.store.revoke(lease).await {
                 warn!(state.log, "lease not revoked; it expires on its own"; "error" => %error);
--- a/crates/rattanwinch_front/src/leadership/standby.rs
+++ b/crates/rattanwinch_front/src/leadership/standby.rs
@@ -9,6 +9,7 @@
 use rattanwinch_site_store::Lease;
 use rattanwinch_site_store::Revision;
 use rattanwinch_site_store::Transaction;
+use slog::debug;
 use slog::error;
 use slog::info;
 use slog::warn;
@@ -37,6 +38,10 @@
 /// interval and an unanswered ping, less the offset between the two fronts.
 const LEADER_SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How long a front waits with its claim if others have a larger share of a core: they notice the
+/// lack of a leader within a ping interval, and claim with two calls to the store.
+const SMALL_FRONT_CLAIM_DELAY: Duration = Duration::from_millis(450);
+
 /// A front that isn't the leader.
 pub(crate) struct Standby {
     pub state: Arc<FrontState>,
@@ -73,7 +78,7 @@
             Ok(None) => {}
             // Other fronts may reach a store that this VM can't reach.
             Err(error) => {
-                slog::debug!(self.state.log, "leader key not read; asking the other fronts";
+                debug!(self.state.log, "leader key not read; asking the other fronts";
                     "error" => %error);
                 if let Some(info) = find_leader(&self.state).await {
                     self.state.set_remote_leader(Some(info));
@@ -84,11 +89,12 @@
     }
 
     async fn ping(&self, client: &FrontClient) -> PingResult {
-        let asker = Some(self.state.address);
+        let asker = Some(self.state.info(self.state.clock.now()));
         let Ok(Some(status)) = client.leader(asker, PING_TIMEOUT).await else {
             return PingResult::Unanswered;
         };
         let info = status.leader;
+        self.state.observe_cpu_percent(status.largest_cpu_percent);
         // Only a front's answer about itself counts; otherwise, standby fronts that repeat each
         // other's answers would hide that the leader has failed.
         if info.address != client.address() {
@@ -96,6 +102,9 @@
         }
         self.state.record_leader_contact(self.state.clock.now());
         self.state.set_remote_leader(Some(info));
+        if status.cpu_percent < self.state.settings.cpu_percent() {
+            self.offer_to_lead().await;
+        }
         if status.confirmation_age < UNCONFIRMED_TIMEOUT {
             PingResult::Confirmed
         } else {
@@ -103,6 +112,17 @@
         }
     }
 
+    /// Checks that the store answers this front; its next ping then offers the smaller leader to
+    /// take over.
+    async fn offer_to_lead(&self) {
+        let sent_at = self.state.clock.now();
+        match self.state.store.get(LEADER_KEY).await {
+            Ok(_) => self.state.record_store_contact(sent_at),
+            Err(error) => debug!(self.state.log, "no offer to lead: the store doesn't answer";
+                "error" => %error),
+        }
+    }
+
     /// Reads the leader key, and takes over if there is no leader or it has to be replaced.
     async fn try_take_over(&self, ping: PingResult) -> Result<Option<Elected>> {
         let state = &self.state;
@@ -146,7 +166,7 @@
         }
         let leader = state.remote_leader().map(|leader| leader.info.address);
         let mut queries = JoinSet::new();
-        for &front in state.fronts.load().iter() {
+        for front in state.sample_fronts() {
             if Some(front) != leader {
                 queries.spawn(
                     async move { FrontClient::new(front).leader_silence(PING_TIMEOUT).await },
@@ -186,6 +206,9 @@
         if state.is_stopping() {
             return Ok(None);
         }
+        if state.is_small() && self.is_claimed_by_larger(present).await? {
+            return Ok(None);
+        }
         let lease = state.store.grant(LEADER_LEASE_TTL).await?;
         let record = LeaderRecord {
             vm: Arc::clone(&state.settings.vm.name),
@@ -205,6 +228,16 @@
         }
     }
 
+    /// Leaves the claim to fronts with a larger share of a core for a while; true if one has
+    /// claimed leadership meanwhile.
+    async fn is_claimed_by_larger(&self, present: Revision) -> Result<bool> {
+        tokio::time::sleep(SMALL_FRONT_CLAIM_DELAY).await;
+        let item = self.state.store.get(LEADER_KEY).await?;
+        let revision = item.map_or(Revision::ABSENT, |item| item.mod_revision);
+        // A deleted key is no claim.
+        Ok(revision != present && revision != Revision::ABSENT)
+    }
+
     fn elected(&self, mut record: LeaderRecord, revision: Revision, lease: Lease) -> Elected {
         let epoch = record.info(revision.0).epoch;
         record.epoch = Some(epoch);
--- a/crates/rattanwinch_front/src/rpc.rs
+++ b/crates/rattanwinch_front/src/rpc.rs
@@ -6,6 +6,7 @@
 use jsonrpsee::core::async_trait;
 use rattanwinch_fleet::AgentReport;
 use rattanwinch_fleet::CallerCall;
+use rattanwinch_fleet::FrontInfo;
 use rattanwinch_fleet::FrontRpcServer;
 use rattanwinch_fleet::LeaderStatus;
 use rattanwinch_fleet::RpcError;
@@ -40,15 +41,28 @@
 
 #[async_trait]
 impl FrontRpcServer for PeerServer {
-    async fn leader(&self, asker: Option<SocketAddr>) -> RpcResult<Option<WireLeaderStatus>> {
-        if let Some(asker) = asker {
-            self.state.add_front(asker);
-        }
+    async fn leader(
+        &self,
+        asker: Option<SocketAddr>,
+        cpu_percent: Option<u32>,
+        can_lead: Option<bool>,
+    ) -> RpcResult<Option<WireLeaderStatus>> {
         let now = self.state.clock.now();
+        if let Some(address) = asker {
+            let asker = FrontInfo {
+                address,
+                cpu_percent: cpu_percent.unwrap_or_default(),
+                can_lead: can_lead.unwrap_or_default(),
+            };
+            self.state.record_asker(asker, now);
+        }
+        let largest_cpu_percent = self.state.largest_cpu_percent();
         if let Some(local_leader) = self.state.local_leader() {
             let status = LeaderStatus {
                 leader: local_leader.info,
                 confirmation_age: local_leader.confirmation_age(now),
+                cpu_percent: self.state.settings.cpu_percent(),
+                largest_cpu_percent,
             };
             return Ok(Some(status.into()));
         }
@@ -60,6 +74,8 @@
         let status = leader.map(|leader| LeaderStatus {
             leader: leader.info,
             confirmation_age: silence,
+            cpu_percent: 0,
+            largest_cpu_percent,
         });
         Ok(status.map(WireLeaderStatus::from))
     }
--- a/crates/rattanwinch_front/tests/site/harness.rs
+++ b/crates/rattanwinch_front/tests/site/harness.rs
@@ -64,6 +64,8 @@
 pub struct SiteOptions {
     pub fronts: u8,
     pub workers: u8,
+    /// The first fronts with an eighth of a core; the others have a whole one.
+    pub small_fronts: usize,
     /// Fronts are separate processes, so that they can be killed and frozen.
     pub front_processes: bool,
     /// Executors refuse starts beyond their capacity.
@@ -183,6 +185,11 @@
             machines: self.machines.as_ref().map(SiteMachines::address),
             ended_job_retention: Duration::from_secs(120),
             grace: Duration::from_secs(6),
+            cpu_share: if self.fronts.len() < self.options.small_fronts {
+                0.125
+            } else {
+                1.0
+            },
             reclaim_time: Duration::from_millis(2700),
             stop_time: Duration::from_millis(900),
         };
--- a/crates/rattanwinch_front/tests/site/main.rs
+++ b/crates/rattanwinch_front/tests/site/main.rs
@@ -11,4 +11,5 @@
 mod shapes_of_work;
 mod store_limits;
 mod traces;
+mod unequal_fronts;
 mod upkeep;
--- a/crates/rattanwinch_side/src/leader_search.rs
+++ b/crates/rattanwinch_side/src/leader_search.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use rattanwinch_fleet::FrontClient;
+use rattanwinch_fleet::FrontSampler;
 use rattanwinch_fleet::LEADER_KEY;
 use rattanwinch_fleet::LeaderInfo;
 use rattanwinch_fleet::LeaderRecord;
@@ -26,20 +27,22 @@
     store: StoreClient,
     /// Searches without success since the store was read last.
     searches: u32,
+    sampler: FrontSampler,
 }
 
 impl LeaderSearch {
-    pub(crate) fn new(store: SocketAddr) -> Self {
+    /// Creates a search for the agent at `address`.
+    pub(crate) fn new(store: SocketAddr, address: SocketAddr) -> Self {
         Self {
+            sampler: FrontSampler::new(address),
             store: StoreClient::new(store, STORE_TIMEOUT),
             searches: 0,
         }
     }
 
     pub(crate) async fn find(&mut self, state: &SideState) -> Option<LeaderInfo> {
-        let fronts = state.fronts.load_full();
         let mut queries = tokio::task::JoinSet::new();
-        for &front in fronts.iter() {
+        for front in self.sampler.sample(&state.fronts.load()) {
             queries.spawn(async move {
                 let answer = FrontClient::new(front)
                     .leader(None, LEADER_QUERY_TIMEOUT)
--- a/crates/rattanwinch_side/src/reporter.rs
+++ b/crates/rattanwinch_side/src/reporter.rs
@@ -24,7 +24,7 @@
 
 /// Reports to the leader for as long as the daemon runs.
 pub(crate) async fn report_to_leader(state: Arc<SideState>) {
-    let mut search = LeaderSearch::new(state.settings.vm.store);
+    let mut search = LeaderSearch::new(state.settings.vm.store, state.address);
     let mut announcements = state.announcements();
     loop {
         let found = tokio::select! {
