Do not take a target's silence towards its agent for runs that stand still

Cause: an agent whose executor does not answer goes on to report the lists of before. Change: a report says when the target made its lists. Only time in which it made lists counts as standing still, and after a pause the runs are watched afresh. Result: the new test fails with the mechanism taken out (runs started again elsewhere after 3 s) and passes with it; a run that stands still afterwards is still stopped.

--- a/crates/rattanwinch_fleet/src/wire/reports.rs
+++ b/crates/rattanwinch_fleet/src/wire/reports.rs
@@ -146,6 +146,8 @@
     accelerators: u64,
     labels: Vec<Arc<str>>,
     draining: bool,
+    #[serde(default)]
+    lists_clock_ms: u64,
     running: Vec<WireRunning>,
     ended: Vec<WireEnded>,
 }
@@ -182,6 +184,7 @@
             accelerators: described.capacity.accelerators,
             labels: labels.map(|label| Arc::from(label.as_str())).collect(),
             draining: described.draining,
+            lists_clock_ms: report.lists_clock_ms,
             running: running.collect(),
             ended: ended.collect(),
         }
@@ -217,6 +220,7 @@
                 labels: labels.map(|label| Label::from(&**label)).collect(),
                 draining: wire.draining,
             },
+            lists_clock_ms: wire.lists_clock_ms,
             running: running.collect(),
             ended: ended.collect(),
         })
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -56,6 +56,7 @@
         for ended in &report.ended {
             self.handle_ended_task(instance, ended, now);
         }
+        self.update_lists_time(instance, report.lists_clock_ms, now);
         self.active
             .update_on(instance, |active| active.is_reported = false);
         for running in &report.running {
@@ -70,6 +71,23 @@
         self.update_unknown_runs(&instance.target, unknown_runs);
     }
 
+    /// Records when the target made its lists. After a time in which it made none, the progress of
+    /// its runs is watched afresh: they may have worked, or the target may have been paused.
+    fn update_lists_time(&mut self, instance: &TargetInstance, clock_ms: u64, now: Timestamp) {
+        let Some(target) = self.targets.get_mut(&instance.target) else {
+            return;
+        };
+        if target.lists.0 == clock_ms {
+            return;
+        }
+        let silence = now.since(target.lists.1);
+        target.lists = (clock_ms, now);
+        if silence > self.limits.max_report_age {
+            self.active
+                .update_on(instance, |active| active.progressed_at = now);
+        }
+    }
+
     fn is_placed_on(&self, run: &RunId, instance: &TargetInstance) -> bool {
         let active = self.active.get(run);
         active.is_some_and(|active| active.target == *instance)
--- a/crates/rattanwinch_scheduling/src/stalls.rs
+++ b/crates/rattanwinch_scheduling/src/stalls.rs
@@ -1,8 +1,10 @@
-use rattanwinch_types::TargetName;
+use std::time::Duration;
+
 use rattanwinch_types::Timestamp;
 
 use crate::Event;
 use crate::Scheduler;
+use crate::active_run::ActiveRun;
 use crate::active_run::DesiredState;
 
 impl Scheduler {
@@ -16,8 +18,7 @@
                 active.started
                     && active.desired == DesiredState::Run
                     && active.percent < 100
-                    && now.since(active.progressed_at) > stall
-                    && self.has_recent_report(&active.target.target, now)
+                    && self.observed_time(active, now) > stall
                     && self
                         .step(&run.task.step)
                         .is_some_and(|step| !step.long_running)
@@ -41,8 +42,14 @@
         }
     }
 
-    fn has_recent_report(&self, target: &TargetName, now: Timestamp) -> bool {
-        let target = self.target(target);
-        target.is_some_and(|target| now.since(target.last_report_at) <= self.limits.max_report_age)
+    /// Returns for how long the lists of the run's target have shown no progress. Time in which the
+    /// target made no lists does not count, since the run may have worked.
+    fn observed_time(&self, active: &ActiveRun, now: Timestamp) -> Duration {
+        let target = self.target(&active.target.target);
+        let target =
+            target.filter(|target| now.since(target.last_report_at) <= self.limits.max_report_age);
+        target.map_or(Duration::ZERO, |target| {
+            target.lists.1.since(active.progressed_at)
+        })
     }
 }
--- a/crates/rattanwinch_scheduling/src/target.rs
+++ b/crates/rattanwinch_scheduling/src/target.rs
@@ -109,6 +109,9 @@
     pub struct TargetReport {
         /// The properties of the target.
         pub description: TargetDescription,
+        /// The target's clock when it made the lists of its runs, in milliseconds. It does not change
+        /// while the target does not answer, and the lists are those of before.
+        pub lists_clock_ms: u64,
         /// The running runs.
         pub running: Vec<RunningTask>,
         /// The ended runs that are not acknowledged yet, in sequence order.
@@ -121,6 +124,8 @@
 pub(crate) struct Target {
     pub description: TargetDescription,
     pub last_report_at: Timestamp,
+    /// The target's clock in the last lists, and when they were first reported.
+    pub lists: (u64, Timestamp),
     /// Ended runs up to this sequence are durable and may be forgotten by the target.
     pub acknowledged_sequence: u64,
     /// Ended runs up to this sequence are processed, durably or not.
@@ -142,6 +147,7 @@
         Self {
             description,
             last_report_at: now,
+            lists: (0, now),
             acknowledged_sequence: 0,
             processed_sequence: 0,
             unknown_runs: Vec::new(),
--- a/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
@@ -34,6 +34,8 @@
     pub rules: SchedulingRules,
     /// Runs make no progress while this is set.
     pub is_hung: bool,
+    /// Targets do not answer their agents, which report the same lists again.
+    pub repeats_lists: bool,
     /// Stops take up to this long, different for each run; zero if they end at once.
     pub max_stop_time: Duration,
     stopping: BTreeMap<RunId, Timestamp>,
@@ -98,6 +100,7 @@
             now,
             rules,
             is_hung: false,
+            repeats_lists: false,
             max_stop_time: Duration::ZERO,
             stopping: BTreeMap::new(),
             reports: BTreeMap::new(),
@@ -132,6 +135,7 @@
         };
         let report = TargetReport {
             description,
+            lists_clock_ms: self.now.as_millis(),
             running: Vec::new(),
             ended: Vec::new(),
         };
@@ -187,6 +191,11 @@
     pub fn wait(&mut self, millis: u64) {
         self.now = self.now + Duration::from_millis(millis);
         for report in self.reports.values_mut() {
+            if self.repeats_lists {
+                self.scheduler.handle_report(report, self.now);
+                continue;
+            }
+            report.lists_clock_ms = self.now.as_millis();
             for running in report.running.iter_mut().filter(|_| !self.is_hung) {
                 running.percent = (running.percent + 1) % 99;
             }
--- a/crates/rattanwinch_scheduling/tests/decisions/runs.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/runs.rs
@@ -316,3 +316,30 @@
     assert_eq!(second.len(), 1);
     assert_ne!(second[0].0, first[0].0);
 }
+
+/// Guards against stopping the runs of a target that only does not answer its agent for a while: the
+/// agent reports the lists of before, which show no progress.
+#[test]
+fn runs_of_a_target_that_does_not_answer_for_a_while_go_on() {
+    let mut site = Fixture::new(2);
+    let job = site.submit(1, "a", &[step(1, 8)]);
+    assert_eq!(site.step().len(), 1);
+    site.wait(1_000);
+    site.repeats_lists = true;
+    for _ in 0..8 {
+        site.wait(1_000);
+        assert!(site.step().is_empty(), "started again elsewhere");
+    }
+    site.repeats_lists = false;
+    site.wait(1_000);
+    site.step();
+    let before = site.running(&job);
+    assert_eq!(before.len(), 1);
+    // A run that stands still after that is stopped, and started elsewhere.
+    site.is_hung = true;
+    for _ in 0..6 {
+        site.wait(1_000);
+        site.step();
+    }
+    assert_ne!(site.running(&job), before);
+}
--- a/crates/rattanwinch_scheduling/tests/world/target.rs
+++ b/crates/rattanwinch_scheduling/tests/world/target.rs
@@ -155,6 +155,7 @@
             percent: percent(run, now),
         });
         TargetReport {
+            lists_clock_ms: now.as_millis(),
             description: TargetDescription {
                 instance: self.instance.clone(),
                 service: ServiceName::from("design"),
--- a/crates/rattanwinch_side/src/target_view.rs
+++ b/crates/rattanwinch_side/src/target_view.rs
@@ -144,7 +144,7 @@
     /// The report for the scheduler; `None` until the lists have been read once.
     #[must_use]
     pub fn report(&self) -> Option<TargetReport> {
-        self.lists_clock_ms?;
+        let lists_clock_ms = self.lists_clock_ms?;
         let mut running = self.running.clone();
         for (run, _) in &self.confirmed_starts {
             let is_listed = running.iter().any(|other| other.run == *run)
@@ -161,6 +161,7 @@
         description.draining |= self.unresponsive;
         Some(TargetReport {
             description,
+            lists_clock_ms,
             running,
             ended: self.ended.clone(),
         })
--- a/crates/rattanwinch_trials/src/passes.rs
+++ b/crates/rattanwinch_trials/src/passes.rs
@@ -205,6 +205,7 @@
 
     /// Advances the progress in the next report of a target.
     fn next_report(&mut self, target: u32) {
+        self.reports[target as usize].lists_clock_ms = self.now.as_millis();
         for running in &mut self.reports[target as usize].running {
             running.percent = (running.percent + 1) % 99;
         }
@@ -226,6 +227,7 @@
         started_at_ms: 1,
     };
     TargetReport {
+        lists_clock_ms: 0,
         description: TargetDescription {
             instance,
             service: ServiceName::from("design"),
