Bound the fronts that agents are told of, and let known fronts make way for new ones

Cause: a front knew 64 others at most and never forgot one, so after replacements new fronts stayed unknown; each agent was told of all. Change: a full list drops a front for a new one (a live one is added again with its next query), and agents are told of up to 32 fronts spread over the zones.

--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -46,6 +46,10 @@
 /// maximum lateness of an action that has a due time.
 const TICK_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Maximum number of fronts that an agent is told of. A few that answer are enough to find the
+/// leader.
+const MAX_LISTED_FRONTS: usize = 32;
+
 type PendingReplies = BTreeMap<JobId, Vec<(oneshot::Sender<CallerAnswer>, CallerAnswer)>>;
 
 /// State that a leader takes over from its predecessor, besides the jobs.
@@ -67,7 +71,7 @@
     local_leader: Arc<LocalLeader>,
     scheduler: Scheduler,
     agents: Agents,
-    /// All fronts, this one included.
+    /// The fronts that agents are told of, this one included.
     fronts: Arc<[SocketAddr]>,
     /// The other fronts as `fronts` was made from them.
     listed_fronts: Option<Arc<BTreeSet<SocketAddr>>>,
@@ -274,7 +278,9 @@
             .is_none_or(|listed| !Arc::ptr_eq(listed, &others))
         {
             let own = std::iter::once(self.state.address);
-            self.fronts = others.iter().copied().chain(own).collect();
+            // Addresses are ordered by zone; the steps spread the list over all of them.
+            let step = others.len().div_ceil(MAX_LISTED_FRONTS).max(1);
+            self.fronts = own.chain(others.iter().copied().step_by(step)).collect();
             self.listed_fronts = Some(others);
         }
         if self.agents.needs_fronts(report, &self.fronts) {
--- a/crates/rattanwinch_front/src/front_state.rs
+++ b/crates/rattanwinch_front/src/front_state.rs
@@ -31,9 +31,8 @@
 /// leader takes about 2 s, and the balancer acts after two failed checks a second apart.
 const MAX_READY_SILENCE: Duration = Duration::from_secs(4);
 
-/// Maximum number of known fronts. Replaced fronts stay known until the process ends, and each is
-/// queried when the leader is searched for.
-const MAX_FRONTS: usize = 64;
+/// Maximum number of known fronts. Replaced fronts stay known until others take their place.
+const MAX_FRONTS: usize = 256;
 
 /// A standby front asks every 300 ms, so one that has asked within this time is alive.
 const MAX_ASKER_AGE: Duration = Duration::from_millis(1000);
@@ -179,11 +178,16 @@
     /// Adds a front that can be asked for the leader.
     pub(crate) fn add_front(&self, front: SocketAddr) {
         let known = self.fronts.load();
-        if front == self.address || known.contains(&front) || known.len() >= MAX_FRONTS {
+        if front == self.address || known.contains(&front) {
             return;
         }
+        let dropped = self.sample_fronts().next();
         self.fronts.rcu(|fronts| {
             let mut fronts = BTreeSet::clone(fronts);
+            // A front that is dropped and alive is added again with its next query.
+            if let Some(dropped) = dropped.filter(|_| fronts.len() >= MAX_FRONTS) {
+                fronts.remove(&dropped);
+            }
             fronts.insert(front);
             fronts
         });
