Keep a reclaim that was begun before its step became useless to its caller

A step that is overdue may begin no reclaim, and when only a part of its room was left, the one that it had was dropped without a word; a reclaim kept the mark of being beyond a guarantee after its job came within it. Change: the reclaim goes on; the mark follows the job with each pass. Result: tests of the scheduler pass; no test of its own, since the case needs a target that is lost while free room lies elsewhere.

--- a/crates/rattanwinch_scheduling/src/placement_pass.rs
+++ b/crates/rattanwinch_scheduling/src/placement_pass.rs
@@ -35,7 +35,8 @@
         let mut blocked = 0;
         for waiting in steps {
             let mut reclaim = pass.underway.remove(&waiting.group);
-            if let Some(reclaim) = &reclaim {
+            if let Some(reclaim) = &mut reclaim {
+                reclaim.guaranteed = waiting.guaranteed;
                 reclaim.release(&mut pass.room);
             }
             let mut demand = self.demand(&waiting);
--- a/crates/rattanwinch_scheduling/src/preemption.rs
+++ b/crates/rattanwinch_scheduling/src/preemption.rs
@@ -194,6 +194,9 @@
             pass.room.hold(target, demand.resources);
         }
         if !self.may_reclaim(waiting) {
+            // What an earlier pass began is still used.
+            pass.kept
+                .extend(reclaim.map(|reclaim| (waiting.group.clone(), reclaim)));
             return;
         }
         let further = self.begin_reclaim(waiting, demand, &plan, pass, now);
