Keep holds on targets that are unusable for a moment, and bound the loss of a whole reclaim

A target that refused an order, or reported late, lost its hold at once, and each new plan could lose as much as the first. Change: a hold on a target that is excluded for a passing reason is kept for a second; what a reclaim beyond a guarantee loses is bounded over all its plans.

--- a/crates/rattanwinch_scheduling/src/preemption.rs
+++ b/crates/rattanwinch_scheduling/src/preemption.rs
@@ -142,7 +142,19 @@
         now: Timestamp,
     ) -> usize {
         let candidates = self.candidates(waiting, demand, room, Availability::Eventual, now);
+        let held: BTreeSet<TargetName> = reclaim.holds().iter().cloned().collect();
+        let mut waited_for = BTreeSet::new();
+        for target in held {
+            if candidates.iter().any(|candidate| candidate.name == target) {
+                reclaim.mark_usable(&target);
+            } else if self.may_become_usable(&target) && reclaim.is_unusable_briefly(&target, now) {
+                waited_for.insert(target);
+            }
+        }
         reclaim.retain_usable(|target, earlier| {
+            if waited_for.contains(target) {
+                return true;
+            }
             let candidate = candidates
                 .iter()
                 .find(|candidate| candidate.name == *target);
@@ -160,6 +172,16 @@
         demand.count.saturating_sub(reclaim.holds().len())
     }
 
+    /// Returns true if the target is excluded for a passing reason, such as a refused order or a
+    /// late report.
+    fn may_become_usable(&self, target: &TargetName) -> bool {
+        self.targets.get(target).is_some_and(|target| {
+            !target.description.draining
+                && !self.cordoned.contains(&target.description.instance.target)
+                && !self.rules.closed_zones.contains(&target.description.zone)
+        })
+    }
+
     /// Holds room for a blocked step, and stops runs that it may displace.
     pub(crate) fn make_room(
         &mut self,
@@ -229,7 +251,8 @@
         let mut rest = demand.clone();
         rest.count = demand.count.saturating_sub(holds.len());
         let may_reclaim = self.may_reclaim(waiting);
-        let max_loss = self.max_loss(waiting, demand);
+        let lost = reclaim.map_or(0, |reclaim| reclaim.lost_core_millis);
+        let max_loss = self.max_loss(waiting, demand).saturating_sub(lost);
         let sets = pass
             .sets
             .get_or_insert_with(|| self.run_sets(&pass.awaited, now));
@@ -314,7 +337,8 @@
             }
         }
         let holds = plan.targets.clone();
-        let reclaim = Reclaim::new(holds, demand.resources, waiting.guaranteed, planned);
+        let lost = plan.loss.core_millis;
+        let reclaim = Reclaim::new(holds, demand.resources, waiting.guaranteed, lost, planned);
         let (reclaim, victims) = reclaim.begin(now + wait);
         self.preempt_for(&waiting.step, victims, waiting.guaranteed, now);
         reclaim
--- a/crates/rattanwinch_scheduling/src/reclaim.rs
+++ b/crates/rattanwinch_scheduling/src/reclaim.rs
@@ -1,6 +1,7 @@
 //! The life of a reclaim: room that is made for a waiting step by stopping other runs.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
@@ -46,6 +47,10 @@
     }
 }
 
+/// How long a target that gets no tasks for the moment is still held: a refused order excludes it for
+/// 300 ms, and a late report until the next one.
+const UNUSABLE_HOLD_TIME: Duration = Duration::from_millis(1000);
+
 /// A reclaim that has been decided; nothing is stopped yet.
 #[derive(Clone, Debug)]
 pub(crate) struct Planned {
@@ -60,6 +65,8 @@
 pub(crate) struct Underway {
     /// When the runs that were expected to end by themselves are stopped.
     awaited: BTreeMap<RunId, Timestamp>,
+    /// Since when held targets have been unusable for a moment.
+    unusable_since: BTreeMap<TargetName, Timestamp>,
 }
 
 /// Room that is made for a waiting step.
@@ -75,6 +82,8 @@
     resources: Resources,
     /// The step is covered by a guarantee.
     pub guaranteed: bool,
+    /// The work that the stopped runs lose, in core-milliseconds.
+    pub lost_core_millis: u64,
     state: S,
 }
 
@@ -83,12 +92,14 @@
         holds: Vec<TargetName>,
         resources: Resources,
         guaranteed: bool,
+        lost_core_millis: u64,
         state: Planned,
     ) -> Self {
         Self {
             holds,
             resources,
             guaranteed,
+            lost_core_millis,
             state,
         }
     }
@@ -100,8 +111,10 @@
             holds: self.holds,
             resources: self.resources,
             guaranteed: self.guaranteed,
+            lost_core_millis: self.lost_core_millis,
             state: Underway {
                 awaited: awaited.map(|run| (run, stop_awaited_at)).collect(),
+                unusable_since: BTreeMap::new(),
             },
         };
         (underway, self.state.stopped)
@@ -155,6 +168,18 @@
         self.holds.truncate(tasks);
     }
 
+    /// Returns true if a held target that is unusable at `now` has been so only for a moment, after
+    /// which it may be usable again.
+    pub(crate) fn is_unusable_briefly(&mut self, target: &TargetName, now: Timestamp) -> bool {
+        let since = self.state.unusable_since.entry(target.clone());
+        now.since(*since.or_insert(now)) <= UNUSABLE_HOLD_TIME
+    }
+
+    /// Records that a held target is usable.
+    pub(crate) fn mark_usable(&mut self, target: &TargetName) {
+        self.state.unusable_since.remove(target);
+    }
+
     /// Drops the holds that do not satisfy `is_usable`, which takes each target with the number of
     /// earlier holds on it.
     pub(crate) fn retain_usable(&mut self, mut is_usable: impl FnMut(&TargetName, usize) -> bool) {
@@ -170,6 +195,9 @@
     /// Adds the room and the runs of a further reclaim for the same step.
     pub(crate) fn extend(&mut self, further: Self) {
         self.holds.extend(further.holds);
+        self.lost_core_millis = self
+            .lost_core_millis
+            .saturating_add(further.lost_core_millis);
         self.state.awaited.extend(further.state.awaited);
         self.guaranteed = further.guaranteed;
     }
--- a/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
@@ -18,6 +18,7 @@
 use rattanwinch_scheduling::SchedulingRules;
 use rattanwinch_scheduling::ServiceName;
 use rattanwinch_scheduling::StartOrder;
+use rattanwinch_scheduling::StartRefusal;
 use rattanwinch_scheduling::StepDescription;
 use rattanwinch_scheduling::TargetDescription;
 use rattanwinch_scheduling::TargetInstance;
@@ -223,6 +224,14 @@
         self.now + self.max_stop_time * (spread + 1) / 6
     }
 
+    /// Lets a target refuse a start that was sent earlier, of a run that it still lists.
+    pub fn refuse_start(&mut self, number: usize) {
+        let run = self.report_mut(number).running[0].run.clone();
+        let refused = OrderOutcome::Refused(StartRefusal::Room);
+        self.scheduler
+            .handle_order_outcome(&run, refused, false, self.now);
+    }
+
     pub fn report_mut(&mut self, number: usize) -> &mut TargetReport {
         self.reports.get_mut(&target(number)).expect("a target")
     }
--- a/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
@@ -103,6 +103,30 @@
     assert_eq!(counts.values().sum::<usize>(), 8, "{counts:?}");
 }
 
+/// Guards against planning the room of a target anew that gets no tasks only for a moment.
+#[test]
+fn a_target_that_reports_late_is_not_replaced_in_a_reclaim() {
+    let (mut site, _) = full_site(6);
+    site.guarantee("a", 32);
+    let urgent = site.submit(0, "a", &[gang(3, 8)]);
+    site.play(100);
+    let stopped = preemptions(&mut site);
+    assert_eq!(stopped.len(), 24);
+    let first_victim = stopped.keys().next().expect("a victim").clone();
+    let late = (0..6).find(|&number| {
+        let running = &site.report_mut(number).running;
+        running
+            .iter()
+            .any(|running| running.run.task == first_victim)
+    });
+    let late = late.expect("the victim's target");
+    // A refused start excludes the target for 300 ms.
+    site.refuse_start(late);
+    site.play(2_000);
+    assert_eq!(site.running(&urgent).len(), 3);
+    assert!(preemptions(&mut site).is_empty());
+}
+
 /// Guards against stopping runs that end in time by themselves: the work of the runs is kept, and
 /// the step is still within its reclaim time.
 #[test]
