Split the stoppable runs from the decision who is stopped

Change: run_set.rs collects the runs that can only be stopped together and what stopping them loses; two tests share the search for a victim's target. No decision changes.

--- a/crates/rattanwinch_scheduling/src/lib.rs
+++ b/crates/rattanwinch_scheduling/src/lib.rs
@@ -30,6 +30,7 @@
 mod resources;
 mod room;
 mod rules;
+mod run_set;
 mod scheduler;
 mod silences;
 mod stalls;
--- a/crates/rattanwinch_scheduling/src/preemption.rs
+++ b/crates/rattanwinch_scheduling/src/preemption.rs
@@ -4,24 +4,19 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use rattanwinch_types::Organisation;
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
-use smallvec::SmallVec;
 
 use crate::Event;
 use crate::JobId;
 use crate::ReclaimEnd;
-use crate::Resources;
 use crate::RunId;
 use crate::Scheduler;
 use crate::StepId;
-use crate::active_run::ActiveRun;
 use crate::active_run::DesiredState;
 use crate::lateness::Lateness;
 use crate::placement::Demand;
 use crate::placement::Loss;
-use crate::placement::Occupant;
 use crate::placement::PreemptionPlan;
 use crate::placement::plan_preemption;
 use crate::reclaim::Planned;
@@ -30,43 +25,20 @@
 use crate::reclaim::Underway;
 use crate::room::Availability;
 use crate::room::Room;
+use crate::run_set::RunSet;
+use crate::run_set::core_millis;
+use crate::run_set::lost_work;
+use crate::run_set::occupants;
 use crate::waiting::WaitingStep;
 
-/// The work lost by stopping a checkpointing task. It saves its state at the stop, and restoring it
-/// takes up to 600 ms by the users' requirements.
-const RESTORE_TIME: Duration = Duration::from_millis(600);
-
-/// After this many preemptions a task is only stopped for a guarantee that nothing else keeps.
-const MAX_PREEMPTIONS: u32 = 2;
-
 /// The time from the end of the last stopped run to the start of all tasks: a report, a commit to
 /// the store and the order, each well under 100 ms.
 const START_MARGIN: Duration = Duration::from_millis(300);
 
-/// The least progress, in per cent, from which the end of a run is estimated.
-const MIN_ESTIMATE_PERCENT: u32 = 20;
-
 /// The room of a run whose stop takes longer than this is no longer counted on. The slowest stop in
 /// the users' requirements takes 900 ms.
 pub(crate) const STOP_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Runs that can only be stopped together: a single run, or the members of a gang.
-pub(crate) struct RunSet {
-    runs: Vec<RunId>,
-    resources: SmallVec<[(TargetName, Resources); 1]>,
-    priority: u32,
-    organisation: Organisation,
-    job: JobId,
-    /// What is lost by stopping the runs.
-    loss: Loss,
-    /// The highest number of preemptions of one of the tasks.
-    preemptions: u32,
-    /// When the runs are expected to have ended by themselves, at the earliest.
-    remaining_time: Option<Duration>,
-    /// The runs are stopped, or awaited by a reclaim.
-    leaving: bool,
-}
-
 /// The room, the reclaims and the stoppable runs during one placement pass.
 pub(crate) struct ReclaimPass {
     pub room: Room,
@@ -412,72 +384,6 @@
             }
         }
     }
-
-    /// Groups the active runs into the sets that can only be stopped together.
-    fn run_sets(&self, awaited: &BTreeSet<RunId>, now: Timestamp) -> Vec<RunSet> {
-        let mut sets: Vec<RunSet> = Vec::new();
-        let mut last: Option<(&StepId, Option<u32>)> = None;
-        // Runs are ordered by task, so the runs of a set are adjacent.
-        for (run, active) in self.active.iter() {
-            let Some(job) = self.jobs.get(&run.task.step.job) else {
-                continue;
-            };
-            let Some(step) = job.step(run.task.step.step) else {
-                continue;
-            };
-            let key = (&run.task.step, (!step.gang).then_some(run.task.index));
-            if last != Some(key) {
-                last = Some(key);
-                sets.push(RunSet {
-                    runs: Vec::new(),
-                    resources: SmallVec::new(),
-                    priority: job.rules.priority,
-                    organisation: job.accepted.organisation.clone(),
-                    job: job.id().clone(),
-                    loss: Loss::default(),
-                    preemptions: 0,
-                    remaining_time: Some(Duration::ZERO),
-                    leaving: true,
-                });
-            }
-            let Some(set) = sets.last_mut() else { continue };
-            let task = job.task(&run.task);
-            let lost_before = task.map_or(0, |task| task.lost_core_millis);
-            let preemptions = task.map_or(0, |task| task.preemptions);
-            let lost = lost_work(active, step.checkpointing, now).saturating_add(lost_before);
-            set.loss = set.loss.plus(Loss {
-                worn_out: u32::from(preemptions >= MAX_PREEMPTIONS),
-                core_millis: lost,
-            });
-            set.preemptions = set.preemptions.max(preemptions);
-            set.remaining_time = match (set.remaining_time, remaining_time(active, now)) {
-                (Some(set), Some(run)) if !step.long_running => Some(set.max(run)),
-                _ => None,
-            };
-            set.leaving &= active.desired == DesiredState::Stop || awaited.contains(run);
-            set.runs.push(run.clone());
-            let target = &active.target.target;
-            match set.resources.iter_mut().find(|(held, _)| held == target) {
-                Some((_, resources)) => *resources = resources.plus(active.resources),
-                None => set.resources.push((target.clone(), active.resources)),
-            }
-        }
-        sets
-    }
-
-    /// Returns the remaining work of the runs in per cent, as an estimate of which set ends first.
-    fn remaining_percent(&self, set: &RunSet) -> u64 {
-        let runs = set.runs.iter().filter_map(|run| self.active.get(run));
-        let left = runs.map(|active| u64::from(100_u32.saturating_sub(active.percent)));
-        left.max().unwrap_or(0)
-    }
-}
-
-impl RunSet {
-    fn ends_within(&self, wait: Duration) -> bool {
-        self.remaining_time
-            .is_some_and(|remaining| remaining < wait)
-    }
 }
 
 /// Returns true if the run set may be stopped for the waiting step.
@@ -490,47 +396,3 @@
     }
     set.priority > 0 || (set.organisation != waiting.organisation && !guaranteed.contains(&set.job))
 }
-
-fn core_millis(resources: Resources, time: Duration) -> u64 {
-    let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-    resources.weighted_cpu_millis().saturating_mul(millis) / 1000
-}
-
-/// Returns the work that stopping a run loses, in core-milliseconds.
-fn lost_work(active: &ActiveRun, checkpointing: bool, now: Timestamp) -> u64 {
-    let mut worked = now.since(active.started_at.unwrap_or(active.placed_at));
-    if checkpointing {
-        worked = worked.min(RESTORE_TIME);
-    }
-    core_millis(active.resources, worked)
-}
-
-/// Estimates the remaining time of a run from its progress so far.
-fn remaining_time(active: &ActiveRun, now: Timestamp) -> Option<Duration> {
-    let started_at = active.started_at?;
-    if active.percent < MIN_ESTIMATE_PERCENT || active.desired == DesiredState::Stop {
-        return None;
-    }
-    let worked = active.progressed_at.since(started_at);
-    let expected = worked * 100 / active.percent;
-    Some(expected.saturating_sub(now.since(started_at)))
-}
-
-/// Lists the run sets on each target that do not leave anyway, with the loss of stopping them.
-fn occupants(
-    sets: &[RunSet],
-    mut loss: impl FnMut(&RunSet) -> Option<Loss>,
-) -> BTreeMap<TargetName, Vec<Occupant>> {
-    let mut occupants: BTreeMap<TargetName, Vec<Occupant>> = BTreeMap::new();
-    for (number, set) in sets.iter().enumerate().filter(|(_, set)| !set.leaving) {
-        let Some(loss) = loss(set) else { continue };
-        for (target, resources) in &set.resources {
-            occupants.entry(target.clone()).or_default().push(Occupant {
-                set: number,
-                resources: *resources,
-                loss,
-            });
-        }
-    }
-    occupants
-}
--- a/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
@@ -31,6 +31,17 @@
     counts
 }
 
+/// Returns the number of a target on which a run is being stopped.
+fn target_of_a_victim(site: &mut Fixture, stopped: &BTreeMap<TaskId, usize>) -> usize {
+    let number = (0..6).find(|&number| {
+        let running = &site.report_mut(number).running;
+        running
+            .iter()
+            .any(|running| stopped.contains_key(&running.run.task))
+    });
+    number.expect("a target that still lists the run")
+}
+
 /// A site whose targets are full of small tasks, with more of them waiting and slow stops.
 fn full_site(targets: u32) -> (Fixture, JobId) {
     let mut site = Fixture::new(targets as usize);
@@ -88,14 +99,7 @@
     site.play(100);
     let stopped = preemptions(&mut site);
     assert_eq!(stopped.len(), 24);
-    let first_victim = stopped.keys().next().expect("a victim").clone();
-    let lost = (0..6).find(|&number| {
-        let running = &site.report_mut(number).running;
-        running
-            .iter()
-            .any(|running| running.run.task == first_victim)
-    });
-    let lost = lost.expect("the victim's target");
+    let lost = target_of_a_victim(&mut site, &stopped);
     site.report_mut(lost).description.draining = true;
     site.play(2_000);
     assert_eq!(site.running(&urgent).len(), 3);
@@ -112,14 +116,7 @@
     site.play(100);
     let stopped = preemptions(&mut site);
     assert_eq!(stopped.len(), 24);
-    let first_victim = stopped.keys().next().expect("a victim").clone();
-    let late = (0..6).find(|&number| {
-        let running = &site.report_mut(number).running;
-        running
-            .iter()
-            .any(|running| running.run.task == first_victim)
-    });
-    let late = late.expect("the victim's target");
+    let late = target_of_a_victim(&mut site, &stopped);
     // A refused start excludes the target for 300 ms.
     site.refuse_start(late);
     site.play(2_000);
