Estimate the end of a run from the progress that this scheduler has seen

By the logs of both, an urgent job after a change of scheduler waits 0.86 s and then runs on other racks for 19.6 s, in place of stopping a run at once: a run that the previous scheduler started shows its progress in the first report, looked as if it were about to end, and was awaited. Change: the estimate counts from the first progress that was seen. A task may be stopped twice beyond a guarantee, as the limit says. The new test fails with the first progress left out.

--- a/crates/rattanwinch_scheduling/src/active_run.rs
+++ b/crates/rattanwinch_scheduling/src/active_run.rs
@@ -41,6 +41,9 @@
     /// No order is sent before this time.
     pub retry_at: Timestamp,
     pub percent: u32,
+    /// The progress in the first report that listed the run, and when it came. A run that a previous
+    /// scheduler started has made progress before.
+    pub first_progress: Option<(Timestamp, u32)>,
     /// When `percent` last changed.
     pub progressed_at: Timestamp,
     pub ticket: Option<Ticket>,
--- a/crates/rattanwinch_scheduling/src/preemption.rs
+++ b/crates/rattanwinch_scheduling/src/preemption.rs
@@ -25,6 +25,7 @@
 use crate::reclaim::Underway;
 use crate::room::Availability;
 use crate::room::Room;
+use crate::run_set::MAX_PREEMPTIONS;
 use crate::run_set::RunSet;
 use crate::run_set::core_millis;
 use crate::run_set::lost_work;
@@ -389,10 +390,10 @@
 /// Returns true if the run set may be stopped for the waiting step.
 ///
 /// A step within a guarantee displaces all runs that are not covered by one. Otherwise, an urgent
-/// step displaces only less urgent runs that were not stopped for others before.
+/// step displaces only less urgent runs whose tasks were not stopped too often.
 fn is_displaceable(set: &RunSet, waiting: &WaitingStep, guaranteed: &BTreeSet<JobId>) -> bool {
     if !waiting.guaranteed {
-        return set.priority > 0 && set.preemptions == 0;
+        return set.priority > 0 && set.preemptions < MAX_PREEMPTIONS;
     }
     set.priority > 0 || (set.organisation != waiting.organisation && !guaranteed.contains(&set.job))
 }
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -222,6 +222,7 @@
         active.started_at.get_or_insert(now);
         active.is_reported = true;
         active.percent = running.percent;
+        active.first_progress.get_or_insert((now, running.percent));
     }
 
     fn update_missing_runs(&mut self, instance: &TargetInstance, now: Timestamp) {
--- a/crates/rattanwinch_scheduling/src/run_set.rs
+++ b/crates/rattanwinch_scheduling/src/run_set.rs
@@ -22,9 +22,9 @@
 const RESTORE_TIME: Duration = Duration::from_millis(600);
 
 /// After this many preemptions a task is only stopped for a guarantee that nothing else keeps.
-const MAX_PREEMPTIONS: u32 = 2;
+pub(crate) const MAX_PREEMPTIONS: u32 = 2;
 
-/// The least progress, in per cent, from which the end of a run is estimated.
+/// The least observed progress, in per cent, from which the end of a run is estimated.
 const MIN_ESTIMATE_PERCENT: u32 = 20;
 
 /// Runs that can only be stopped together: a single run, or the members of a gang.
@@ -128,15 +128,16 @@
     core_millis(active.resources, worked)
 }
 
-/// Estimates the remaining time of a run from its progress so far.
+/// Estimates the remaining time of a run from the progress that this scheduler has seen.
 fn remaining_time(active: &ActiveRun, now: Timestamp) -> Option<Duration> {
-    let started_at = active.started_at?;
-    if active.percent < MIN_ESTIMATE_PERCENT || active.desired == DesiredState::Stop {
+    let (first_at, first_percent) = active.first_progress?;
+    let gained = active.percent.saturating_sub(first_percent);
+    if gained < MIN_ESTIMATE_PERCENT || active.desired == DesiredState::Stop {
         return None;
     }
-    let worked = active.progressed_at.since(started_at);
-    let expected = worked * 100 / active.percent;
-    Some(expected.saturating_sub(now.since(started_at)))
+    let left = 100_u32.saturating_sub(active.percent);
+    let remaining = active.progressed_at.since(first_at) * left / gained;
+    Some(remaining.saturating_sub(now.since(active.progressed_at)))
 }
 
 /// Lists the run sets on each target that do not leave anyway, with the loss of stopping them.
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -167,6 +167,7 @@
                 placed_at: now,
                 retry_at: now,
                 percent: 0,
+                first_progress: None,
                 progressed_at: now,
                 ticket: None,
             };
--- a/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
@@ -5,10 +5,12 @@
 use rattanwinch_scheduling::JobId;
 use rattanwinch_scheduling::JobState;
 use rattanwinch_scheduling::RunOutcome;
+use rattanwinch_scheduling::Scheduler;
 use rattanwinch_scheduling::StepDescription;
 use rattanwinch_scheduling::TaskId;
 
 use crate::fixture::Fixture;
+use crate::fixture::limits;
 use crate::fixture::step;
 
 fn gang(count: u32, accelerators: u64) -> StepDescription {
@@ -268,3 +270,43 @@
     site.end(&started[0].1.run, RunOutcome::Done);
     assert_eq!(site.scheduler.job_state(&first), Some(JobState::Completed));
 }
+
+/// Guards against urgent jobs that wait on a small site because its only less urgent task was stopped
+/// once before, and against one that is stopped for each of many urgent jobs.
+#[test]
+fn a_task_is_stopped_twice_at_most_beyond_a_guarantee() {
+    let mut site = Fixture::new(1);
+    let small = site.submit(2, "b", &[step(1, 8)]);
+    site.step();
+    for round in 0..3 {
+        site.wait(100);
+        let urgent = site.submit(0, "a", &[step(1, 8)]);
+        site.step();
+        site.step();
+        let expected = usize::from(round < 2);
+        assert_eq!(site.running(&urgent).len(), expected, "round {round}");
+        site.end_job(&urgent, RunOutcome::Done);
+        site.step();
+        assert_eq!(site.running(&small).len(), 1, "round {round}");
+    }
+    assert_eq!(preemptions(&mut site).values().sum::<usize>(), 2);
+}
+
+/// Guards against waiting for runs of a previous scheduler as if they were about to end: their
+/// progress, seen at once, looked like that of very short runs.
+#[test]
+fn runs_of_a_previous_scheduler_are_not_taken_for_short_ones() {
+    let mut site = Fixture::new(1);
+    site.guarantee("a", 8);
+    let small = site.submit(2, "b", &[step(1, 8)]);
+    site.step();
+    for _ in 0..60 {
+        site.wait(50);
+    }
+    let record = site.scheduler.job_record(&small).expect("a job");
+    site.scheduler = Scheduler::restore(limits(), site.rules.clone(), [record], site.now);
+    site.wait(50);
+    site.submit(0, "a", &[step(1, 8)]);
+    site.step();
+    assert_eq!(preemptions(&mut site).len(), 1);
+}
