--- a/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
@@ -111,16 +111,16 @@
 
 /// Guards against planning the room of a target anew that gets no tasks only for a moment.
 #[test]
-fn a_target_that_reports_late_is_not_replaced_in_a_reclaim() {
+fn a_target_that_refuses_a_start_is_not_replaced_in_a_reclaim() {
     let (mut site, _) = full_site(6);
     site.guarantee("a", 32);
     let urgent = site.submit(0, "a", &[gang(3, 8)]);
     site.play(100);
     let stopped = preemptions(&mut site);
     assert_eq!(stopped.len(), 24);
-    let late = target_of_a_victim(&mut site, &stopped);
+    let refusing = target_of_a_victim(&mut site, &stopped);
     // A refused start excludes the target for 300 ms.
-    site.refuse_start(late);
+    site.refuse_start(refusing);
     site.play(2_000);
     assert_eq!(site.running(&urgent).len(), 3);
     assert!(preemptions(&mut site).is_empty());
