Stop serving tasks for others only as far as their step allows

Cause: found by reading. Reclaims took no notice of may_miss, which only waves of upkeep obeyed, so an urgent step could stop all tasks of a serving step at once.

Change: a plan that stops more available tasks of a step than may_miss leaves, with those counted that are away for other causes, is made again without the excess.

--- a/crates/rattanwinch_scheduling/src/active_run.rs
+++ b/crates/rattanwinch_scheduling/src/active_run.rs
@@ -48,3 +48,11 @@
     pub progressed_at: Timestamp,
     pub ticket: Option<Ticket>,
 }
+
+impl ActiveRun {
+    /// Returns true if the run makes its task available: a serving task is once its progress is
+    /// 100%.
+    pub(crate) fn is_available(&self) -> bool {
+        self.desired == DesiredState::Run && self.is_reported && self.percent >= 100
+    }
+}
--- a/crates/rattanwinch_scheduling/src/preemption.rs
+++ b/crates/rattanwinch_scheduling/src/preemption.rs
@@ -230,16 +230,45 @@
             .sets
             .get_or_insert_with(|| self.run_sets(&pass.awaited, now));
         let wait = self.max_wait_for_ends(waiting);
-        let occupants = occupants(sets, |set| {
-            let displaceable = may_reclaim && is_displaceable(set, waiting, &pass.guaranteed_jobs);
-            let loss = if set.ends_within(wait) {
-                Loss::default()
-            } else {
-                set.loss
-            };
-            displaceable.then_some(loss)
+        let mut kept_sets = BTreeSet::new();
+        loop {
+            let occupants = occupants(sets, |number, set| {
+                let displaceable = may_reclaim
+                    && !kept_sets.contains(&number)
+                    && is_displaceable(set, waiting, &pass.guaranteed_jobs);
+                let loss = if set.ends_within(wait) {
+                    Loss::default()
+                } else {
+                    set.loss
+                };
+                displaceable.then_some(loss)
+            });
+            let plan = plan_preemption(&rest, &candidates, &occupants, max_loss)?;
+            let excess = self.excess_evictions(sets, &plan);
+            if excess.is_empty() {
+                return Some(plan);
+            }
+            // At least one set more is kept in each round.
+            kept_sets.extend(excess);
+        }
+    }
+
+    /// Returns the sets of a plan that may not be stopped, since their steps allow no more
+    /// unavailable tasks.
+    fn excess_evictions(&self, sets: &[RunSet], plan: &PreemptionPlan) -> Vec<usize> {
+        let mut allowed: BTreeMap<&StepId, Option<usize>> = BTreeMap::new();
+        let planned = plan.sets.iter();
+        let planned = planned.filter_map(|&number| Some((number, sets.get(number)?)));
+        let excess = planned.filter(|(_, set)| {
+            let left = allowed
+                .entry(&set.step)
+                .or_insert_with(|| self.allowed_evictions(&set.step));
+            let Some(left) = left else { return false };
+            let after = left.checked_sub(set.available_runs);
+            *left = after.unwrap_or(*left);
+            after.is_none()
         });
-        plan_preemption(&rest, &candidates, &occupants, max_loss)
+        excess.map(|(number, _)| number).collect()
     }
 
     /// Returns true if runs may be stopped for the step: it is urgent, and of use to its caller.
@@ -373,7 +402,7 @@
         let sets = pass
             .sets
             .get_or_insert_with(|| self.run_sets(&pass.awaited, now));
-        let occupants = occupants(sets, |set| {
+        let occupants = occupants(sets, |_, set| {
             Some(Loss {
                 worn_out: 0,
                 core_millis: self.remaining_percent(set),
--- a/crates/rattanwinch_scheduling/src/run_set.rs
+++ b/crates/rattanwinch_scheduling/src/run_set.rs
@@ -31,6 +31,9 @@
 pub(crate) struct RunSet {
     pub runs: Vec<RunId>,
     pub resources: SmallVec<[(TargetName, Resources); 1]>,
+    pub step: StepId,
+    /// The number of runs that make their tasks available.
+    pub available_runs: usize,
     pub priority: u32,
     pub organisation: Organisation,
     pub job: JobId,
@@ -71,6 +74,8 @@
                 sets.push(RunSet {
                     runs: Vec::new(),
                     resources: SmallVec::new(),
+                    step: run.task.step.clone(),
+                    available_runs: 0,
                     priority: job.rules.priority,
                     organisation: job.accepted.organisation.clone(),
                     job: job.id().clone(),
@@ -95,6 +100,7 @@
                 _ => None,
             };
             set.leaving &= active.desired == DesiredState::Stop || awaited.contains(run);
+            set.available_runs += usize::from(active.is_available());
             set.runs.push(run.clone());
             let target = &active.target.target;
             match set.resources.iter_mut().find(|(held, _)| held == target) {
@@ -143,11 +149,13 @@
 /// Lists the run sets on each target that do not leave anyway, with the loss of stopping them.
 pub(crate) fn occupants(
     sets: &[RunSet],
-    mut loss: impl FnMut(&RunSet) -> Option<Loss>,
+    mut loss: impl FnMut(usize, &RunSet) -> Option<Loss>,
 ) -> BTreeMap<TargetName, Vec<Occupant>> {
     let mut occupants: BTreeMap<TargetName, Vec<Occupant>> = BTreeMap::new();
     for (number, set) in sets.iter().enumerate().filter(|(_, set)| !set.leaving) {
-        let Some(loss) = loss(set) else { continue };
+        let Some(loss) = loss(number, set) else {
+            continue;
+        };
         for (target, resources) in &set.resources {
             occupants.entry(target.clone()).or_default().push(Occupant {
                 set: number,
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -406,27 +406,24 @@
 
     /// Returns true if the run's step allows one more of its tasks to be unavailable.
     fn may_evict(&self, run: &RunId) -> bool {
-        let Some(job) = self.jobs.get(&run.task.step.job) else {
-            return true;
-        };
-        let Some(max_unavailable) = job
-            .step(run.task.step.step)
-            .and_then(|step| step.max_unavailable)
-        else {
-            return true;
-        };
-        let is_available = |task: &TaskId| {
-            let runs = self.active.iter().filter(|(other, _)| other.task == *task);
-            // A serving task is available once its progress is 100%.
-            runs.clone().any(|(_, active)| {
-                active.desired == DesiredState::Run && active.is_reported && active.percent >= 100
-            })
-        };
-        let others = job
-            .step_tasks(&run.task.step)
-            .filter(|task| *task != run.task);
-        let unavailable = others.filter(|task| !is_available(task)).count();
-        !is_available(&run.task) || unavailable < max_unavailable as usize
+        let available = self.active.get(run).is_some_and(ActiveRun::is_available);
+        !available
+            || self
+                .allowed_evictions(&run.task.step)
+                .is_none_or(|left| left > 0)
+    }
+
+    /// Returns how many more tasks of a step may be made unavailable; `None` if that isn't limited.
+    pub(crate) fn allowed_evictions(&self, step: &StepId) -> Option<usize> {
+        let job = self.jobs.get(&step.job)?;
+        let max_unavailable = job.step(step.step)?.max_unavailable?;
+        let runs = self
+            .active
+            .iter()
+            .filter(|(run, active)| run.task.step == *step && active.is_available());
+        let available: BTreeSet<&TaskId> = runs.map(|(run, _)| &run.task).collect();
+        let unavailable = job.step_tasks(step).count().saturating_sub(available.len());
+        Some((max_unavailable as usize).saturating_sub(unavailable))
     }
 
     pub(crate) fn record_event(&mut self, event: Event) {
--- a/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
@@ -310,3 +310,64 @@
     site.step();
     assert_eq!(preemptions(&mut site).len(), 1);
 }
+
+/// A site of two targets with serving tasks beside others that have worked longer, so that less
+/// work is lost by stopping the serving ones.
+fn serving_site(max_unavailable: u32) -> (Fixture, JobId) {
+    let mut site = Fixture::new(2);
+    site.is_hung = true;
+    site.submit(2, "b", &[step(8, 1)]);
+    site.step();
+    site.wait(5_000);
+    let serving = StepDescription {
+        long_running: true,
+        max_unavailable: Some(max_unavailable),
+        ..step(8, 1)
+    };
+    let serving = site.submit(2, "b", &[serving]);
+    site.step();
+    for number in 0..2 {
+        for running in &mut site.report_mut(number).running {
+            if running.run.task.step.job == serving {
+                running.percent = 100;
+            }
+        }
+    }
+    site.wait(200);
+    assert_eq!(site.running(&serving).len(), 8);
+    (site, serving)
+}
+
+/// Guards against a reclaim that takes more serving tasks away than their step allows.
+#[test]
+fn serving_tasks_are_stopped_only_as_far_as_their_step_allows() {
+    for max_unavailable in 0..3 {
+        let (mut site, serving) = serving_site(max_unavailable);
+        site.guarantee("a", 16);
+        let urgent = site.submit(0, "a", &[step(6, 1)]);
+        site.play(1_000);
+        assert_eq!(site.running(&urgent).len(), 6);
+        let stopped = preemptions(&mut site);
+        let stopped = stopped.keys().filter(|task| task.step.job == serving);
+        assert_eq!(stopped.count(), max_unavailable as usize);
+        // A wider step gets what is left.
+        let wide = site.submit(0, "a", &[step(8, 1)]);
+        site.play(1_000);
+        let left = 8 - 6 + max_unavailable as usize;
+        assert_eq!(site.running(&wide).len(), left);
+        let again = preemptions(&mut site);
+        assert!(again.keys().all(|task| task.step.job != serving));
+    }
+}
+
+/// Guards against stops for a gang that can't be placed, since it needs whole targets on which a
+/// step allows fewer stops.
+#[test]
+fn a_gang_stops_nothing_where_serving_tasks_are_in_its_way() {
+    let (mut site, _) = serving_site(1);
+    site.guarantee("a", 16);
+    let urgent = site.submit(0, "a", &[gang(2, 8)]);
+    site.play(2_000);
+    assert!(site.running(&urgent).is_empty());
+    assert!(preemptions(&mut site).is_empty());
+}
