Leave runs alone whose room a reclaim doesn't need

Cause: found by reading. For one task on a target, the runs with the least loss are chosen until there is room. Where the last one makes room enough alone, the smaller ones before it were stopped as well.

Change: sets that aren't needed after all are dropped from the plan, those with the greatest loss first.

Result: runs_whose_room_is_not_needed_are_not_stopped stopped 4 runs before and 1 now.

--- a/crates/rattanwinch_scheduling/src/placement.rs
+++ b/crates/rattanwinch_scheduling/src/placement.rs
@@ -253,15 +253,28 @@
         .filter(|occupant| !ending.contains(&occupant.set))
         .collect();
     others.sort_by_key(|occupant| occupant.loss);
-    let mut sets = BTreeSet::new();
-    let mut total = Loss::default();
+    let mut chosen = Vec::new();
     for occupant in others {
         if free.fits(demand.resources) {
             break;
         }
         free = free.plus(occupant.resources);
-        sets.insert(occupant.set);
-        total = total.plus(occupant.loss);
+        chosen.push(occupant);
+    }
+    if !free.fits(demand.resources) {
+        return None;
     }
-    free.fits(demand.resources).then_some((sets, total))
+    // A large set that was chosen last may leave earlier ones unneeded.
+    for index in (0..chosen.len()).rev() {
+        let without = free.minus(chosen[index].resources);
+        if without.fits(demand.resources) {
+            free = without;
+            chosen.remove(index);
+        }
+    }
+    let loss = chosen
+        .iter()
+        .fold(Loss::default(), |total, occupant| total.plus(occupant.loss));
+    let sets = chosen.into_iter().map(|occupant| occupant.set).collect();
+    Some((sets, loss))
 }
--- a/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
@@ -311,6 +311,25 @@
     assert_eq!(preemptions(&mut site).len(), 1);
 }
 
+/// Guards against stopping small runs first, and then a large one that makes enough room alone.
+#[test]
+fn runs_whose_room_is_not_needed_are_not_stopped() {
+    let mut site = Fixture::new(1);
+    let large = site.submit(2, "b", &[step(1, 5)]);
+    site.step();
+    site.wait(1_000);
+    let small = site.submit(2, "b", &[step(3, 1)]);
+    site.step();
+    site.wait(1_000);
+    site.guarantee("a", 8);
+    let urgent = site.submit(0, "a", &[step(1, 4)]);
+    site.play(1_000);
+    assert_eq!(site.running(&urgent).len(), 1);
+    assert_eq!(site.running(&large).len(), 0);
+    assert_eq!(site.running(&small).len(), 3);
+    assert_eq!(preemptions(&mut site).len(), 1);
+}
+
 /// A site of two targets with serving tasks beside others that have worked longer, so that less
 /// work is lost by stopping the serving ones.
 fn serving_site(max_unavailable: u32) -> (Fixture, JobId) {
