Read the machine list row by row

Cause: a page of the machine list was decoded as a whole, so one odd row (deeply nested, a number too large, a field of another type) made the list unreadable, and waves of upkeep stood still for as long as it stayed.

Change: rows are decoded one by one, as those of executors; unreadable ones are left out, counted and logged.

--- a/crates/rattanwinch_front/src/upkeep.rs
+++ b/crates/rattanwinch_front/src/upkeep.rs
@@ -146,12 +146,16 @@
         self.next_list_at = sent_at + MACHINE_LIST_INTERVAL;
         let (commands, log) = (self.commands.clone(), self.log.clone());
         tokio::spawn(async move {
-            let machines = client.list().await;
-            if let Err(error) = &machines {
-                warn!(log, "machine list not read"; "error" => %error);
+            let list = client.list().await;
+            match &list {
+                Ok(list) if list.unreadable_rows > 0 => {
+                    warn!(log, "rows of the machine list ignored"; "rows" => list.unreadable_rows);
+                }
+                Ok(_) => {}
+                Err(error) => warn!(log, "machine list not read"; "error" => %error),
             }
             let event = UpkeepEvent::Listed {
-                machines: machines.ok(),
+                machines: list.ok().map(|list| list.machines),
                 sent_at,
             };
             send_event(&commands, event).await;
