Compile the operators' configuration once a change, and look routes up by hash

Cause: found by reading, for installations whose configuration grows by many routes. The scheduler decoded and compared the whole configuration with each read (every 0.9 s), and each call searched all routes in turn.

Change: OperatorConfig is compiled when its value has changed and shared by successive orders; RoutingTable finds a queue by one hash of the path for each length of the host's prefixes.

--- a/crates/rattanwinch_front/src/calls.rs
+++ b/crates/rattanwinch_front/src/calls.rs
@@ -55,6 +55,7 @@
     let snapshot = current_operator_orders(state, local_leader).await?;
     let (queue, rest) = snapshot
         .orders
+        .config
         .queue(&call.host, &call.path)
         .ok_or(Refusal::UnknownQueue)?;
     let organisation = authorise(&snapshot, queue, call)?;
@@ -111,7 +112,7 @@
     let known = call
         .key
         .as_ref()
-        .and_then(|key| snapshot.orders.organisation(key));
+        .and_then(|key| snapshot.orders.config.organisation(key));
     match known {
         Some(organisation) => Ok(organisation.clone()),
         None if queue.public => {
--- a/crates/rattanwinch_front/src/operator_watch.rs
+++ b/crates/rattanwinch_front/src/operator_watch.rs
@@ -24,7 +24,9 @@
     let mut failing = false;
     loop {
         let sent_at = state.clock.now();
-        let pause = match read_orders(&state).await {
+        let known = local_leader.orders.load_full();
+        let known = known.as_ref().map(|known| &known.orders);
+        let pause = match read_orders(&state, known).await {
             Ok(Some(orders)) => {
                 if failing {
                     info!(state.log, "operators' orders readable again");
@@ -51,14 +53,17 @@
     }
 }
 
-async fn read_orders(state: &FrontState) -> Result<Option<OperatorOrders>, String> {
+async fn read_orders(
+    state: &FrontState,
+    known: Option<&OperatorOrders>,
+) -> Result<Option<OperatorOrders>, String> {
     let items = state.store.range(OPERATOR_PREFIX).await;
     let items = items.map_err(|error| error.to_string())?;
     let items: BTreeMap<&str, &[u8]> = items
         .iter()
         .map(|item| (item.key.as_str(), item.value.as_slice()))
         .collect();
-    OperatorOrders::decode(items).map_err(|error| error.to_string())
+    OperatorOrders::decode(items, known).map_err(|error| error.to_string())
 }
 
 async fn apply_orders(
@@ -70,13 +75,13 @@
     let changed = known
         .as_ref()
         .is_none_or(|known| known.orders != snapshot.orders);
-    if known.is_some_and(|known| known.orders.version > snapshot.orders.version) {
-        warn!(state.log, "older operators' orders ignored"; "version" => snapshot.orders.version);
+    if known.is_some_and(|known| known.orders.config.version > snapshot.orders.config.version) {
+        warn!(state.log, "older operators' orders ignored"; "version" => snapshot.orders.config.version);
         return;
     }
     if changed {
-        info!(state.log, "operators' orders taken over"; "version" => snapshot.orders.version,
-            "closed_zones" => ?snapshot.orders.closed_zones, "queues" => snapshot.orders.queues.len());
+        info!(state.log, "operators' orders taken over"; "version" => snapshot.orders.config.version,
+            "closed_zones" => ?snapshot.orders.closed_zones, "queues" => snapshot.orders.config.queues().len());
     }
     if changed && !snapshot.orders.unreadable_keys.is_empty() {
         warn!(state.log, "unreadable operators' keys ignored";
