Repeat stops of unknown runs after a delay, and step down at a refused order

A scheduler that had been replaced when the store came back kept scheduling for 4.2 s: it sent stops for the runs of its successor, which it didn't know, with each change at the site, without waiting for answers. Agents refused some 2,000 orders a second, and 13,927 results came after it had stopped. Its front has half a core, so its lease renewal and its search for a successor came late.

Change: stops of a target's unknown runs are repeated after stop_retry_delay, or at once for new ones. The report that comes with the results of orders is checked for a higher epoch as any other report, so the first refused order ends the old scheduler.

Result: stops_of_unknown_runs_are_repeated_after_a_delay failed before and passes.

--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -156,7 +156,9 @@
             Command::Submit { job, body, reply } => self.handle_submit(job, body, reply),
             Command::Cancel { job, reply } => self.handle_cancel(job, reply),
             Command::Report { report, reply } => return self.handle_report(&report, reply, now),
-            Command::AgentAnswered { runs, results } => self.handle_results(runs, results, now),
+            Command::AgentAnswered { runs, results } => {
+                return self.handle_results(runs, results, now);
+            }
             Command::Committed {
                 changes,
                 removed_jobs,
@@ -238,12 +240,7 @@
         reply: oneshot::Sender<ReportAnswer>,
         now: Timestamp,
     ) -> bool {
-        let epoch = self.local_leader.info.epoch;
-        if report.epoch > epoch {
-            self.state.observe_epoch(report.epoch);
-            warn!(self.state.log, "agent follows a scheduler with a higher epoch; stepping down";
-                "epoch" => epoch,
-                "later" => report.epoch, "vm" => &*report.agent.vm);
+        if self.is_superseded(report) {
             return false;
         }
         self.apply_report(report, now);
@@ -259,7 +256,7 @@
                 "vm" => &*report.agent.vm);
         }
         let answer = ReportAnswer {
-            epoch,
+            epoch: self.local_leader.info.epoch,
             confirmed: self.local_leader.is_lease_confirmed(now) && !is_listed_silent,
             acknowledged,
             fronts: self.fronts_for(report),
@@ -269,6 +266,18 @@
         true
     }
 
+    /// Returns true if the agent follows a later leader.
+    fn is_superseded(&self, report: &AgentReport) -> bool {
+        let epoch = self.local_leader.info.epoch;
+        if report.epoch <= epoch {
+            return false;
+        }
+        self.state.observe_epoch(report.epoch);
+        warn!(self.state.log, "agent follows a scheduler with a higher epoch; stepping down";
+            "epoch" => epoch, "later" => report.epoch, "vm" => &*report.agent.vm);
+        true
+    }
+
     /// The fronts that the answer to a report names; none if the agent knows them.
     fn fronts_for(&mut self, report: &AgentReport) -> Vec<SocketAddr> {
         let others = self.state.fronts.load_full();
@@ -303,22 +312,32 @@
         }
     }
 
-    fn handle_results(&mut self, runs: Vec<RunId>, results: Option<OrderResults>, now: Timestamp) {
+    /// Handles the results of orders; false if the agent has seen a higher epoch.
+    fn handle_results(
+        &mut self,
+        runs: Vec<RunId>,
+        results: Option<OrderResults>,
+        now: Timestamp,
+    ) -> bool {
         let Some(results) = results else {
             for run in runs {
                 self.scheduler
                     .handle_order_outcome(&run, OrderOutcome::Unknown, false, now);
             }
-            return;
+            return true;
         };
         let reported = results.report.is_some();
         if let Some(report) = &results.report {
+            if self.is_superseded(report) {
+                return false;
+            }
             self.apply_report(report, now);
         }
         for (run, outcome) in results.outcomes {
             self.scheduler
                 .handle_order_outcome(&run, outcome, reported, now);
         }
+        true
     }
 
     fn handle_commit_result(
--- a/crates/rattanwinch_scheduling/src/orders.rs
+++ b/crates/rattanwinch_scheduling/src/orders.rs
@@ -55,7 +55,7 @@
                 None => for_target.stops.push(run),
             }
         }
-        self.add_unknown_run_stops(&mut orders);
+        self.add_unknown_run_stops(&mut orders, now);
         orders.into_values().collect()
     }
 
@@ -92,11 +92,16 @@
         })
     }
 
-    fn add_unknown_run_stops(&self, orders: &mut BTreeMap<TargetInstance, TargetOrders>) {
-        for target in self.targets.values() {
-            if target.unknown_runs.is_empty() {
+    fn add_unknown_run_stops(
+        &mut self,
+        orders: &mut BTreeMap<TargetInstance, TargetOrders>,
+        now: Timestamp,
+    ) {
+        for target in self.targets.values_mut() {
+            if target.unknown_runs.is_empty() || now < target.unknown_runs_retry_at {
                 continue;
             }
+            target.unknown_runs_retry_at = now + self.limits.stop_retry_delay;
             let instance = target.description.instance.clone();
             let for_target = orders
                 .entry(instance.clone())
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -68,7 +68,7 @@
             .filter(|run| !self.is_placed_on(run, instance))
             .cloned()
             .collect();
-        self.update_unknown_runs(&instance.target, unknown_runs);
+        self.update_unknown_runs(&instance.target, unknown_runs, now);
     }
 
     /// Records when the target made its lists. After a time in which it made none, the progress of
@@ -93,7 +93,12 @@
         active.is_some_and(|active| active.target == *instance)
     }
 
-    fn update_unknown_runs(&mut self, target: &TargetName, unknown_runs: Vec<RunId>) {
+    fn update_unknown_runs(
+        &mut self,
+        target: &TargetName,
+        unknown_runs: Vec<RunId>,
+        now: Timestamp,
+    ) {
         let Some(known) = self.targets.get_mut(target) else {
             return;
         };
@@ -107,6 +112,9 @@
             .filter(|run| !previous.contains(run))
             .cloned()
             .collect();
+        if !new.is_empty() {
+            known.unknown_runs_retry_at = now;
+        }
         self.request_placement();
         for run in new {
             self.record_event(Event::UnknownRun {
--- a/crates/rattanwinch_scheduling/src/target.rs
+++ b/crates/rattanwinch_scheduling/src/target.rs
@@ -132,6 +132,8 @@
     pub processed_sequence: u64,
     /// Runs on the target that the scheduler has not placed; their resources are unknown.
     pub unknown_runs: Vec<RunId>,
+    /// When stops of the unknown runs are sent, or sent again.
+    pub unknown_runs_retry_at: Timestamp,
     /// The number of consecutive failures that count against the target.
     pub consecutive_failures: u32,
     /// When the first of these failures was reported.
@@ -151,6 +153,7 @@
             acknowledged_sequence: 0,
             processed_sequence: 0,
             unknown_runs: Vec::new(),
+            unknown_runs_retry_at: now,
             consecutive_failures: 0,
             failing_since: None,
             last_failed_job: None,
--- a/crates/rattanwinch_scheduling/tests/decisions/runs.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/runs.rs
@@ -218,6 +218,42 @@
     assert_eq!(site.scheduler.job_state(&job), Some(JobState::Running));
 }
 
+/// Guards against a storm of orders: each change at the site sent the stops of unknown runs again,
+/// so that a scheduler that had been replaced, and knew none of its successor's runs, sent thousands
+/// of orders a second.
+#[test]
+fn stops_of_unknown_runs_are_repeated_after_a_delay() {
+    let mut site = Fixture::new(1);
+    let job = site.submit(1, "a", &[step(1, 1)]);
+    let started = site.step();
+    let unknown = |number| {
+        let mut run = started[0].1.run.clone();
+        run.task.step.job = "nobody".into();
+        run.number = number;
+        run
+    };
+    let mut running = site.report_mut(0).running[0].clone();
+    running.run = unknown(1);
+    site.report_mut(0).running.push(running.clone());
+    let stops_within = |site: &mut Fixture, millis: u64| {
+        let mut stops = Vec::new();
+        for _ in 0..millis / 20 {
+            site.wait(20);
+            let orders = site.scheduler.take_due_orders(site.now);
+            stops.extend(orders.into_iter().flat_map(|orders| orders.stops));
+        }
+        stops
+    };
+    assert_eq!(stops_within(&mut site, 1_400), [unknown(1)]);
+    assert_eq!(stops_within(&mut site, 1_400), [unknown(1)]);
+    // A further unknown run is stopped at once.
+    running.run = unknown(2);
+    site.report_mut(0).running.push(running);
+    let stops = stops_within(&mut site, 100);
+    assert_eq!(stops, [unknown(1), unknown(2)]);
+    assert_eq!(site.scheduler.job_state(&job), Some(JobState::Running));
+}
+
 /// Guards against a faulty target that uses up all attempts of a job because it is the only one
 /// with free resources: three runs failed on one within 110 ms.
 #[test]
