Keep gangs off targets on which a run has just failed at once

Change: a failure within 400 ms makes a target suspected for 5 s, unless its job has failed elsewhere. Gangs and tasks that have failed before avoid it for up to 2 s of waiting, while most targets are trusted and large enough.

--- a/crates/rattanwinch_scheduling/src/placement_pass.rs
+++ b/crates/rattanwinch_scheduling/src/placement_pass.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
@@ -21,6 +22,9 @@
 /// guarantee; more would leave targets idle.
 const MAX_BLOCKED_STEPS: usize = 3;
 
+/// How long a step waits for targets that are not suspected of failing all runs.
+const MAX_WAIT_FOR_TRUSTED: Duration = Duration::from_secs(2);
+
 impl Scheduler {
     /// Runs a placement pass: places waiting tasks, and holds or makes room for blocked steps.
     ///
@@ -127,8 +131,14 @@
             index: waiting.task_indices.first().copied().unwrap_or(0),
         };
         let failed_on = job.failed_on(&first);
+        // A gang loses the work of all its members by one failure, and a job that has failed may
+        // have no further attempt, so other tasks show whether a suspected target works.
+        let avoids_suspected =
+            (demand.gang || !failed_on.is_empty()) && waiting.waited < MAX_WAIT_FOR_TRUSTED;
         let mut suitable = Vec::new();
         let mut tasks_elsewhere = 0_u64;
+        let mut trusted = 0_usize;
+        let mut tasks_on_trusted = 0_u64;
         for (name, available) in room.iter(availability) {
             let Some(target) = self.targets.get(name) else {
                 continue;
@@ -139,11 +149,16 @@
                 && label.as_ref().is_none_or(|label| target.has_label(label))
                 && capacity.fits(demand.resources);
             if fits {
-                suitable.push((name, available));
+                let is_suspected = now < target.suspected_until;
+                suitable.push((name, available, is_suspected));
                 if !failed_on.contains(name) {
                     // A task that requires no resources fits any number of times.
-                    tasks_elsewhere =
-                        tasks_elsewhere.saturating_add(capacity.max_count(demand.resources));
+                    let tasks = capacity.max_count(demand.resources);
+                    tasks_elsewhere = tasks_elsewhere.saturating_add(tasks);
+                    if !is_suspected {
+                        trusted += 1;
+                        tasks_on_trusted = tasks_on_trusted.saturating_add(tasks);
+                    }
                 }
             }
         }
@@ -151,15 +166,22 @@
         // for another target, if any other is large enough.
         let required_tasks = if demand.gang { demand.count } else { 1 };
         let avoids_failed_targets = tasks_elsewhere >= required_tasks as u64;
+        // If most targets are suspected, the jobs rather than the targets are at fault.
+        let avoids_suspected = avoids_suspected
+            && tasks_on_trusted >= required_tasks as u64
+            && trusted * 2 >= suitable.len();
         let tasks_here = self.tasks_by_target(waiting);
         let mut candidates = Vec::new();
-        for (name, available) in suitable {
+        for (name, available, is_suspected) in suitable {
             let Some(target) = self.targets.get(name) else {
                 continue;
             };
             if avoids_failed_targets && failed_on.contains(name) {
                 continue;
             }
+            if avoids_suspected && is_suspected {
+                continue;
+            }
             if needs_ticket
                 && self
                     .advisor_tickets
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -303,14 +303,18 @@
                 target.consecutive_failures = 0;
                 target.failing_since = None;
                 target.last_failed_job = None;
+                target.suspected_until = Timestamp::ZERO;
                 target.quarantine_count = 0;
             }
             RunOutcome::Failed => {
                 let failed_immediately =
                     placed_at.is_some_and(|placed| now.since(placed) <= IMMEDIATE_FAILURE_WINDOW);
                 let is_other_job = target.last_failed_job.as_ref() != Some(job);
-                if is_other_job || (failed_immediately && has_other_targets && !job_fails_elsewhere)
-                {
+                let is_suspicious = failed_immediately && has_other_targets && !job_fails_elsewhere;
+                if is_suspicious {
+                    target.suspected_until = now + self.limits.initial_quarantine;
+                }
+                if is_other_job || is_suspicious {
                     target.consecutive_failures += 1;
                     target.failing_since.get_or_insert(now);
                     target.last_failed_job = Some(job.clone());
--- a/crates/rattanwinch_scheduling/src/target.rs
+++ b/crates/rattanwinch_scheduling/src/target.rs
@@ -140,6 +140,8 @@
     pub failing_since: Option<Timestamp>,
     /// The job of the last failure; further failures of the same job may be its own fault.
     pub last_failed_job: Option<JobId>,
+    /// Until when gangs and retried tasks avoid the target, since a run failed on it at once.
+    pub suspected_until: Timestamp,
     pub quarantined_until: Timestamp,
     pub quarantine_count: u32,
 }
@@ -157,6 +159,7 @@
             consecutive_failures: 0,
             failing_since: None,
             last_failed_job: None,
+            suspected_until: Timestamp::ZERO,
             quarantined_until: Timestamp::ZERO,
             quarantine_count: 0,
         }
--- a/crates/rattanwinch_scheduling/tests/decisions/runs.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/runs.rs
@@ -8,6 +8,7 @@
 use rattanwinch_scheduling::RunOutcome;
 use rattanwinch_scheduling::Scheduler;
 use rattanwinch_scheduling::StartRefusal;
+use rattanwinch_scheduling::StepDescription;
 
 use crate::fixture::Fixture;
 use crate::fixture::limits;
@@ -218,6 +219,79 @@
     assert_eq!(site.scheduler.job_state(&job), Some(JobState::Running));
 }
 
+fn gang(count: u32) -> StepDescription {
+    StepDescription {
+        gang: true,
+        ..step(count, 8)
+    }
+}
+
+/// Ends the run of a new job on the target as failed; other targets of the same size are full.
+fn fail_on(site: &mut Fixture, number: usize) {
+    let job = site.submit(0, "z", &[step(1, 8)]);
+    let started = site.step();
+    assert_eq!(site.running(&job), [target(number)]);
+    site.wait(50);
+    site.end(&started[0].1.run, RunOutcome::Failed);
+    site.scheduler.cancel(&job);
+}
+
+/// Guards against targets that fail all at once and are therefore always free: each failed several
+/// gangs, whose two attempts were used up within 300 ms, before it was quarantined.
+#[test]
+fn gangs_avoid_a_target_on_which_a_run_failed_at_once() {
+    let mut site = Fixture::new(4);
+    let filler = site.submit(0, "b", &[step(3, 8)]);
+    let filled = site.step();
+    let free = (0..4).find(|&number| filled.iter().all(|(name, _)| *name != target(number)));
+    let free = free.expect("a free target");
+    fail_on(&mut site, free);
+    let waiting = site.submit(0, "a", &[gang(1)]);
+    site.step();
+    assert!(site.running(&waiting).is_empty());
+    // A single task that has not failed yet shows whether the target works.
+    let single = site.submit(1, "a", &[step(1, 4)]);
+    let started = site.step();
+    assert_eq!(site.running(&single), [target(free)]);
+    site.wait(500);
+    site.end(&started[0].1.run, RunOutcome::Done);
+    site.step();
+    assert_eq!(site.running(&waiting), [target(free)]);
+    assert_eq!(site.running(&filler).len(), 3);
+}
+
+/// Guards against gangs that wait for the few targets left where jobs that can't be done have
+/// failed, and for a target whose fault has passed.
+#[test]
+fn suspected_targets_are_used_when_they_are_many_or_after_a_while() {
+    let mut site = Fixture::new(4);
+    site.submit(0, "b", &[step(3, 8)]);
+    let filled = site.step();
+    let free = (0..4).find(|&number| filled.iter().all(|(name, _)| *name != target(number)));
+    let free = free.expect("a free target");
+    fail_on(&mut site, free);
+    let waiting = site.submit(0, "a", &[gang(1)]);
+    site.step();
+    site.wait(1_900);
+    site.step();
+    assert!(site.running(&waiting).is_empty());
+    site.wait(100);
+    site.step();
+    assert_eq!(site.running(&waiting), [target(free)]);
+
+    let mut site = Fixture::new(4);
+    for _ in 0..3 {
+        let job = site.submit(0, "z", &[step(1, 8)]);
+        let started = site.step();
+        site.wait(20);
+        site.end(&started[0].1.run, RunOutcome::Failed);
+        site.scheduler.cancel(&job);
+    }
+    let wide = site.submit(0, "a", &[gang(1)]);
+    site.step();
+    assert_eq!(site.running(&wide).len(), 1);
+}
+
 /// Guards against a storm of orders: each change at the site sent the stops of unknown runs again,
 /// so that a scheduler that had been replaced, and knew none of its successor's runs, sent thousands
 /// of orders a second.
