--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -68,7 +68,7 @@
             .filter(|run| !self.is_placed_on(run, instance))
             .cloned()
             .collect();
-        self.update_unknown_runs(&instance.target, unknown_runs);
+        self.update_unknown_runs(&instance.target, unknown_runs, now);
     }
 
     /// Records when the target made its lists. After a time in which it made none, the progress of
@@ -93,7 +93,12 @@
         active.is_some_and(|active| active.target == *instance)
     }
 
-    fn update_unknown_runs(&mut self, target: &TargetName, unknown_runs: Vec<RunId>) {
+    fn update_unknown_runs(
+        &mut self,
+        target: &TargetName,
+        unknown_runs: Vec<RunId>,
+        now: Timestamp,
+    ) {
         let Some(known) = self.targets.get_mut(target) else {
             return;
         };
@@ -107,6 +112,9 @@
             .filter(|run| !previous.contains(run))
             .cloned()
             .collect();
+        if !new.is_empty() {
+            known.unknown_runs_retry_at = now;
+        }
         self.request_placement();
         for run in new {
             self.record_event(Event::UnknownRun {
@@ -295,14 +303,18 @@
                 target.consecutive_failures = 0;
                 target.failing_since = None;
                 target.last_failed_job = None;
+                target.suspected_until = Timestamp::ZERO;
                 target.quarantine_count = 0;
             }
             RunOutcome::Failed => {
                 let failed_immediately =
                     placed_at.is_some_and(|placed| now.since(placed) <= IMMEDIATE_FAILURE_WINDOW);
                 let is_other_job = target.last_failed_job.as_ref() != Some(job);
-                if is_other_job || (failed_immediately && has_other_targets && !job_fails_elsewhere)
-                {
+                let is_suspicious = failed_immediately && has_other_targets && !job_fails_elsewhere;
+                if is_suspicious {
+                    target.suspected_until = now + self.limits.initial_quarantine;
+                }
+                if is_other_job || is_suspicious {
                     target.consecutive_failures += 1;
                     target.failing_since.get_or_insert(now);
                     target.last_failed_job = Some(job.clone());
--- a/crates/rattanwinch_scheduling/src/target.rs
+++ b/crates/rattanwinch_scheduling/src/target.rs
@@ -132,12 +132,16 @@
     pub processed_sequence: u64,
     /// Runs on the target that the scheduler has not placed; their resources are unknown.
     pub unknown_runs: Vec<RunId>,
+    /// When stops of the unknown runs are sent, or sent again.
+    pub unknown_runs_retry_at: Timestamp,
     /// The number of consecutive failures that count against the target.
     pub consecutive_failures: u32,
     /// When the first of these failures was reported.
     pub failing_since: Option<Timestamp>,
     /// The job of the last failure; further failures of the same job may be its own fault.
     pub last_failed_job: Option<JobId>,
+    /// Until when gangs and retried tasks avoid the target, since a run failed on it at once.
+    pub suspected_until: Timestamp,
     pub quarantined_until: Timestamp,
     pub quarantine_count: u32,
 }
@@ -151,9 +155,11 @@
             acknowledged_sequence: 0,
             processed_sequence: 0,
             unknown_runs: Vec::new(),
+            unknown_runs_retry_at: now,
             consecutive_failures: 0,
             failing_since: None,
             last_failed_job: None,
+            suspected_until: Timestamp::ZERO,
             quarantined_until: Timestamp::ZERO,
             quarantine_count: 0,
         }
