Argue two limits of the scheduler by recovery, not by a price

Cause: two comments argued a limit by what a store write is charged.

Change: comments alone; the values stay.

Result: builds; no behaviour changed, and no run was made for it.

--- a/crates/rattanwinch_scheduling/src/limits.rs
+++ b/crates/rattanwinch_scheduling/src/limits.rs
@@ -51,8 +51,7 @@
             .max_reclaim_time(max_reclaim_time)
             .max_stop_time(max_stop_time)
             .silence_timeout(silence_timeout)
-            // A quarter of the wait for leases. Each interval causes a write, which costs a
-            // tenth of a start.
+            // A quarter of the wait for leases, which bounds how much of it a new scheduler repeats.
             .silence_record_interval(Duration::from_secs(4))
             // Two and a half report intervals.
             .max_report_age(report_interval * 5 / 2)
@@ -63,7 +62,7 @@
             // A third of the shortest reclaim time in the users' requirements, which includes the
             // stop.
             .urgent_locality_wait(Duration::from_millis(800))
-            // Tasks write checkpoints every 0.5 or 2 s, and a store write costs a tenth of a start.
+            // Tasks write checkpoints every 0.5 or 2 s; a lost record repeats at most this much work.
             .checkpoint_write_interval(Duration::from_secs(2))
             // Progress is reported in whole per cent each second. One per cent of the longest
             // task on the slowest target in the users' requirements takes 2 s.
