--- a/crates/rattanwinch_front/tests/site/late_orders.rs
+++ b/crates/rattanwinch_front/tests/site/late_orders.rs
@@ -53,6 +53,32 @@
     site.assert_no_task_ran_twice("00000000000000b1");
 }
 
+/// Guards against a start that is repeated through a partition and reaches the next instance of the
+/// executor: it ran beside the task's next run until the scheduler had it stopped.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_start_for_a_former_instance_does_not_run_on_the_next() {
+    let site = Site::start(1, 2).await;
+    site.submit_until_accepted(0, "00000000000000e0", 10, 1)
+        .await;
+    site.wait_for(0, "00000000000000e0", "completed", JOB_TIMEOUT)
+        .await;
+    let executor = &site.workers[0].executor;
+    executor.set_partitioned(true);
+    site.submit_until_accepted(0, "00000000000000e1", 600, 12)
+        .await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    executor.restart();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    executor.set_partitioned(false);
+    site.wait_for(0, "00000000000000e1", "completed", JOB_TIMEOUT)
+        .await;
+    site.assert_no_task_ran_twice("00000000000000e1");
+    for run in site.runs("00000000000000e1") {
+        let outcome = run.ended.map(|(_, outcome)| outcome);
+        assert_eq!(outcome, Some("done"), "{run:?}");
+    }
+}
+
 /// A target that refuses starts for a while must not keep its tasks from running elsewhere.
 #[tokio::test(flavor = "multi_thread")]
 async fn tasks_avoid_an_unhealthy_target() {
--- a/crates/rattanwinch_side/src/orders.rs
+++ b/crates/rattanwinch_side/src/orders.rs
@@ -97,7 +97,7 @@
     for (run, outcome) in &outcomes {
         info!(state.log, "order carried out"; "job" => %run.task.step.job,
             "run" => run.within_job(), "outcome" => ?outcome, "epoch" => orders.epoch,
-            "target" => %client.instance().target);
+            "target" => %client.instance().target, "born_ms" => client.instance().started_at_ms);
     }
     let polled = poll_lists(state, &client, None).await;
     OrderResults {
