Ignore the departure of a former instance of an executor

What callers saw: their tasks ran twice, or lost their work.

Cause: like the start for a former instance, a Leave was matched by the id alone. One that a partition holds back until its sender has crashed and started again removed the new instance from the agent, whose report of the departure let all its runs lapse while it ran them.

Change: the birth time in the announcement, if it is there, has to be that of the present instance; another one is logged and ignored.

--- a/crates/rattanwinch_front/tests/site/harness.rs
+++ b/crates/rattanwinch_front/tests/site/harness.rs
@@ -95,6 +95,20 @@
     pub fn id(&self) -> &str {
         &self.options.id
     }
+
+    /// Announces to the agent that the instance that started at this time leaves.
+    pub async fn announce_departure(&self, started_at_ms: u64) {
+        let agent = self.options.agent;
+        let url = format!(
+            "http://{agent}/rattanwinch/Instances.Leave/{}",
+            self.options.id
+        );
+        let req = reqwest::Client::new()
+            .post(url)
+            .json(&json!({ "born": started_at_ms }));
+        let answer = req.send().await.expect("the agent answers");
+        assert!(answer.status().is_success(), "{answer:?}");
+    }
 }
 
 impl Site {
--- a/crates/rattanwinch_front/tests/site/lost_targets.rs
+++ b/crates/rattanwinch_front/tests/site/lost_targets.rs
@@ -30,6 +30,30 @@
     stopping.await.expect("the front stops");
 }
 
+/// Guards against a departure announcement that arrives after its sender has crashed and started
+/// again under its id: the tasks of the new instance were started elsewhere while it ran them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_departure_of_a_former_instance_is_ignored() {
+    let site = Site::start(1, 2).await;
+    site.submit_until_accepted(0, "00000000000000b8", 10, 1)
+        .await;
+    site.wait_for(0, "00000000000000b8", "completed", Duration::from_secs(10))
+        .await;
+    let worker = &site.workers[0];
+    let former = worker.executor.started_at_ms();
+    worker.executor.restart();
+    // Until the agent has met the new instance.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    site.submit_until_accepted(0, "00000000000000b9", 1_500, 16)
+        .await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    worker.announce_departure(former).await;
+    site.wait_for(0, "00000000000000b9", "completed", Duration::from_secs(10))
+        .await;
+    site.assert_no_task_ran_twice("00000000000000b9");
+    assert_eq!(site.runs("00000000000000b9").len(), 16, "a task ran again");
+}
+
 /// A draining target must get no new runs once its agent has received the heartbeat.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_draining_target_gets_nothing_new() {
--- a/crates/rattanwinch_side/src/side_state.rs
+++ b/crates/rattanwinch_side/src/side_state.rs
@@ -255,15 +255,20 @@
         }
     }
 
-    fn handle_departure(&self, id: &str) {
+    fn handle_departure(&self, id: &str, started_at_ms: Option<u64>) {
         let client = self.client();
-        if let Some(client) = client
-            && client.instance().target.as_str() == id
-        {
-            self.last_departed
-                .store(Some(Arc::new(client.instance().clone())));
-            self.remove_target(&client, "announced its departure");
+        let Some(client) = client.filter(|client| client.instance().target.as_str() == id) else {
+            return;
+        };
+        let instance = client.instance();
+        // A target that starts again keeps its id, and the announcement may have been delayed.
+        if started_at_ms.is_some_and(|started_at_ms| started_at_ms != instance.started_at_ms) {
+            info!(self.log, "departure of another instance ignored";
+                "target" => id, "born_ms" => started_at_ms);
+            return;
         }
+        self.last_departed.store(Some(Arc::new(instance.clone())));
+        self.remove_target(&client, "announced its departure");
     }
 
     fn handle_unreadable_heartbeat(&self, id: &str) {
