Keep an agent's acknowledgements with the instance that they are for

Change: the number is a part of the target's view, so it goes with the instance; a poll for an instance that has been replaced in the meantime isn't sent. No test of its own: there is no longer a state in which the two differ. The tests of agents and sites pass.

--- a/crates/rattanwinch_side/src/executor_watch.rs
+++ b/crates/rattanwinch_side/src/executor_watch.rs
@@ -72,13 +72,13 @@
     let now = state.clock.now();
     let renew = state.may_renew_leases(now);
     let lease = state.settings.vm.max_lease;
-    let lease_end_ms = state.update_view(client, |view| view.lease_end(lease, now));
-    let req = ListRequest {
-        lease_end_ms: lease_end_ms.filter(|_| renew),
+    let req = state.update_view(client, |view| ListRequest {
+        lease_end_ms: renew.then(|| view.lease_end(lease, now)),
         epoch: state.epoch(),
-        acknowledged: state.acknowledged(),
+        acknowledged: view.acknowledged(),
         wait,
-    };
+    });
+    let req = req.ok_or(ExecutorError::OtherInstance)?;
     let limit = wait.unwrap_or_default() + POLL_GRACE;
     let lists = client.fetch_lists(&req, limit).await?;
     if lists.unreadable > 0 {
--- a/crates/rattanwinch_side/src/side_state.rs
+++ b/crates/rattanwinch_side/src/side_state.rs
@@ -50,8 +50,6 @@
     pub report_needed: Notify,
     /// The highest epoch seen; orders with lower ones are refused.
     epoch: AtomicU64,
-    /// Highest sequence number of run ends that the scheduler has made durable.
-    acknowledged: AtomicU64,
     /// When the last report that a confirmed leader answered was sent, in milliseconds.
     leader_contact_ms: AtomicU64,
     sequence: AtomicU64,
@@ -78,7 +76,6 @@
             instance_changes: watch::Sender::new(0),
             report_needed: Notify::new(),
             epoch: AtomicU64::new(0),
-            acknowledged: AtomicU64::new(0),
             leader_contact_ms: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             announcements: watch::Sender::new(None),
@@ -111,10 +108,18 @@
         &self,
         client: &ExecutorClient,
         change: impl FnOnce(&mut TargetView) -> T,
+    ) -> Option<T> {
+        self.update_view_of(client.instance(), change)
+    }
+
+    fn update_view_of<T>(
+        &self,
+        instance: &TargetInstance,
+        change: impl FnOnce(&mut TargetView) -> T,
     ) -> Option<T> {
         let mut target = self.target();
         let target = target.as_mut()?;
-        (target.client.instance() == client.instance()).then(|| change(&mut target.view))
+        (target.client.instance() == instance).then(|| change(&mut target.view))
     }
 
     pub(crate) fn instance_changes(&self) -> watch::Receiver<u64> {
@@ -141,20 +146,11 @@
         self.announcements.subscribe()
     }
 
-    pub(crate) fn acknowledged(&self) -> u64 {
-        self.acknowledged.load(Ordering::Acquire)
-    }
-
     /// Records that the run ends of `instance` up to `sequence` are durable, unless the instance
     /// has been replaced.
     pub(crate) fn acknowledge(&self, instance: &TargetInstance, sequence: u64) {
-        let target = self.target();
-        let is_current = target
-            .as_ref()
-            .is_some_and(|target| target.client.instance() == instance);
-        if is_current {
-            self.acknowledged.fetch_max(sequence, Ordering::AcqRel);
-        }
+        // A former instance has no view any more, and its ends are gone with it.
+        let _ = self.update_view_of(instance, |view| view.acknowledge(sequence));
     }
 
     pub(crate) fn record_leader_contact(&self, sent_at: Timestamp) {
@@ -202,7 +198,6 @@
     }
 
     fn notify_instance_change(&self) {
-        self.acknowledged.store(0, Ordering::Release);
         self.instance_changes.send_modify(|changes| *changes += 1);
         self.report_needed.notify_one();
     }
--- a/crates/rattanwinch_side/src/target_view.rs
+++ b/crates/rattanwinch_side/src/target_view.rs
@@ -30,6 +30,8 @@
     /// Confirmed starts that the lists don't show yet, with the executor's clock in the
     /// confirmation.
     confirmed_starts: Vec<(RunId, u64)>,
+    /// Highest sequence number of run ends that the scheduler has made durable.
+    acknowledged: u64,
     /// The executor doesn't answer; it is reported as draining, so that it gets no new runs.
     unresponsive: bool,
 }
@@ -46,6 +48,7 @@
             running: Vec::new(),
             ended: Vec::new(),
             confirmed_starts: Vec::new(),
+            acknowledged: 0,
             unresponsive: false,
         }
     }
@@ -109,6 +112,17 @@
         self.confirmed_starts.push((run.clone(), clock_ms));
     }
 
+    /// Highest sequence number of run ends that the scheduler has made durable.
+    #[must_use]
+    pub const fn acknowledged(&self) -> u64 {
+        self.acknowledged
+    }
+
+    /// Records that the run ends up to `sequence` are durable.
+    pub fn acknowledge(&mut self, sequence: u64) {
+        self.acknowledged = self.acknowledged.max(sequence);
+    }
+
     /// Sets whether the executor answers; true if that has changed.
     pub fn set_responsive(&mut self, responsive: bool) -> bool {
         let changed = self.unresponsive == responsive;
