Place no task while a target lists a run of it

Cause: when a target reports a new instance, all runs of the former one lapse, and their tasks were placed at once. A run that the new instance lists was stopped as an unknown one, but its task's next run started beside it, and the same went for a run that any other target lists. Starts no longer reach another instance, so no way to such a run is known now; the scheduler shouldn't depend on that.

Change: tasks of which a target lists an unknown run wait until no list shows it, gangs as a whole.

Before: a_task_is_not_placed_while_a_target_lists_a_run_of_it fails (run 2 is ordered beside the stop of run 1).

--- a/crates/rattanwinch_scheduling/src/waiting.rs
+++ b/crates/rattanwinch_scheduling/src/waiting.rs
@@ -80,7 +80,35 @@
     }
 }
 
+/// Removes the tasks that still run somewhere; from a gang all, if any of its tasks does.
+fn remove_running_tasks(
+    task_indices: &mut SmallVec<[u32; 8]>,
+    step: &StepId,
+    gang: bool,
+    running: &BTreeSet<TaskId>,
+) {
+    let ready = task_indices.len();
+    task_indices.retain(|index| {
+        let task = TaskId {
+            step: step.clone(),
+            index: *index,
+        };
+        !running.contains(&task)
+    });
+    if gang && task_indices.len() < ready {
+        task_indices.clear();
+    }
+}
+
 impl Scheduler {
+    /// Returns the tasks of runs that targets list though they are not placed there. A further run
+    /// of such a task would run beside the listed one until that has been stopped.
+    fn tasks_of_unknown_runs(&self) -> BTreeSet<TaskId> {
+        let targets = self.targets.values();
+        let runs = targets.flat_map(|target| &target.unknown_runs);
+        runs.map(|run| run.task.clone()).collect()
+    }
+
     /// Returns the waiting steps in the order in which they are placed.
     pub(crate) fn waiting_steps(
         &mut self,
@@ -90,15 +118,22 @@
     ) -> Vec<WaitingStep> {
         let mut all = Vec::new();
         let mut ready = BTreeSet::new();
+        let running = self.tasks_of_unknown_runs();
         for id in &self.open_jobs {
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            for (group, task_indices) in ready_task_groups(job, wall) {
+            for (group, mut task_indices) in ready_task_groups(job, wall) {
                 let step = group.step.clone();
                 let Some(description) = job.step(step.step) else {
                     continue;
                 };
+                if !running.is_empty() {
+                    remove_running_tasks(&mut task_indices, &step, description.gang, &running);
+                }
+                if task_indices.is_empty() {
+                    continue;
+                }
                 let since = *self.ready_since.entry(step.clone()).or_insert(now);
                 ready.insert(step.clone());
                 let organisation = &job.accepted.organisation;
--- a/crates/rattanwinch_scheduling/tests/decisions/runs.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/runs.rs
@@ -98,6 +98,43 @@
     assert_eq!(site.scheduler.take_due_orders(site.now)[0].stops, [run]);
 }
 
+/// Guards against a task that runs twice: a run that a target lists though it was placed elsewhere,
+/// such as on the target's former instance, is being stopped, and goes on until that is done.
+#[test]
+fn a_task_is_not_placed_while_a_target_lists_a_run_of_it() {
+    let mut gang = step(2, 1);
+    gang.gang = true;
+    for step in [step(1, 1), gang] {
+        let mut site = Fixture::new(2);
+        let job = site.submit(1, "a", std::slice::from_ref(&step));
+        let started = site.step();
+        let (former, start) = &started[0];
+        let number = usize::from(*former != target(0));
+        let listed = site.report_mut(number).running[0].clone();
+        assert_eq!(listed.run, start.run);
+        site.add_target(number, 5);
+        site.report_mut(number).running.push(listed.clone());
+        site.wait(100);
+        site.scheduler.place_tasks(site.now, site.now);
+        site.commit();
+        let orders = site.scheduler.take_due_orders(site.now);
+        let mut starts = orders.iter().flat_map(|orders| &orders.starts);
+        assert!(
+            starts.all(|start| start.run.task != listed.run.task),
+            "{orders:?}"
+        );
+        assert!(
+            orders
+                .iter()
+                .any(|orders| orders.stops.contains(&listed.run)),
+            "{orders:?}"
+        );
+        site.report_mut(number).running.clear();
+        site.play(400);
+        assert_eq!(site.running(&job).len(), step.count as usize);
+    }
+}
+
 /// Guards against waiting 16 s for the leases of a VM's former target, whose runs are gone.
 #[test]
 fn a_new_target_on_a_vm_ends_its_former_runs() {
