Count a job as pending until its first task has started

Cause: a job counted as running from its first run number on, which the placement assigns. Jobs placed on a target that was lost just before, whose start was refused, or whose placement was given up, were never counted. The fronts' logs show `step placed` and no `run started` for them.

Change: a job is running once a target has confirmed a start, by its answer to the order or in its lists. That is published at once, so it can't be older than an answer may be, and written with the checkpoints every 2 s, so that the next scheduler doesn't show a running job as queued; younger starts it learns from reports. Records of before are of started jobs if a task has ended or saved a checkpoint. New log line `job started`.

--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -17,6 +17,7 @@
 use rattanwinch_scheduling::Changes;
 use rattanwinch_scheduling::Event;
 use rattanwinch_scheduling::JobId;
+use rattanwinch_scheduling::JobState;
 use rattanwinch_scheduling::OrderOutcome;
 use rattanwinch_scheduling::RemovalCause;
 use rattanwinch_scheduling::RunId;
@@ -352,8 +353,14 @@
         self.committer = Some(committer);
         self.scheduler.mark_committed(changes);
         let now = self.state.clock.now();
-        let published = std::mem::take(&mut self.pending_publication);
-        for (id, job) in &published {
+        let mut published = std::mem::take(&mut self.pending_publication);
+        for (id, job) in &mut published {
+            // The first task may have started during the commit.
+            if job.state == JobState::Queued
+                && self.scheduler.job_state(id) == Some(JobState::Running)
+            {
+                job.state = JobState::Running;
+            }
             if job.state.is_final()
                 && let Some(ended_at) = self.ended.get(id)
             {
@@ -420,8 +427,12 @@
             self.query_advisor(query, now);
         }
         for event in self.scheduler.take_events() {
-            if let Event::Finished { job, .. } = &event {
-                self.ended.insert(job.clone(), now);
+            match &event {
+                Event::JobStarted { job } => self.local_leader.published_jobs.publish_start(job),
+                Event::Finished { job, .. } => {
+                    self.ended.insert(job.clone(), now);
+                }
+                _ => {}
             }
             log_event(&self.state.log, &event);
         }
--- a/crates/rattanwinch_front/src/event_log.rs
+++ b/crates/rattanwinch_front/src/event_log.rs
@@ -43,6 +43,10 @@
             info!(log, "run started"; "job" => %run.task.step.job, "run" => run.within_job(),
                 "after_ms" => after_ms);
         }
+        Event::JobStarted { job } => {
+            count_decision("job_started");
+            info!(log, "job started"; "job" => %job);
+        }
         Event::Refused {
             run,
             target,
--- a/crates/rattanwinch_front/src/published_jobs.rs
+++ b/crates/rattanwinch_front/src/published_jobs.rs
@@ -18,7 +18,8 @@
     }
 }
 
-/// The durable states of all jobs. Any thread may read them; only the coordinator replaces them.
+/// The states of all jobs: durable ones, but for the first start, which is published at once. Any
+/// thread may read them; only the coordinator replaces them.
 #[derive(Debug)]
 pub(crate) struct PublishedJobs {
     jobs: ArcSwap<HashMap<JobId, PublishedJob>>,
@@ -44,6 +45,15 @@
         queued.count() as u64
     }
 
+    /// Publishes that the first task of a job has started.
+    pub(crate) fn publish_start(&self, id: &JobId) {
+        let Some(mut job) = self.get(id).filter(|job| job.state == JobState::Queued) else {
+            return;
+        };
+        job.state = JobState::Running;
+        self.publish(BTreeMap::from([(id.clone(), job)]), &[]);
+    }
+
     /// Publishes changed jobs and removes expired ones.
     pub(crate) fn publish(&self, changed: BTreeMap<JobId, PublishedJob>, removed_jobs: &[JobId]) {
         let mut jobs = HashMap::clone(&self.jobs.load());
--- a/crates/rattanwinch_front/src/records.rs
+++ b/crates/rattanwinch_front/src/records.rs
@@ -203,6 +203,8 @@
     cancelled: bool,
     #[serde(default, skip_serializing_if = "is_false")]
     failed: bool,
+    #[serde(default, skip_serializing_if = "is_false")]
+    started: bool,
     tasks: Vec<StoredTask>,
 }
 
@@ -252,6 +254,7 @@
     let stored = StoredProgress {
         cancelled: progress.cancelled,
         failed: progress.failed,
+        started: progress.started,
         tasks: tasks.collect(),
     };
     serde_json::to_vec(&stored).expect("a record of plain fields is valid JSON")
@@ -289,6 +292,7 @@
     Ok(JobProgress {
         cancelled: stored.cancelled,
         failed: stored.failed,
+        started: stored.started,
         tasks: tasks.collect::<Result<_>>()?,
     })
 }
--- a/crates/rattanwinch_front/tests/site/main.rs
+++ b/crates/rattanwinch_front/tests/site/main.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod changes_of_scheduler;
 mod failovers;
+mod job_states;
 mod late_orders;
 mod lost_targets;
 mod shapes_of_work;
--- a/crates/rattanwinch_scheduling/src/event.rs
+++ b/crates/rattanwinch_scheduling/src/event.rs
@@ -49,6 +49,11 @@
             /// The time from the placement to the confirmed start, in milliseconds.
             after_ms: u64,
         },
+        /// The first task of a job has started.
+        JobStarted {
+            /// The job.
+            job: JobId,
+        },
         /// A target refused to start a run.
         Refused {
             /// The run.
--- a/crates/rattanwinch_scheduling/src/job.rs
+++ b/crates/rattanwinch_scheduling/src/job.rs
@@ -98,6 +98,8 @@
         pub cancelled: bool,
         /// A task or a gang has used up its attempts.
         pub failed: bool,
+        /// A task has started. May be false for a short time after the start.
+        pub started: bool,
         /// The tasks that have been placed.
         pub tasks: Vec<TaskProgress>,
     }
@@ -127,6 +129,8 @@
     pub rules: QueueRules,
     pub cancelled: bool,
     pub failed: bool,
+    /// A target has confirmed that a task of the job has started there.
+    started: bool,
     /// All tasks, ordered by occurrence, step and index.
     tasks: Vec<Task>,
     /// The offset of the first task of each step within an occurrence.
@@ -149,6 +153,7 @@
             accepted,
             cancelled: false,
             failed: false,
+            started: false,
             unfinished_tasks: tasks.len(),
             tasks,
             offsets,
@@ -161,6 +166,11 @@
         let mut job = Self::new(accepted);
         job.cancelled = progress.cancelled;
         job.failed = progress.failed;
+        // Written only some time after the start, but what a task has achieved shows it as well.
+        let has_run = |task: &TaskProgress| {
+            task.done || task.checkpoint.is_some() || !task.failed_runs.is_empty()
+        };
+        job.started = progress.started || progress.tasks.iter().any(has_run);
         for saved in progress.tasks {
             let Some(task) = job.task_mut(&saved.task) else {
                 continue;
@@ -177,7 +187,7 @@
     }
 
     pub(crate) fn progress(&self) -> JobProgress {
-        let started = self.task_ids().filter_map(|id| {
+        let placed = self.task_ids().filter_map(|id| {
             let task = self.task(&id)?;
             (task.last_run > 0).then(|| TaskProgress {
                 last_run: task.last_run,
@@ -191,7 +201,8 @@
         JobProgress {
             cancelled: self.cancelled,
             failed: self.failed,
-            tasks: started.collect(),
+            started: self.started,
+            tasks: placed.collect(),
         }
     }
 
@@ -202,13 +213,18 @@
             JobState::Failed
         } else if self.cancelled {
             JobState::Cancelled
-        } else if self.tasks.iter().any(|task| task.last_run > 0) {
+        } else if self.started {
             JobState::Running
         } else {
             JobState::Queued
         }
     }
 
+    /// Records that a task has started; returns true if it is the first.
+    pub(crate) fn mark_started(&mut self) -> bool {
+        !std::mem::replace(&mut self.started, true)
+    }
+
     pub(crate) fn id(&self) -> &JobId {
         &self.accepted.id
     }
--- a/crates/rattanwinch_scheduling/src/limits.rs
+++ b/crates/rattanwinch_scheduling/src/limits.rs
@@ -23,8 +23,8 @@
         pub max_reclaim_time: Duration,
         /// The longest time that a target takes to stop a run.
         pub max_stop_time: Duration,
-        /// The interval at which checkpoints of running tasks are made durable.
-        pub checkpoint_write_interval: Duration,
+        /// The interval at which checkpoints and first starts of jobs are made durable.
+        pub progress_write_interval: Duration,
         /// A run without progress for this long is stopped and started elsewhere.
         pub stall_timeout: Duration,
         /// The duration of the first quarantine of a target; doubled for each further one.
@@ -63,7 +63,7 @@
             // stop.
             .urgent_locality_wait(Duration::from_millis(800))
             // Tasks write checkpoints every 0.5 or 2 s; a lost record repeats at most this much work.
-            .checkpoint_write_interval(Duration::from_secs(2))
+            .progress_write_interval(Duration::from_secs(2))
             // Progress is reported in whole per cent each second. One per cent of the longest
             // task on the slowest target in the users' requirements takes 2 s.
             .stall_timeout(Duration::from_millis(3000))
--- a/crates/rattanwinch_scheduling/src/orders.rs
+++ b/crates/rattanwinch_scheduling/src/orders.rs
@@ -158,6 +158,7 @@
                         after_ms,
                     });
                 }
+                self.mark_started(&run.task.step.job);
             }
             OrderOutcome::Refused(refusal) => self.handle_refusal(run, refusal, now),
             OrderOutcome::Stopped if reported => self.handle_stopped(run, now),
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -117,6 +117,7 @@
         }
         self.request_placement();
         for run in new {
+            self.mark_started(&run.task.step.job);
             self.record_event(Event::UnknownRun {
                 run,
                 target: target.clone(),
@@ -214,11 +215,12 @@
             return;
         }
         let job = &running.run.task.step.job;
+        self.mark_started(job);
         let saved = self.jobs.get_mut(job);
         if saved
             .is_some_and(|saved| saved.update_checkpoint(&running.run, running.checkpoint.clone()))
         {
-            self.unsaved_checkpoints.insert(job.clone());
+            self.unsaved_progress.insert(job.clone());
         }
         let Some(active) = self.active.get_mut(&running.run) else {
             return;
@@ -258,6 +260,7 @@
         self.mark_end_processed(instance, ended.sequence);
         let run = &ended.run;
         let job_id = run.task.step.job.clone();
+        self.mark_started(&job_id);
         if let Some(job) = self.jobs.get_mut(&job_id) {
             job.update_checkpoint(run, ended.checkpoint.clone());
         }
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -65,9 +65,9 @@
     /// When this scheduler took over; the silence of unreported instances is measured from then.
     pub(crate) started_at: Timestamp,
     changed_jobs: BTreeSet<JobId>,
-    /// Jobs with checkpoints that are not durable yet.
-    pub(crate) unsaved_checkpoints: BTreeSet<JobId>,
-    next_checkpoint_write_at: Timestamp,
+    /// Jobs with checkpoints or a first start that are not durable yet.
+    pub(crate) unsaved_progress: BTreeSet<JobId>,
+    next_progress_write_at: Timestamp,
     /// The sequence number of the last processed ended run of each target instance, until that run
     /// is durable.
     uncommitted_sequences: BTreeMap<TargetInstance, u64>,
@@ -120,8 +120,8 @@
             ready_since: BTreeMap::new(),
             started_at: now,
             changed_jobs: BTreeSet::new(),
-            unsaved_checkpoints: BTreeSet::new(),
-            next_checkpoint_write_at: now,
+            unsaved_progress: BTreeSet::new(),
+            next_progress_write_at: now,
             uncommitted_sequences: BTreeMap::new(),
             events: Vec::new(),
         };
@@ -271,11 +271,12 @@
 
     /// Returns the changes since the last call, to be made durable.
     ///
-    /// New checkpoints alone are batched, since they only save work if a target is lost.
+    /// New checkpoints and first starts alone are batched: without the former work is lost if a
+    /// target is lost as well, and the next scheduler learns the latter from the targets.
     pub fn take_changes(&mut self, now: Timestamp) -> Changes {
-        if now >= self.next_checkpoint_write_at && !self.unsaved_checkpoints.is_empty() {
-            self.next_checkpoint_write_at = now + self.limits.checkpoint_write_interval;
-            self.changed_jobs.append(&mut self.unsaved_checkpoints);
+        if now >= self.next_progress_write_at && !self.unsaved_progress.is_empty() {
+            self.next_progress_write_at = now + self.limits.progress_write_interval;
+            self.changed_jobs.append(&mut self.unsaved_progress);
         }
         let silent_instances = self.take_silence_changes(now);
         let runs = self.active.iter().filter(|(_, active)| !active.durable);
@@ -289,8 +290,7 @@
 
     fn take_changed_jobs(&mut self) -> Vec<JobId> {
         let changed = std::mem::take(&mut self.changed_jobs);
-        self.unsaved_checkpoints
-            .retain(|job| !changed.contains(job));
+        self.unsaved_progress.retain(|job| !changed.contains(job));
         changed.into_iter().collect()
     }
 
@@ -434,6 +434,15 @@
         self.changed_jobs.insert(job.clone());
     }
 
+    /// Records that a target has confirmed a start of one of the job's tasks.
+    pub(crate) fn mark_started(&mut self, job: &JobId) {
+        let is_first = self.jobs.get_mut(job).is_some_and(Job::mark_started);
+        if is_first {
+            self.unsaved_progress.insert(job.clone());
+            self.record_event(Event::JobStarted { job: job.clone() });
+        }
+    }
+
     pub(crate) fn mark_end_processed(&mut self, instance: &TargetInstance, sequence: u64) {
         let highest = self
             .uncommitted_sequences
--- a/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
@@ -54,7 +54,7 @@
         .urgent_locality_wait(Duration::from_millis(800))
         .max_reclaim_time(Duration::from_millis(2700))
         .max_stop_time(Duration::from_millis(900))
-        .checkpoint_write_interval(Duration::from_secs(2))
+        .progress_write_interval(Duration::from_secs(2))
         .stall_timeout(Duration::from_secs(3))
         .initial_quarantine(Duration::from_secs(5))
         .max_quarantine(Duration::from_secs(40))
--- a/crates/rattanwinch_scheduling/tests/decisions/main.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/main.rs
@@ -7,4 +7,5 @@
 mod reclaiming;
 mod runs;
 mod silences;
+mod states;
 mod upkeep;
