Withdraw unconfirmed starts from targets that operators close

Cause: closed zones were looked at when a task was placed, not when its start was sent again. A start without an answer was repeated every 1.8 s for as long as the agent reported, and went through when the executor answered again. By the logs the scheduler had known of the closing for 6.3 s. The same held for machines about to go down for upkeep, for starts between placement and first order, and for placements that a new scheduler inherits.

Change: a start that is due on a closed target is withdrawn. If a copy may have been sent, the run is stopped first, which makes the copy harmless; otherwise its task is placed elsewhere at once. Gangs are withdrawn as a whole; what has started goes on. The three places that ask whether a target is closed share one function.

--- a/crates/rattanwinch_front/src/event_log.rs
+++ b/crates/rattanwinch_front/src/event_log.rs
@@ -58,6 +58,14 @@
             warn!(log, "start refused"; "job" => %run.task.step.job, "run" => run.within_job(),
                 "target" => %target, "reason" => ?refusal);
         }
+        Event::StartWithdrawn {
+            run,
+            target,
+            closure,
+        } => {
+            count_decision("start_withdrawn");
+            log_run_event(log, "start withdrawn", run, target, closure.as_str());
+        }
         Event::Ended {
             run,
             target,
--- a/crates/rattanwinch_front/tests/site/lost_targets.rs
+++ b/crates/rattanwinch_front/tests/site/lost_targets.rs
@@ -7,6 +7,9 @@
 /// Silence of a target after which its leases have expired, with leases of 6 s.
 const TARGET_SILENCE_TIMEOUT: Duration = Duration::from_millis(16_120);
 
+/// Time from the confirmation of a closed zone to the last start there.
+const EVACUATION_TIME: Duration = Duration::from_secs(5);
+
 /// Interval at which the silence of targets is recorded in the store.
 const SILENCE_RECORD_INTERVAL: Duration = Duration::from_secs(4);
 
@@ -89,6 +92,28 @@
         .await;
 }
 
+/// Guards against a start that is repeated until its target answers: operators had closed the
+/// target's zone seconds before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_start_that_waits_for_its_target_is_withdrawn_from_a_closed_zone() {
+    let site = Site::start(2, 1).await;
+    site.submit_until_accepted(0, "00000000000000c8", 10, 1)
+        .await;
+    site.wait_for(0, "00000000000000c8", "completed", Duration::from_secs(10))
+        .await;
+    let executor = &site.workers[0].executor;
+    executor.set_partitioned(true);
+    assert_eq!(site.submit(0, "00000000000000c9", 10, 3).await, 200);
+    site.store.put("op/evacuate/az-1", &serde_json::json!({}));
+    tokio::time::sleep(EVACUATION_TIME).await;
+    executor.set_partitioned(false);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert!(site.started("00000000000000c9").is_empty());
+    site.store.delete("op/evacuate/az-1");
+    site.wait_for(0, "00000000000000c9", "completed", Duration::from_secs(10))
+        .await;
+}
+
 /// Guards against a wait for a lost target's leases that restarted with each change of leader,
 /// which delayed its work for as long as the leader kept changing.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/rattanwinch_scheduling/src/event.rs
+++ b/crates/rattanwinch_scheduling/src/event.rs
@@ -8,6 +8,7 @@
 use crate::RunOutcome;
 use crate::StartRefusal;
 use crate::StepId;
+use crate::TargetClosure;
 use crate::TargetInstance;
 
 value! {
@@ -63,6 +64,15 @@
             /// The reason for the refusal.
             refusal: StartRefusal,
         },
+        /// A start that no target has confirmed is withdrawn, since its target was closed.
+        StartWithdrawn {
+            /// The run.
+            run: RunId,
+            /// The target.
+            target: TargetName,
+            /// Why the target gets no new tasks.
+            closure: TargetClosure,
+        },
         /// A run has ended.
         Ended {
             /// The run.
--- a/crates/rattanwinch_scheduling/src/lib.rs
+++ b/crates/rattanwinch_scheduling/src/lib.rs
@@ -13,6 +13,7 @@
 mod active_run;
 mod active_runs;
 mod advisor_tickets;
+mod closure;
 mod event;
 mod guarantees;
 mod job;
@@ -41,6 +42,7 @@
 
 pub use advisor_tickets::AdvisorQuery;
 pub use advisor_tickets::AdvisorResponse;
+pub use closure::TargetClosure;
 pub use event::Event;
 pub use event::RemovalCause;
 pub use job::AcceptedJob;
--- a/crates/rattanwinch_scheduling/src/orders.rs
+++ b/crates/rattanwinch_scheduling/src/orders.rs
@@ -25,6 +25,7 @@
     ///
     /// Each order counts as in flight until [`Self::handle_order_outcome`].
     pub fn take_due_orders(&mut self, now: Timestamp) -> Vec<TargetOrders> {
+        self.withdraw_starts(now);
         self.abandon_unsent();
         let mut orders: BTreeMap<TargetInstance, TargetOrders> = BTreeMap::new();
         let due: Vec<_> = self
@@ -114,6 +115,43 @@
         }
     }
 
+    /// Withdraws starts that are due on targets that have been closed since the placement; their
+    /// tasks can run elsewhere. A start that was sent before may still be carried out, so the run
+    /// is stopped like any other.
+    fn withdraw_starts(&mut self, now: Timestamp) {
+        if self.rules.closed_zones.is_empty() && self.cordoned.is_empty() {
+            return;
+        }
+        let due = self
+            .active
+            .iter()
+            .filter(|(_, active)| active.desired == DesiredState::Run && self.is_due(active, now));
+        let withdrawn: Vec<_> = due
+            .filter_map(|(run, active)| {
+                let target = active.target.target.clone();
+                let closure = self.closure(self.target(&target)?)?;
+                Some((run.clone(), target, closure))
+            })
+            .collect();
+        for (run, target, closure) in withdrawn {
+            self.stop_with_gang(&run);
+            self.record_event(Event::StartWithdrawn {
+                run,
+                target,
+                closure,
+            });
+        }
+    }
+
+    /// Stops a run, and with it the other members of its gang.
+    pub(crate) fn stop_with_gang(&mut self, run: &RunId) {
+        let step = &run.task.step;
+        let gang = self.step(step).is_some_and(|description| description.gang);
+        self.stop_runs(|other| {
+            other == run || (gang && other.task.step == *step && other.number == run.number)
+        });
+    }
+
     /// Abandons runs that were cancelled before any order for them was sent.
     fn abandon_unsent(&mut self) {
         let unsent: Vec<_> = self
@@ -200,15 +238,9 @@
         // An earlier copy of the order may still be in transit, so a stop first prevents the run
         // from starting; the following report shows whether it had started.
         if let Some(active) = self.active.get_mut(run) {
-            active.desired = DesiredState::Stop;
             active.retry_at = now;
         }
-        let step = run.task.step.clone();
-        let gang = self.step(&step).is_some_and(|description| description.gang);
-        if gang {
-            let number = run.number;
-            self.stop_runs(|other| other.task.step == step && other.number == number);
-        }
+        self.stop_with_gang(run);
     }
 
     /// Places no new tasks on a target for a retry delay, after it has refused one.
--- a/crates/rattanwinch_scheduling/src/placement_pass.rs
+++ b/crates/rattanwinch_scheduling/src/placement_pass.rs
@@ -98,11 +98,10 @@
     fn room(&self, now: Timestamp) -> Room {
         let usable = self.targets.iter().filter(|(_, target)| {
             !target.description.draining
-                && !self.cordoned.contains(&target.description.instance.target)
+                && self.closure(target).is_none()
                 && target.unknown_runs.is_empty()
                 && now >= target.quarantined_until
                 && now.since(target.last_report_at) <= self.limits.max_report_age
-                && !self.rules.closed_zones.contains(&target.description.zone)
         });
         let mut room =
             Room::new(usable.map(|(name, target)| (name.clone(), target.description.capacity)));
--- a/crates/rattanwinch_scheduling/src/preemption.rs
+++ b/crates/rattanwinch_scheduling/src/preemption.rs
@@ -148,11 +148,9 @@
     /// Returns true if the target is excluded for a passing reason, such as a refused order or a
     /// late report.
     fn may_become_usable(&self, target: &TargetName) -> bool {
-        self.targets.get(target).is_some_and(|target| {
-            !target.description.draining
-                && !self.cordoned.contains(&target.description.instance.target)
-                && !self.rules.closed_zones.contains(&target.description.zone)
-        })
+        self.targets
+            .get(target)
+            .is_some_and(|target| !target.description.draining && self.closure(target).is_none())
     }
 
     /// Holds room for a blocked step, and stops runs that it may displace.
--- a/crates/rattanwinch_scheduling/src/stalls.rs
+++ b/crates/rattanwinch_scheduling/src/stalls.rs
@@ -32,11 +32,7 @@
             {
                 task.failed_on.push(target.clone());
             }
-            let step = run.task.step.clone();
-            let gang = self.step(&step).is_some_and(|description| description.gang);
-            self.stop_runs(|other| {
-                *other == run || (gang && other.task.step == step && other.number == run.number)
-            });
+            self.stop_with_gang(&run);
             self.quarantine(&target, now);
             self.record_event(Event::Stalled { run, target });
         }
--- a/crates/rattanwinch_scheduling/tests/decisions/main.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod fixture;
 
+mod closures;
 mod lateness;
 mod placing;
 mod reclaiming;
