Let a start begin only while its order is valid

Cause: the first attempt of a start went over a connection that was open before the partition. The agent gave it up after 300 ms; the network held it back and delivered it 5 s later. A start named the end of a full lease, 6 s ahead, as the time until which it may begin, so the executor carried it out. The agent checks the order's validity, 1 s, only before it sends.

Change: the start names the end of the order's validity. The executor, where the start takes effect, refuses it later by its own clock, also if the agent was frozen between check and call. Such a start grants no lease beyond that, so leases rest on polls alone; a poll that was sent without a renewal is now given up as soon as the agent has found the scheduler.

Before: 6 of 7 runs of the site tests red; leases_are_renewed_as_soon_as_an_agent_has_found_the_scheduler fails without the second part (no renewal within 1 s).

--- a/crates/rattanwinch_front/tests/site/late_orders.rs
+++ b/crates/rattanwinch_front/tests/site/late_orders.rs
@@ -79,6 +79,24 @@
     }
 }
 
+/// Guards against a run that loses its lease between its start, which grants none beyond the
+/// order's validity, and the first renewal: the poll that was sent before the agent had found the
+/// scheduler renews nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn leases_are_renewed_as_soon_as_an_agent_has_found_the_scheduler() {
+    // Less than the 1.5 s that the poll in progress may take.
+    let bound = Duration::from_secs(1);
+    for _ in 0..3 {
+        let site = Site::start(1, 1).await;
+        let started_at = Instant::now();
+        while site.workers[0].executor.lease_left() < Duration::from_secs(5) {
+            let waited = started_at.elapsed();
+            assert!(waited < bound, "no renewal {waited:?} after the start");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
 /// A target that refuses starts for a while must not keep its tasks from running elsewhere.
 #[tokio::test(flavor = "multi_thread")]
 async fn tasks_avoid_an_unhealthy_target() {
--- a/crates/rattanwinch_side/src/executor_watch.rs
+++ b/crates/rattanwinch_side/src/executor_watch.rs
@@ -41,7 +41,14 @@
     // The first poll doesn't wait, so that the scheduler learns the running tasks at once.
     let mut wait = None;
     loop {
-        match poll_lists(state, client, wait).await {
+        let polled = tokio::select! {
+            polled = poll_lists(state, client, wait) => polled,
+            () = state.renewals_resumed.notified() => {
+                wait = None;
+                continue;
+            }
+        };
+        match polled {
             Ok(()) => wait = Some(LIST_POLL_WAIT),
             Err(ExecutorError::OtherInstance) => {
                 return state.remove_target(client, "another instance answers");
--- a/crates/rattanwinch_side/src/orders.rs
+++ b/crates/rattanwinch_side/src/orders.rs
@@ -140,7 +140,9 @@
         if draining != Some(false) || now > valid_until || state.epoch() > epoch {
             break;
         }
-        let lease = state.settings.vm.max_lease;
+        // A request that a partition or the executor delays must not start the run after the order
+        // has expired, when the target may have been closed. Polls renew the lease soon after.
+        let lease = valid_until.since(now).min(state.settings.vm.max_lease);
         let Some(lease_end_ms) = state.update_view(client, |view| view.lease_end(lease, now))
         else {
             break;
--- a/crates/rattanwinch_side/src/reporter.rs
+++ b/crates/rattanwinch_side/src/reporter.rs
@@ -77,7 +77,7 @@
                         "epoch" => answer.epoch);
                     return;
                 }
-                state.record_leader_contact(sent_at);
+                state.record_leader_contact(sent_at, state.clock.now());
                 apply_answer(state, &report, &answer);
             }
             Err(error) => {
--- a/crates/rattanwinch_side/src/side_state.rs
+++ b/crates/rattanwinch_side/src/side_state.rs
@@ -50,6 +50,9 @@
     pub report_needed: Notify,
     /// The highest epoch seen; orders with lower ones are refused.
     epoch: AtomicU64,
+    /// Notified when leases may be renewed again, so that none expires during a poll that was sent
+    /// without a renewal.
+    pub renewals_resumed: Notify,
     /// When the last report that a confirmed leader answered was sent, in milliseconds.
     leader_contact_ms: AtomicU64,
     sequence: AtomicU64,
@@ -76,6 +79,7 @@
             instance_changes: watch::Sender::new(0),
             report_needed: Notify::new(),
             epoch: AtomicU64::new(0),
+            renewals_resumed: Notify::new(),
             leader_contact_ms: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             announcements: watch::Sender::new(None),
@@ -153,9 +157,14 @@
         let _ = self.update_view_of(instance, |view| view.acknowledge(sequence));
     }
 
-    pub(crate) fn record_leader_contact(&self, sent_at: Timestamp) {
+    /// Records that a confirmed leader answered, at `now`, the report that was sent at `sent_at`.
+    pub(crate) fn record_leader_contact(&self, sent_at: Timestamp, now: Timestamp) {
+        let renewed_before = self.may_renew_leases(now);
         self.leader_contact_ms
             .fetch_max(sent_at.as_millis(), Ordering::AcqRel);
+        if !renewed_before {
+            self.renewals_resumed.notify_one();
+        }
     }
 
     /// True if the last contact with a confirmed leader is recent enough at `now` to renew leases.
