Start nothing on operators' orders that are over 3.5 s old

What operators saw, or would: tasks start in a zone that they have closed, if the scheduler can't read the store but can renew its lease, which is enough to stay in office.

Cause: placing asked only whether any operators' orders had ever been read, and sending a start not even that. A scheduler that had just taken over sent its predecessor's pending starts before it had read which zones are closed. Orders that are sent again are decided again, so they need the same rules.

Change: tasks are placed and starts sent only while the lease is confirmed and the last read of the operators' orders was sent at most 3.5 s before; with the second for which an order to an agent is valid, and some time for the call, that keeps within the 5 s after which a closed zone gets nothing. Stops still go out.

--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -409,7 +409,9 @@
             self.record_ages(now);
             self.scheduler.expire_silent_targets(now);
         }
-        if self.local_leader.is_lease_confirmed(now) && self.local_leader.orders.load().is_some() {
+        let may_start_tasks = self.local_leader.may_start_tasks(now);
+        self.scheduler.hold_starts(!may_start_tasks);
+        if may_start_tasks {
             self.upkeep.run_due(&mut self.scheduler, now);
             if is_tick || self.scheduler.needs_placement() {
                 self.scheduler
--- a/crates/rattanwinch_front/src/local_leader.rs
+++ b/crates/rattanwinch_front/src/local_leader.rs
@@ -25,6 +25,10 @@
 /// being answered at that time.
 const LEASE_MARGIN: Duration = Duration::from_millis(150);
 
+/// Age beyond which operators' orders are too old to start tasks by. A zone that is closed has to
+/// get nothing after 5 s, and orders to agents are valid for 1 s.
+const MAX_OPERATOR_ORDERS_AGE_FOR_STARTS: Duration = Duration::from_millis(3500);
+
 /// The operators' orders, and when the read that returned them was sent.
 #[derive(Debug)]
 pub(crate) struct OperatorOrdersSnapshot {
@@ -83,6 +87,13 @@
         self.confirmation_age(now) < LEADER_LEASE_TTL - LEASE_MARGIN
     }
 
+    /// True if tasks may be placed and started at `now`: no other front can have taken over, and
+    /// the operators' orders are recent.
+    pub(crate) fn may_start_tasks(&self, now: Timestamp) -> bool {
+        let orders = self.fresh_operator_orders(MAX_OPERATOR_ORDERS_AGE_FOR_STARTS, now);
+        self.is_lease_confirmed(now) && orders.is_some()
+    }
+
     /// The operators' orders, if the read that returned them was sent at most `max_age` ago.
     pub(crate) fn fresh_operator_orders(
         &self,
--- a/crates/rattanwinch_front/tests/site/lost_targets.rs
+++ b/crates/rattanwinch_front/tests/site/lost_targets.rs
@@ -1,6 +1,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rattanwinch_site_standins::FaultMode;
+
 use crate::harness::Site;
 use crate::harness::Worker;
 
@@ -114,6 +116,33 @@
         .await;
 }
 
+/// Guards against a scheduler that can't read the store, or can't reach it, and goes on to start
+/// tasks: it doesn't learn which zones operators have closed meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_scheduler_that_cannot_read_operators_orders_starts_nothing() {
+    for mode in [FaultMode::RefuseReads, FaultMode::Refuse] {
+        let site = Site::start(1, 1).await;
+        site.submit_until_accepted(0, "00000000000000e8", 10, 1)
+            .await;
+        site.wait_for(0, "00000000000000e8", "completed", Duration::from_secs(10))
+            .await;
+        let executor = &site.workers[0].executor;
+        executor.set_partitioned(true);
+        assert_eq!(site.submit(0, "00000000000000e9", 10, 1).await, 200);
+        let store = &site.fronts[0].store_endpoint;
+        store.set_mode(mode);
+        site.store.put("op/evacuate/az-1", &serde_json::json!({}));
+        tokio::time::sleep(EVACUATION_TIME).await;
+        executor.set_partitioned(false);
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        assert!(site.started("00000000000000e9").is_empty(), "{mode:?}");
+        site.store.delete("op/evacuate/az-1");
+        store.set_mode(FaultMode::Serve);
+        site.wait_for(0, "00000000000000e9", "completed", Duration::from_secs(10))
+            .await;
+    }
+}
+
 /// Guards against a wait for a lost target's leases that restarted with each change of leader,
 /// which delayed its work for as long as the leader kept changing.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/rattanwinch_scheduling/src/orders.rs
+++ b/crates/rattanwinch_scheduling/src/orders.rs
@@ -75,7 +75,8 @@
             // A start grants a lease, and silence is measured from the last report: a start sent
             // long after a report could grant a lease that outlasts the silence timeout.
             DesiredState::Run => {
-                now.since(target.last_report_at) <= self.limits.max_report_age
+                !self.starts_held
+                    && now.since(target.last_report_at) <= self.limits.max_report_age
                     && self.may_renew_leases(&active.target.vm)
             }
             DesiredState::Stop => true,
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -56,6 +56,8 @@
     /// Targets that get no new tasks because their machines are about to go down.
     pub(crate) cordoned: BTreeSet<TargetName>,
     pub(crate) silence_records: SilenceRecords,
+    /// No starts are ordered, not even for durable placements.
+    pub(crate) starts_held: bool,
     /// Target instances with placements of a previous scheduler that have not reported to this one.
     pub(crate) unreported_instances: BTreeSet<TargetInstance>,
     /// An event since the last placement pass may let a waiting task start.
@@ -115,6 +117,7 @@
             advisor_tickets: TicketCache::default(),
             cordoned: BTreeSet::new(),
             silence_records: SilenceRecords::default(),
+            starts_held: false,
             unreported_instances: BTreeSet::new(),
             placement_needed: true,
             ready_since: BTreeMap::new(),
@@ -363,6 +366,12 @@
         self.targets.len()
     }
 
+    /// Holds all starts, or orders them again. They are held while it isn't known whether the rules
+    /// are still in force.
+    pub const fn hold_starts(&mut self, held: bool) {
+        self.starts_held = held;
+    }
+
     /// Cordons these targets, which get no new tasks, and uncordons all others.
     pub fn cordon(&mut self, targets: BTreeSet<TargetName>) {
         self.placement_needed |= self.cordoned != targets;
--- a/crates/rattanwinch_scheduling/tests/decisions/closures.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/closures.rs
@@ -89,6 +89,22 @@
     }
 }
 
+/// Guards against starts by a scheduler that has lost sight of the rules; stops still go out.
+#[test]
+fn no_start_is_ordered_while_starts_are_held() {
+    let mut site = Fixture::new(2);
+    let running = site.submit(1, "a", &[step(1, 8)]);
+    site.step();
+    site.submit(1, "a", &[step(1, 8)]);
+    site.scheduler.cancel(&running);
+    site.scheduler.hold_starts(true);
+    let orders = site.order();
+    assert!(started(&orders).is_empty(), "{orders:?}");
+    assert_eq!(stopped(&orders).len(), 1);
+    site.scheduler.hold_starts(false);
+    assert_eq!(started(&site.scheduler.take_due_orders(site.now)).len(), 1);
+}
+
 /// Guards against a start whose zone is closed between its placement and its first order.
 #[test]
 fn a_start_that_was_not_sent_is_withdrawn_without_a_stop() {
