Review: runs start again after their end when ends are listed in parts (case 6)

Cause: a new scheduler takes a list with 500 ends for complete, gives up the runs that it doesn't show, and starts their tasks again, though their ends follow with the next lists.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -6,4 +6,4 @@
 cd "$folder/../.." || exit 2
 program=target/review-2/review-2
 [ -x "$program" ] || { echo "run review/build-2.sh first" >&2; exit 2; }
-exec "$program" departure "$folder/record.txt"
+exec "$program" many-ends "$folder/record.txt"
