--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -159,6 +159,7 @@
     }
     pause(4.0);
     wait_for("the job is done", seconds(60.0), || {
+        pause(0.2);
         let state = site.call(0, "GET", A, "", DEADLINE);
         state.is_some_and(|(_, body)| body.get("state").text() == "completed")
     })?;
