Conclude that a run is gone only from complete lists

Cause: an executor lists at most 500 ends at a time. The scheduler took lists for complete, so a run that was in neither list counted as gone after its start was refused as old and its stop confirmed. The record shows for each of the twenty the refusal, the stop, the start of run 2, and only then the end of run 1.

Change: a target's lists are one type, RunLists, with their extent. What they say about a run that they don't name is Absent only if they are complete. Stops, missing runs, runs without progress and unexpected runs all go by that value. An outcome `Stopped` counts only together with a report of the run's own instance. The agent polls at once when ends are acknowledged after partial lists.

Tests: partial_lists (four, of the scheduler), lists_with_500_ends_are_partial, partial_lists_are_reported_as_such_and_read_on_when_acknowledged. With partial lists taken for complete, the four fail; that a run which isn't listed counted as standing still was found by one of them.

Three tests passed an outcome as reported without the report, against the contract of handle_order_outcome; they now pass the report first (Fixture::answer). What they check is the same.

--- a/crates/rattanwinch_fleet/src/wire/reports.rs
+++ b/crates/rattanwinch_fleet/src/wire/reports.rs
@@ -5,8 +5,10 @@
 use rattanwinch_scheduling::EndedTask;
 use rattanwinch_scheduling::JobId;
 use rattanwinch_scheduling::Label;
+use rattanwinch_scheduling::ListExtent;
 use rattanwinch_scheduling::Resources;
 use rattanwinch_scheduling::RunId;
+use rattanwinch_scheduling::RunLists;
 use rattanwinch_scheduling::RunOutcome;
 use rattanwinch_scheduling::RunningTask;
 use rattanwinch_scheduling::ServiceName;
@@ -150,6 +152,9 @@
     lists_clock_ms: u64,
     running: Vec<WireRunning>,
     ended: Vec<WireEnded>,
+    /// Further ends may follow.
+    #[serde(default)]
+    partial: bool,
 }
 
 fn saved(checkpoint: Option<&Checkpoint>) -> Option<Arc<str>> {
@@ -163,12 +168,12 @@
 impl From<&TargetReport> for WireTarget {
     fn from(report: &TargetReport) -> Self {
         let described = &report.description;
-        let running = report.running.iter().map(|running| WireRunning {
+        let running = report.lists.running.iter().map(|running| WireRunning {
             run: (&running.run).into(),
             saved: saved(running.checkpoint.as_ref()),
             percent: running.percent,
         });
-        let ended = report.ended.iter().map(|ended| WireEnded {
+        let ended = report.lists.ended.iter().map(|ended| WireEnded {
             sequence: ended.sequence,
             run: (&ended.run).into(),
             end: ended.outcome.into(),
@@ -187,6 +192,7 @@
             lists_clock_ms: report.lists_clock_ms,
             running: running.collect(),
             ended: ended.collect(),
+            partial: report.lists.extent == ListExtent::Partial,
         }
     }
 }
@@ -221,8 +227,15 @@
                 draining: wire.draining,
             },
             lists_clock_ms: wire.lists_clock_ms,
-            running: running.collect(),
-            ended: ended.collect(),
+            lists: RunLists {
+                running: running.collect(),
+                ended: ended.collect(),
+                extent: if wire.partial {
+                    ListExtent::Partial
+                } else {
+                    ListExtent::Complete
+                },
+            },
         })
     }
 }
--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -323,17 +323,21 @@
         let Some(results) = results else {
             for run in runs {
                 self.scheduler
-                    .handle_order_outcome(&run, OrderOutcome::Unknown, false, now);
+                    .handle_order_outcome(&run, OrderOutcome::Unknown, None, now);
             }
             return true;
         };
-        let reported = results.report.is_some();
         if let Some(report) = &results.report {
             if self.is_superseded(report) {
                 return false;
             }
             self.apply_report(report, now);
         }
+        let target = results
+            .report
+            .as_ref()
+            .and_then(|report| report.target.as_ref());
+        let reported = target.map(|target| &target.description.instance);
         for (run, outcome) in results.outcomes {
             self.scheduler
                 .handle_order_outcome(&run, outcome, reported, now);
--- a/crates/rattanwinch_scheduling/src/active_run.rs
+++ b/crates/rattanwinch_scheduling/src/active_run.rs
@@ -4,6 +4,7 @@
 use crate::Resources;
 use crate::TargetInstance;
 use crate::Ticket;
+use crate::run_lists::Presence;
 
 value! { copy
     /// The desired state of a run.
@@ -33,9 +34,9 @@
     pub started: bool,
     /// When the start was first confirmed, by an order outcome or a report.
     pub started_at: Option<Timestamp>,
-    /// The latest report lists the run as running.
-    pub is_reported: bool,
-    /// Since when reports no longer list the started run.
+    /// What the latest lists of the target say about the run.
+    pub presence: Presence,
+    /// Since when complete lists lack the started run.
     pub missing_since: Option<Timestamp>,
     pub placed_at: Timestamp,
     /// No order is sent before this time.
@@ -53,6 +54,8 @@
     /// Returns true if the run makes its task available: a serving task is once its progress is
     /// 100%.
     pub(crate) fn is_available(&self) -> bool {
-        self.desired == DesiredState::Run && self.is_reported && self.percent >= 100
+        self.desired == DesiredState::Run
+            && self.presence == Presence::Running
+            && self.percent >= 100
     }
 }
--- a/crates/rattanwinch_scheduling/src/orders.rs
+++ b/crates/rattanwinch_scheduling/src/orders.rs
@@ -15,6 +15,7 @@
 use crate::TargetOrders;
 use crate::active_run::ActiveRun;
 use crate::active_run::DesiredState;
+use crate::run_lists::Presence;
 
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
@@ -168,13 +169,14 @@
 
     /// Handles the outcome of an order.
     ///
-    /// If the agent sent a report with the outcome, made after the order was carried out, the
-    /// caller must pass it to [`Self::handle_report`] first and set `reported`.
+    /// If the agent sent a report on the target with the outcome, made after the order was carried
+    /// out, the caller must pass it to [`Self::handle_report`] first, and its target instance as
+    /// `reported`.
     pub fn handle_order_outcome(
         &mut self,
         run: &RunId,
         outcome: OrderOutcome,
-        reported: bool,
+        reported: Option<&TargetInstance>,
         now: Timestamp,
     ) {
         let retry_at = now + self.limits.order_retry_delay;
@@ -200,19 +202,23 @@
                 self.mark_started(&run.task.step.job);
             }
             OrderOutcome::Refused(refusal) => self.handle_refusal(run, refusal, now),
-            OrderOutcome::Stopped if reported => self.handle_stopped(run, now),
+            OrderOutcome::Stopped if reported == Some(&active.target) => {
+                self.handle_stopped(run, now);
+            }
             OrderOutcome::Stopped | OrderOutcome::Unknown => {}
         }
     }
 
-    /// Handles a confirmed stop; a run that the following report does not list is gone.
+    /// Handles a confirmed stop; a run that the following lists show to be absent is gone.
+    ///
+    /// Partial lists do not show that: the run may have ended, and its end be listed later.
     fn handle_stopped(&mut self, run: &RunId, now: Timestamp) {
         let repeat_at = now + self.limits.stop_retry_delay;
         let Some(active) = self.active.get_mut(run) else {
             return;
         };
         active.retry_at = repeat_at;
-        if !active.is_reported {
+        if active.presence == Presence::Absent {
             self.abandon(run);
         }
     }
--- a/crates/rattanwinch_scheduling/src/placement_pass.rs
+++ b/crates/rattanwinch_scheduling/src/placement_pass.rs
@@ -15,6 +15,7 @@
 use crate::placement::choose_targets;
 use crate::room::Availability;
 use crate::room::Room;
+use crate::run_lists::Presence;
 use crate::scheduler::occupied_resources;
 use crate::waiting::WaitingStep;
 
@@ -255,7 +256,7 @@
                 maybe_sent: false,
                 started: false,
                 started_at: None,
-                is_reported: false,
+                presence: Presence::Unknown,
                 missing_since: None,
                 placed_at: now,
                 retry_at: now,
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -14,6 +14,7 @@
 use crate::TargetInstance;
 use crate::TargetReport;
 use crate::active_run::DesiredState;
+use crate::run_lists::Presence;
 use crate::target::Target;
 
 /// A run that fails within this time of its placement has done hardly any work: orders take some
@@ -53,21 +54,33 @@
             target.description = report.description.clone();
             target.last_report_at = now;
         }
-        for ended in &report.ended {
+        let lists = &report.lists;
+        for ended in &lists.ended {
             self.handle_ended_task(instance, ended, now);
         }
         self.update_lists_time(instance, report.lists_clock_ms, now);
+        let of_others = lists.presence_of_others();
         self.active
-            .update_on(instance, |active| active.is_reported = false);
-        for running in &report.running {
+            .update_on(instance, |active| active.presence = of_others);
+        for running in &lists.running {
             self.handle_running_task(instance, running, now);
         }
         self.update_missing_runs(instance, now);
-        let unknown_runs = report.running.iter().map(|running| &running.run);
-        let unknown_runs: Vec<_> = unknown_runs
+        let listed = lists.running.iter().map(|running| &running.run);
+        let mut unknown_runs: Vec<_> = listed
             .filter(|run| !self.is_placed_on(run, instance))
             .cloned()
             .collect();
+        // An unknown run whose end may be unlisted still counts: if it is done, its task must not
+        // run again.
+        if let Some(target) = self.targets.get(&instance.target) {
+            let vanished = target
+                .unknown_runs
+                .iter()
+                .filter(|run| lists.may_hide_end_of(run) && !unknown_runs.contains(run));
+            let vanished: Vec<_> = vanished.cloned().collect();
+            unknown_runs.extend(vanished);
+        }
         self.update_unknown_runs(&instance.target, unknown_runs, now);
     }
 
@@ -230,14 +243,14 @@
         }
         active.started = true;
         active.started_at.get_or_insert(now);
-        active.is_reported = true;
+        active.presence = Presence::Running;
         active.percent = running.percent;
         active.first_progress.get_or_insert((now, running.percent));
     }
 
     fn update_missing_runs(&mut self, instance: &TargetInstance, now: Timestamp) {
         self.active.update_on(instance, |active| {
-            if active.is_reported || !active.started {
+            if active.presence != Presence::Absent || !active.started {
                 active.missing_since = None;
                 return;
             }
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -31,6 +31,7 @@
 use crate::reclaim::Reclaim;
 use crate::reclaim::TaskGroup;
 use crate::reclaim::Underway;
+use crate::run_lists::Presence;
 use crate::silences::SilenceRecords;
 use crate::target::Target;
 use crate::target::Targets;
@@ -165,7 +166,7 @@
                 maybe_sent: true,
                 started: false,
                 started_at: None,
-                is_reported: false,
+                presence: Presence::Unknown,
                 missing_since: None,
                 placed_at: now,
                 retry_at: now,
--- a/crates/rattanwinch_scheduling/src/stalls.rs
+++ b/crates/rattanwinch_scheduling/src/stalls.rs
@@ -6,16 +6,17 @@
 use crate::Scheduler;
 use crate::active_run::ActiveRun;
 use crate::active_run::DesiredState;
+use crate::run_lists::Presence;
 
 impl Scheduler {
-    /// Stops started runs that make no progress, and quarantines their targets.
+    /// Stops runs that are listed without progress, and quarantines their targets.
     pub(crate) fn stop_stalled_runs(&mut self, now: Timestamp) {
         let stall = self.limits.stall_timeout;
         let stalled: Vec<_> = self
             .active
             .iter()
             .filter(|(run, active)| {
-                active.started
+                active.presence == Presence::Running
                     && active.desired == DesiredState::Run
                     && active.percent < 100
                     && self.observed_time(active, now) > stall
--- a/crates/rattanwinch_scheduling/src/target.rs
+++ b/crates/rattanwinch_scheduling/src/target.rs
@@ -12,6 +12,7 @@
 use crate::Label;
 use crate::Resources;
 use crate::RunId;
+use crate::RunLists;
 use crate::ServiceName;
 
 value! {
@@ -112,10 +113,8 @@
         /// The target's clock when it made the lists of its runs, in milliseconds. It does not change
         /// while the target does not answer, and the lists are those of before.
         pub lists_clock_ms: u64,
-        /// The running runs.
-        pub running: Vec<RunningTask>,
-        /// The ended runs that are not acknowledged yet, in sequence order.
-        pub ended: Vec<EndedTask>,
+        /// The runs on the target.
+        pub lists: RunLists,
     }
 }
 
--- a/crates/rattanwinch_scheduling/tests/decisions/closures.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/closures.rs
@@ -37,7 +37,7 @@
     fn leave_unanswered(&mut self, orders: &[TargetOrders]) {
         for run in started(orders) {
             self.scheduler
-                .handle_order_outcome(&run, OrderOutcome::Unknown, false, self.now);
+                .handle_order_outcome(&run, OrderOutcome::Unknown, None, self.now);
         }
         self.wait(400);
     }
@@ -82,8 +82,7 @@
             closure,
         };
         assert!(site.scheduler.take_events().contains(&withdrawn));
-        site.scheduler
-            .handle_order_outcome(&run, OrderOutcome::Stopped, true, site.now);
+        site.answer(0, &run, OrderOutcome::Stopped);
         site.step();
         assert_eq!(site.running(&job), [target(2)], "{closure:?}");
     }
@@ -162,7 +161,7 @@
     assert!(next.take_due_orders(site.now).is_empty());
     // The first start was carried out, the second wasn't.
     let mut report = site.report_mut(0).clone();
-    report.running.push(RunningTask {
+    report.lists.running.push(RunningTask {
         run: runs[0].clone(),
         checkpoint: None,
         percent: 1,
--- a/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
@@ -6,11 +6,13 @@
 use rattanwinch_scheduling::EndedTask;
 use rattanwinch_scheduling::JobDescription;
 use rattanwinch_scheduling::JobId;
+use rattanwinch_scheduling::ListExtent;
 use rattanwinch_scheduling::OrderOutcome;
 use rattanwinch_scheduling::QueueName;
 use rattanwinch_scheduling::QueueRules;
 use rattanwinch_scheduling::Resources;
 use rattanwinch_scheduling::RunId;
+use rattanwinch_scheduling::RunLists;
 use rattanwinch_scheduling::RunOutcome;
 use rattanwinch_scheduling::RunningTask;
 use rattanwinch_scheduling::Scheduler;
@@ -137,8 +139,7 @@
         let report = TargetReport {
             description,
             lists_clock_ms: self.now.as_millis(),
-            running: Vec::new(),
-            ended: Vec::new(),
+            lists: RunLists::empty(ListExtent::Complete),
         };
         self.scheduler.handle_report(&report, self.now);
         self.reports.insert(target(number), report);
@@ -197,7 +198,7 @@
                 continue;
             }
             report.lists_clock_ms = self.now.as_millis();
-            for running in report.running.iter_mut().filter(|_| !self.is_hung) {
+            for running in report.lists.running.iter_mut().filter(|_| !self.is_hung) {
                 running.percent = (running.percent + 1) % 99;
             }
             self.scheduler.handle_report(report, self.now);
@@ -226,16 +227,25 @@
 
     /// Lets a target refuse a start that was sent earlier, of a run that it still lists.
     pub fn refuse_start(&mut self, number: usize) {
-        let run = self.report_mut(number).running[0].run.clone();
+        let run = self.report_mut(number).lists.running[0].run.clone();
         let refused = OrderOutcome::Refused(StartRefusal::Room);
         self.scheduler
-            .handle_order_outcome(&run, refused, false, self.now);
+            .handle_order_outcome(&run, refused, None, self.now);
     }
 
     pub fn report_mut(&mut self, number: usize) -> &mut TargetReport {
         self.reports.get_mut(&target(number)).expect("a target")
     }
 
+    /// Passes the outcome of an order, with the report that a target's agent made after it.
+    pub fn answer(&mut self, number: usize, run: &RunId, outcome: OrderOutcome) {
+        let report = self.report_mut(number).clone();
+        self.scheduler.handle_report(&report, self.now);
+        let instance = Some(&report.description.instance);
+        self.scheduler
+            .handle_order_outcome(run, outcome, instance, self.now);
+    }
+
     pub fn commit(&mut self) {
         let changes = self.scheduler.take_changes(self.now);
         self.scheduler.mark_committed(&changes);
@@ -252,7 +262,7 @@
             let report = self.reports.get_mut(&name).expect("a target");
             let mut outcomes = Vec::new();
             for start in orders.starts {
-                report.running.push(RunningTask {
+                report.lists.running.push(RunningTask {
                     run: start.run.clone(),
                     checkpoint: None,
                     percent: 0,
@@ -262,7 +272,11 @@
             }
             for run in orders.stops {
                 if self.max_stop_time > Duration::ZERO
-                    && report.running.iter().any(|running| running.run == run)
+                    && report
+                        .lists
+                        .running
+                        .iter()
+                        .any(|running| running.run == run)
                 {
                     outcomes.push((run.clone(), OrderOutcome::Stopped));
                     stopping.push(run);
@@ -273,9 +287,10 @@
             }
             let report = report.clone();
             self.scheduler.handle_report(&report, self.now);
+            let instance = Some(&report.description.instance);
             for (run, outcome) in outcomes {
                 self.scheduler
-                    .handle_order_outcome(&run, outcome, true, self.now);
+                    .handle_order_outcome(&run, outcome, instance, self.now);
             }
         }
         for run in stopping {
@@ -287,10 +302,13 @@
 
     /// Ends a run on its target and reports the end.
     pub fn end(&mut self, run: &RunId, outcome: RunOutcome) {
-        let report_with_run = self
-            .reports
-            .values_mut()
-            .find(|report| report.running.iter().any(|running| running.run == *run));
+        let report_with_run = self.reports.values_mut().find(|report| {
+            report
+                .lists
+                .running
+                .iter()
+                .any(|running| running.run == *run)
+        });
         let report = report_with_run.expect("a target runs it");
         end_run_in_report(report, run, outcome);
         let report = report.clone();
@@ -299,7 +317,10 @@
 
     /// Ends every run of a job.
     pub fn end_job(&mut self, job: &JobId, outcome: RunOutcome) {
-        let all = self.reports.values().flat_map(|report| &report.running);
+        let all = self
+            .reports
+            .values()
+            .flat_map(|report| &report.lists.running);
         let runs = all.map(|running| running.run.clone());
         let runs: Vec<_> = runs.filter(|run| run.task.step.job == *job).collect();
         for run in runs {
@@ -312,6 +333,7 @@
         let mut targets = Vec::new();
         for (name, report) in &self.reports {
             let of_job = report
+                .lists
                 .running
                 .iter()
                 .filter(|running| running.run.task.step.job == *job);
@@ -322,11 +344,15 @@
 }
 
 fn end_run_in_report(report: &mut TargetReport, run: &RunId, outcome: RunOutcome) {
-    let before = report.running.len();
-    report.running.retain(|running| running.run != *run);
-    if report.running.len() < before {
-        let sequence = report.ended.last().map_or(1, |last| last.sequence + 1);
-        report.ended.push(EndedTask {
+    let before = report.lists.running.len();
+    report.lists.running.retain(|running| running.run != *run);
+    if report.lists.running.len() < before {
+        let sequence = report
+            .lists
+            .ended
+            .last()
+            .map_or(1, |last| last.sequence + 1);
+        report.lists.ended.push(EndedTask {
             sequence,
             run: run.clone(),
             outcome,
--- a/crates/rattanwinch_scheduling/tests/decisions/main.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 
 mod closures;
 mod lateness;
+mod partial_lists;
 mod placing;
 mod reclaiming;
 mod runs;
--- a/crates/rattanwinch_scheduling/tests/decisions/placing.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/placing.rs
@@ -227,7 +227,7 @@
         }),
         ("rules", true, Fixture::set_rules),
         ("an end", true, |site| {
-            let run = site.report_mut(0).running[0].run.clone();
+            let run = site.report_mut(0).lists.running[0].run.clone();
             site.end(&run, RunOutcome::Done);
         }),
     ];
--- a/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/reclaiming.rs
@@ -37,7 +37,7 @@
 /// Returns the number of a target on which a run is being stopped.
 fn target_of_a_victim(site: &mut Fixture, stopped: &BTreeMap<TaskId, usize>) -> usize {
     let number = (0..6).find(|&number| {
-        let running = &site.report_mut(number).running;
+        let running = &site.report_mut(number).lists.running;
         running
             .iter()
             .any(|running| stopped.contains_key(&running.run.task))
@@ -376,7 +376,7 @@
     let serving = site.submit(2, "b", &[serving]);
     site.step();
     for number in 0..2 {
-        for running in &mut site.report_mut(number).running {
+        for running in &mut site.report_mut(number).lists.running {
             if running.run.task.step.job == serving {
                 running.percent = 100;
             }
--- a/crates/rattanwinch_scheduling/tests/decisions/runs.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/runs.rs
@@ -67,16 +67,14 @@
     let orders = site.scheduler.take_due_orders(site.now);
     let run = orders[0].starts[0].run.clone();
     let refused = OrderOutcome::Refused(StartRefusal::Unhealthy);
-    site.scheduler
-        .handle_order_outcome(&run, refused, true, site.now);
+    site.answer(0, &run, refused);
     site.scheduler.place_tasks(site.now, site.now);
     site.commit();
     let orders = site.scheduler.take_due_orders(site.now);
     assert_eq!(orders.len(), 1);
     assert_eq!(orders[0].stops, std::slice::from_ref(&run));
     assert!(orders[0].starts.is_empty());
-    site.scheduler
-        .handle_order_outcome(&run, OrderOutcome::Stopped, true, site.now);
+    site.answer(0, &run, OrderOutcome::Stopped);
     assert_eq!(site.step().len(), 1);
     assert_eq!(site.running(&job).len(), 1);
 }
@@ -91,8 +89,7 @@
     site.scheduler.cancel(&job);
     let orders = site.scheduler.take_due_orders(site.now);
     assert_eq!(orders[0].stops, std::slice::from_ref(&run));
-    site.scheduler
-        .handle_order_outcome(&run, OrderOutcome::Stopped, true, site.now);
+    site.answer(0, &run, OrderOutcome::Stopped);
     assert!(site.scheduler.take_due_orders(site.now).is_empty());
     site.wait(1_600);
     assert_eq!(site.scheduler.take_due_orders(site.now)[0].stops, [run]);
@@ -110,10 +107,10 @@
         let started = site.step();
         let (former, start) = &started[0];
         let number = usize::from(*former != target(0));
-        let listed = site.report_mut(number).running[0].clone();
+        let listed = site.report_mut(number).lists.running[0].clone();
         assert_eq!(listed.run, start.run);
         site.add_target(number, 5);
-        site.report_mut(number).running.push(listed.clone());
+        site.report_mut(number).lists.running.push(listed.clone());
         site.wait(100);
         site.scheduler.place_tasks(site.now, site.now);
         site.commit();
@@ -129,7 +126,7 @@
                 .any(|orders| orders.stops.contains(&listed.run)),
             "{orders:?}"
         );
-        site.report_mut(number).running.clear();
+        site.report_mut(number).lists.running.clear();
         site.play(400);
         assert_eq!(site.running(&job).len(), step.count as usize);
     }
@@ -146,7 +143,7 @@
     let mut report = site.report_mut(0).clone();
     report.description.instance.target = target(9);
     report.description.instance.started_at_ms = 5;
-    report.running.clear();
+    report.lists.running.clear();
     next.handle_report(&report, site.now);
     next.place_tasks(site.now, site.now);
     let changes = next.take_changes(site.now);
@@ -194,7 +191,7 @@
     let job = site.submit(1, "a", &[resumable]);
     let started = site.step();
     assert_eq!(started[0].1.checkpoint, None);
-    site.report_mut(0).running[0].checkpoint = Some(Checkpoint::from("half"));
+    site.report_mut(0).lists.running[0].checkpoint = Some(Checkpoint::from("half"));
     site.wait(2_100);
     site.commit();
     let (_, progress) = site.scheduler.job_record(&job).expect("a job");
@@ -202,7 +199,7 @@
     let instance = site.report_mut(0).description.instance.clone();
     site.scheduler
         .remove_instance(&instance, RemovalCause::Left);
-    site.report_mut(0).running.clear();
+    site.report_mut(0).lists.running.clear();
     site.wait(100);
     let again = site.step();
     assert_eq!(again[0].1.checkpoint, Some(Checkpoint::from("half")));
@@ -239,9 +236,9 @@
     let started = site.step();
     let mut unknown = started[0].1.run.clone();
     unknown.task.step.job = "nobody".into();
-    let mut running = site.report_mut(0).running[0].clone();
+    let mut running = site.report_mut(0).lists.running[0].clone();
     running.run = unknown.clone();
-    site.report_mut(1).running.push(running);
+    site.report_mut(1).lists.running.push(running);
     site.wait(100);
     site.submit(1, "a", &[step(7, 1)]);
     site.scheduler.place_tasks(site.now, site.now);
@@ -343,9 +340,9 @@
         run.number = number;
         run
     };
-    let mut running = site.report_mut(0).running[0].clone();
+    let mut running = site.report_mut(0).lists.running[0].clone();
     running.run = unknown(1);
-    site.report_mut(0).running.push(running.clone());
+    site.report_mut(0).lists.running.push(running.clone());
     let stops_within = |site: &mut Fixture, millis: u64| {
         let mut stops = Vec::new();
         for _ in 0..millis / 20 {
@@ -359,7 +356,7 @@
     assert_eq!(stops_within(&mut site, 1_400), [unknown(1)]);
     // A further unknown run is stopped at once.
     running.run = unknown(2);
-    site.report_mut(0).running.push(running);
+    site.report_mut(0).lists.running.push(running);
     let stops = stops_within(&mut site, 100);
     assert_eq!(stops, [unknown(1), unknown(2)]);
     assert_eq!(site.scheduler.job_state(&job), Some(JobState::Running));
--- a/crates/rattanwinch_scheduling/tests/decisions/states.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/states.rs
@@ -35,17 +35,15 @@
         OrderOutcome::Refused(StartRefusal::Unhealthy),
     ];
     for outcome in outcomes {
-        site.scheduler
-            .handle_order_outcome(&run, outcome, true, site.now);
+        site.answer(0, &run, outcome);
         assert_eq!(site.scheduler.job_state(&job), Some(JobState::Queued));
     }
-    site.scheduler
-        .handle_order_outcome(&run, OrderOutcome::Stopped, true, site.now);
+    site.answer(0, &run, OrderOutcome::Stopped);
     assert_eq!(site.scheduler.job_state(&job), Some(JobState::Queued));
     site.wait(1_000);
     let run = order_start(&mut site);
     site.scheduler
-        .handle_order_outcome(&run, OrderOutcome::Started, false, site.now);
+        .handle_order_outcome(&run, OrderOutcome::Started, None, site.now);
     assert_eq!(site.scheduler.job_state(&job), Some(JobState::Running));
     let events = site.scheduler.take_events();
     let started = Event::JobStarted { job };
--- a/crates/rattanwinch_scheduling/tests/decisions/upkeep.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/upkeep.rs
@@ -178,7 +178,7 @@
     let job = fixture.site.submit(1, "a", &[serving]);
     fixture.site.step();
     for number in 0..2 {
-        fixture.site.report_mut(number).running[0].percent = 100;
+        fixture.site.report_mut(number).lists.running[0].percent = 100;
     }
     fixture.site.is_hung = true;
     fixture.wait(8_000);
--- a/crates/rattanwinch_scheduling/tests/world/model.rs
+++ b/crates/rattanwinch_scheduling/tests/world/model.rs
@@ -357,9 +357,10 @@
         if let Some((made_at, report)) = report {
             self.deliver_report(*made_at, report);
         }
+        let reported = report.map(|(_, report)| &report.description.instance);
         for (run, outcome) in outcomes {
             self.scheduler
-                .handle_order_outcome(run, *outcome, report.is_some(), self.now);
+                .handle_order_outcome(run, *outcome, reported, self.now);
         }
     }
 
--- a/crates/rattanwinch_scheduling/tests/world/target.rs
+++ b/crates/rattanwinch_scheduling/tests/world/target.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use rattanwinch_scheduling::EndedTask;
+use rattanwinch_scheduling::ListExtent;
 use rattanwinch_scheduling::Resources;
 use rattanwinch_scheduling::RunId;
+use rattanwinch_scheduling::RunLists;
 use rattanwinch_scheduling::RunOutcome;
 use rattanwinch_scheduling::RunningTask;
 use rattanwinch_scheduling::ServiceName;
@@ -21,6 +23,9 @@
 /// The maximum duration of a lease.
 pub const LEASE_TTL: Duration = Duration::from_secs(6);
 
+/// The number of ends that a target lists at a time, small so that some lists are partial.
+const MAX_LISTED_ENDS: usize = 4;
+
 /// How long an agent renews leases without contact to a scheduler.
 pub const CONTACT_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -164,8 +169,15 @@
                 labels: smallvec!["a".into(), "r1".into()],
                 draining: false,
             },
-            running: running.collect(),
-            ended: self.ended.clone(),
+            lists: RunLists {
+                running: running.collect(),
+                ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+                extent: if self.ended.len() < MAX_LISTED_ENDS {
+                    ListExtent::Complete
+                } else {
+                    ListExtent::Partial
+                },
+            },
         }
     }
 }
--- a/crates/rattanwinch_side/src/executor_watch.rs
+++ b/crates/rattanwinch_side/src/executor_watch.rs
@@ -43,7 +43,7 @@
     loop {
         let polled = tokio::select! {
             polled = poll_lists(state, client, wait) => polled,
-            () = state.renewals_resumed.notified() => {
+            () = state.poll_needed.notified() => {
                 wait = None;
                 continue;
             }
--- a/crates/rattanwinch_side/src/side_state.rs
+++ b/crates/rattanwinch_side/src/side_state.rs
@@ -50,9 +50,9 @@
     pub report_needed: Notify,
     /// The highest epoch seen; orders with lower ones are refused.
     epoch: AtomicU64,
-    /// Notified when leases may be renewed again, so that none expires during a poll that was sent
-    /// without a renewal.
-    pub renewals_resumed: Notify,
+    /// Notified when a poll should not wait: leases may be renewed again, or ends were acknowledged
+    /// and the executor can list further ones.
+    pub poll_needed: Notify,
     /// When the last report that a confirmed leader answered was sent, in milliseconds.
     leader_contact_ms: AtomicU64,
     sequence: AtomicU64,
@@ -79,7 +79,7 @@
             instance_changes: watch::Sender::new(0),
             report_needed: Notify::new(),
             epoch: AtomicU64::new(0),
-            renewals_resumed: Notify::new(),
+            poll_needed: Notify::new(),
             leader_contact_ms: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             announcements: watch::Sender::new(None),
@@ -154,7 +154,10 @@
     /// has been replaced.
     pub(crate) fn acknowledge(&self, instance: &TargetInstance, sequence: u64) {
         // A former instance has no view any more, and its ends are gone with it.
-        let _ = self.update_view_of(instance, |view| view.acknowledge(sequence));
+        let may_list_more = self.update_view_of(instance, |view| view.acknowledge(sequence));
+        if may_list_more == Some(true) {
+            self.poll_needed.notify_one();
+        }
     }
 
     /// Records that a confirmed leader answered, at `now`, the report that was sent at `sent_at`.
@@ -163,7 +166,7 @@
         self.leader_contact_ms
             .fetch_max(sent_at.as_millis(), Ordering::AcqRel);
         if !renewed_before {
-            self.renewals_resumed.notify_one();
+            self.poll_needed.notify_one();
         }
     }
 
--- a/crates/rattanwinch_side/src/target_view.rs
+++ b/crates/rattanwinch_side/src/target_view.rs
@@ -1,7 +1,8 @@
 use std::time::Duration;
 
-use rattanwinch_scheduling::EndedTask;
+use rattanwinch_scheduling::ListExtent;
 use rattanwinch_scheduling::RunId;
+use rattanwinch_scheduling::RunLists;
 use rattanwinch_scheduling::RunningTask;
 use rattanwinch_scheduling::TargetDescription;
 use rattanwinch_scheduling::TargetReport;
@@ -25,8 +26,7 @@
     clock: (u64, Timestamp),
     /// The executor's clock in the last applied lists.
     lists_clock_ms: Option<u64>,
-    running: Vec<RunningTask>,
-    ended: Vec<EndedTask>,
+    lists: RunLists,
     /// Confirmed starts that the lists don't show yet, with the executor's clock in the
     /// confirmation.
     confirmed_starts: Vec<(RunId, u64)>,
@@ -45,8 +45,7 @@
             sequence: heartbeat.sequence,
             clock: (heartbeat.clock_ms, now),
             lists_clock_ms: None,
-            running: Vec::new(),
-            ended: Vec::new(),
+            lists: RunLists::empty(ListExtent::Partial),
             confirmed_starts: Vec::new(),
             acknowledged: 0,
             unresponsive: false,
@@ -118,9 +117,12 @@
         self.acknowledged
     }
 
-    /// Records that the run ends up to `sequence` are durable.
-    pub fn acknowledge(&mut self, sequence: u64) {
+    /// Records that the run ends up to `sequence` are durable; true if the executor can list ends
+    /// that it has not listed yet.
+    pub fn acknowledge(&mut self, sequence: u64) -> bool {
+        let is_further = sequence > self.acknowledged;
         self.acknowledged = self.acknowledged.max(sequence);
+        is_further && self.lists.extent == ListExtent::Partial
     }
 
     /// Sets whether the executor answers; true if that has changed.
@@ -147,11 +149,12 @@
         let runs = |running: &[RunningTask]| -> Vec<RunId> {
             running.iter().map(|running| running.run.clone()).collect()
         };
-        let changed = runs(&self.running) != runs(&lists.running)
-            || self.ended.len() != lists.ended.len()
-            || self.ended.last() != lists.ended.last();
-        self.running = lists.running;
-        self.ended = lists.ended;
+        let lists = lists.runs;
+        let changed = runs(&self.lists.running) != runs(&lists.running)
+            || self.lists.extent != lists.extent
+            || self.lists.ended.len() != lists.ended.len()
+            || self.lists.ended.last() != lists.ended.last();
+        self.lists = lists;
         changed || is_first
     }
 
@@ -159,12 +162,12 @@
     #[must_use]
     pub fn report(&self) -> Option<TargetReport> {
         let lists_clock_ms = self.lists_clock_ms?;
-        let mut running = self.running.clone();
+        let mut lists = self.lists.clone();
         for (run, _) in &self.confirmed_starts {
-            let is_listed = running.iter().any(|other| other.run == *run)
-                || self.ended.iter().any(|other| other.run == *run);
+            let is_listed = lists.running.iter().any(|other| other.run == *run)
+                || lists.ended.iter().any(|other| other.run == *run);
             if !is_listed {
-                running.push(RunningTask {
+                lists.running.push(RunningTask {
                     run: run.clone(),
                     checkpoint: None,
                     percent: 0,
@@ -176,8 +179,7 @@
         Some(TargetReport {
             description,
             lists_clock_ms,
-            running,
-            ended: self.ended.clone(),
+            lists,
         })
     }
 }
--- a/crates/rattanwinch_trials/src/passes.rs
+++ b/crates/rattanwinch_trials/src/passes.rs
@@ -7,10 +7,12 @@
 use rattanwinch_scheduling::AcceptedJob;
 use rattanwinch_scheduling::JobDescription;
 use rattanwinch_scheduling::JobId;
+use rattanwinch_scheduling::ListExtent;
 use rattanwinch_scheduling::OrderOutcome;
 use rattanwinch_scheduling::QueueName;
 use rattanwinch_scheduling::QueueRules;
 use rattanwinch_scheduling::Resources;
+use rattanwinch_scheduling::RunLists;
 use rattanwinch_scheduling::RunningTask;
 use rattanwinch_scheduling::Scheduler;
 use rattanwinch_scheduling::SchedulingLimits;
@@ -146,7 +148,11 @@
             site.submit(0, count, 1, false);
         }
         site.start_all();
-        let started: usize = site.reports.iter().map(|report| report.running.len()).sum();
+        let started: usize = site
+            .reports
+            .iter()
+            .map(|report| report.lists.running.len())
+            .sum();
         assert_eq!(started, running as usize, "all tasks fit");
         for _ in 0..WAITING_GANGS {
             site.submit(0, 6, 8, true);
@@ -191,14 +197,14 @@
             let report = self.reports.iter_mut().find(of_instance);
             let report = report.expect("orders are for known targets");
             for start in orders.starts {
-                report.running.push(RunningTask {
+                report.lists.running.push(RunningTask {
                     run: start.run.clone(),
                     checkpoint: None,
                     percent: 0,
                 });
                 let started = OrderOutcome::Started;
                 self.scheduler
-                    .handle_order_outcome(&start.run, started, false, self.now);
+                    .handle_order_outcome(&start.run, started, None, self.now);
             }
         }
     }
@@ -206,7 +212,7 @@
     /// Advances the progress in the next report of a target.
     fn next_report(&mut self, target: u32) {
         self.reports[target as usize].lists_clock_ms = self.now.as_millis();
-        for running in &mut self.reports[target as usize].running {
+        for running in &mut self.reports[target as usize].lists.running {
             running.percent = (running.percent + 1) % 99;
         }
     }
@@ -243,8 +249,7 @@
                 .collect(),
             draining: false,
         },
-        running: Vec::new(),
-        ended: Vec::new(),
+        lists: RunLists::empty(ListExtent::Complete),
     }
 }
 
