Answer 504 if an earlier attempt of a refused call may have run

Cause: the loop that forwards a call remembers that an attempt may have been carried out, but used that for time-outs alone. The answer to the last attempt was passed on, though it speaks of the keys and routes at its own time.

Change: CallerAnswer::after_uncertain_attempt decides what the caller is told then. Refusals of submissions become 504 at once, those of cancels too unless the job is unknown; queries have no effect and stay as they are.

Tests: caller_answers plays each refusal with each action; with the fronts as processes a_stored_job_is_not_refused_after_its_key_was_revoked got 401 in 8 of 8 runs without the change and 504 in 8 of 8 with it.

--- a/crates/rattanwinch_fleet/src/caller_call.rs
+++ b/crates/rattanwinch_fleet/src/caller_call.rs
@@ -82,6 +82,23 @@
     }
 }
 
+impl Refusal {
+    /// Returns true if the refusal of one attempt is true of the whole call, although an earlier
+    /// attempt may have been carried out.
+    ///
+    /// Keys, queues and leaders change between two attempts, so a refusal says nothing about the
+    /// attempts before it.
+    const fn covers_earlier_attempts(&self, action: &CallerAction) -> bool {
+        match action {
+            CallerAction::Submit(_) => false,
+            // Whatever became of the earlier attempt, no task of the job will start.
+            CallerAction::Cancel => matches!(self, Self::UnknownJob),
+            // A query has no effect.
+            CallerAction::Query => true,
+        }
+    }
+}
+
 impl fmt::Display for Refusal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -115,3 +132,17 @@
         Refused(Refusal),
     }
 }
+
+impl CallerAnswer {
+    /// Returns the answer to a call of which an earlier attempt may have been carried out, given
+    /// the answer to its last attempt.
+    #[must_use]
+    pub fn after_uncertain_attempt(self, action: &CallerAction) -> Self {
+        match self {
+            Self::Refused(refusal) if !refusal.covers_earlier_attempts(action) => {
+                Self::Refused(Refusal::MayHaveRun)
+            }
+            answer => answer,
+        }
+    }
+}
--- a/crates/rattanwinch_front/src/relay.rs
+++ b/crates/rattanwinch_front/src/relay.rs
@@ -52,6 +52,9 @@
             let mut changes = self.leader_changes();
             attempts += 1;
             match self.forward(&call, remaining).await {
+                ForwardOutcome::Answered(answer) if may_have_run => {
+                    break answer.after_uncertain_attempt(&call.action);
+                }
                 ForwardOutcome::Answered(answer) => break answer,
                 ForwardOutcome::MayHaveRun => may_have_run = true,
                 ForwardOutcome::NotRun => {}
--- a/crates/rattanwinch_front/tests/site/calls.rs
+++ b/crates/rattanwinch_front/tests/site/calls.rs
@@ -1,9 +1,12 @@
 use std::time::Duration;
+use std::time::Instant;
 
+use rattanwinch_site_standins::FaultMode;
 use reqwest::Method;
 use serde_json::json;
 
 use crate::harness::Site;
+use crate::harness::SiteOptions;
 use crate::harness::job;
 
 const JOB_TIMEOUT: Duration = Duration::from_secs(10);
@@ -107,3 +110,44 @@
     let (status, body) = site.call(1, Method::GET, "/checks/", None).await;
     assert_eq!((status, &body["pending"]), (200, &json!(2)));
 }
+
+/// Guards against a caller that is told that its key is unknown, though the job was stored before
+/// the leader was killed and runs: the key was revoked between two attempts of the call.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stored_job_is_not_refused_after_its_key_was_revoked() {
+    let site = Site::start_with(SiteOptions {
+        fronts: 2,
+        workers: 1,
+        front_processes: true,
+        ..SiteOptions::default()
+    })
+    .await;
+    // Both fronts know the leader then.
+    for front in 0..2 {
+        site.submit_until_accepted(front, "00000000000000f1", 10, 1)
+            .await;
+    }
+    let id = "00000000000000f2";
+    let leader = site.leader_index();
+    let lose_answers = FaultMode::LoseAnswers;
+    site.fronts[leader].store_endpoint.set_mode(lose_answers);
+    let submitted = site.submit(1 - leader, id, 10, 1);
+    let revoked = async {
+        let key = format!("rattanwinch/job/{id}");
+        while site.store.value(&key).is_none() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        site.revoke_api_keys();
+        site.fronts[leader].signal("-KILL");
+    };
+    let (status, ()) = tokio::join!(submitted, revoked);
+    assert_eq!(
+        status, 504,
+        "the caller can't know yet whether the job runs"
+    );
+    let submitted_at = Instant::now();
+    while site.started(id).is_empty() {
+        assert!(submitted_at.elapsed() < JOB_TIMEOUT, "the job was stored");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
