Take the names of other systems as text

Cause: names of organisations, zones and targets had to fit the alphabet of our own store keys. One name outside it made the configuration unreadable, and the last readable orders grew too old to be used.

Change: Organisation, ZoneName, TargetName get from_text for names that another system chooses, used throughout platform/ and by the records and messages of front and agent, whose decoding can't fail for a name any more. `new` keeps the alphabet for the names of our own interface.

--- a/crates/rattanwinch_fleet/src/agent_client.rs
+++ b/crates/rattanwinch_fleet/src/agent_client.rs
@@ -1,8 +1,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use rattanwinch_types::InvalidName;
-
 use crate::AgentOrders;
 use crate::LeaderInfo;
 use crate::OrderResults;
@@ -52,8 +50,6 @@
     /// until they expire.
     pub async fn execute(&self, orders: &AgentOrders, timeout: Duration) -> Result<OrderResults> {
         let answer = with_timeout(timeout, self.peer.http.execute(orders.into())).await?;
-        answer
-            .try_into()
-            .map_err(|error: InvalidName| RpcError::Unanswered(Box::new(error)))
+        Ok(answer.into())
     }
 }
--- a/crates/rattanwinch_fleet/src/wire/orders.rs
+++ b/crates/rattanwinch_fleet/src/wire/orders.rs
@@ -6,7 +6,6 @@
 use rattanwinch_scheduling::StartRefusal;
 use rattanwinch_scheduling::TargetOrders;
 use rattanwinch_scheduling::Ticket;
-use rattanwinch_types::InvalidName;
 use rattanwinch_types::Timestamp;
 use serde::Deserialize;
 use serde::Serialize;
@@ -76,26 +75,24 @@
     }
 }
 
-impl TryFrom<WireOrders> for AgentOrders {
-    type Error = InvalidName;
-
-    fn try_from(wire: WireOrders) -> Result<Self, InvalidName> {
+impl From<WireOrders> for AgentOrders {
+    fn from(wire: WireOrders) -> Self {
         let starts = wire.starts.into_iter().map(|start| StartOrder {
             run: start.run.into(),
             payload: start.payload,
             checkpoint: start.saved.map(|saved| Checkpoint::from(&*saved)),
             ticket: start.ticket.map(|ticket| Ticket::from(&*ticket)),
         });
-        Ok(Self {
+        Self {
             epoch: wire.epoch,
             valid_until: Timestamp::from_millis(wire.valid_until_ms),
             acknowledged: wire.acknowledged,
             orders: TargetOrders {
-                instance: wire.life.try_into()?,
+                instance: wire.life.into(),
                 starts: starts.collect(),
                 stops: wire.stops.into_iter().map(Into::into).collect(),
             },
-        })
+        }
     }
 }
 
@@ -172,16 +169,14 @@
     }
 }
 
-impl TryFrom<WireResults> for OrderResults {
-    type Error = InvalidName;
-
-    fn try_from(wire: WireResults) -> Result<Self, InvalidName> {
+impl From<WireResults> for OrderResults {
+    fn from(wire: WireResults) -> Self {
         let outcomes = wire.outcomes.into_iter();
-        Ok(Self {
+        Self {
             outcomes: outcomes
                 .map(|(run, outcome)| (run.into(), outcome.into()))
                 .collect(),
-            report: wire.report.map(AgentReport::try_from).transpose()?,
-        })
+            report: wire.report.map(AgentReport::from),
+        }
     }
 }
--- a/crates/rattanwinch_fleet/src/wire/reports.rs
+++ b/crates/rattanwinch_fleet/src/wire/reports.rs
@@ -17,7 +17,6 @@
 use rattanwinch_scheduling::TargetInstance;
 use rattanwinch_scheduling::TargetReport;
 use rattanwinch_scheduling::TaskId;
-use rattanwinch_types::InvalidName;
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
 use rattanwinch_types::ZoneName;
@@ -72,15 +71,13 @@
     }
 }
 
-impl TryFrom<WireInstance> for TargetInstance {
-    type Error = InvalidName;
-
-    fn try_from(wire: WireInstance) -> Result<Self, InvalidName> {
-        Ok(Self {
+impl From<WireInstance> for TargetInstance {
+    fn from(wire: WireInstance) -> Self {
+        Self {
             vm: wire.0,
-            target: TargetName::new(wire.1)?,
+            target: TargetName::from_text(wire.1),
             started_at_ms: wire.2,
-        })
+        }
     }
 }
 
@@ -197,10 +194,8 @@
     }
 }
 
-impl TryFrom<WireTarget> for TargetReport {
-    type Error = InvalidName;
-
-    fn try_from(wire: WireTarget) -> Result<Self, InvalidName> {
+impl From<WireTarget> for TargetReport {
+    fn from(wire: WireTarget) -> Self {
         let running = wire.running.into_iter().map(|running| RunningTask {
             run: running.run.into(),
             checkpoint: checkpoint(running.saved),
@@ -213,11 +208,11 @@
             checkpoint: checkpoint(ended.saved),
         });
         let labels = wire.labels.iter();
-        Ok(Self {
+        Self {
             description: TargetDescription {
-                instance: wire.life.try_into()?,
+                instance: wire.life.into(),
                 service: ServiceName::from(&*wire.service),
-                zone: ZoneName::new(wire.zone)?,
+                zone: ZoneName::from_text(wire.zone),
                 capacity: Resources {
                     cpu_millis: wire.cpu_millis,
                     memory_mb: wire.memory_mb,
@@ -236,7 +231,7 @@
                     ListExtent::Complete
                 },
             },
-        })
+        }
     }
 }
 
@@ -269,11 +264,9 @@
     }
 }
 
-impl TryFrom<WireReport> for AgentReport {
-    type Error = InvalidName;
-
-    fn try_from(wire: WireReport) -> Result<Self, InvalidName> {
-        Ok(Self {
+impl From<WireReport> for AgentReport {
+    fn from(wire: WireReport) -> Self {
+        Self {
             agent: AgentId {
                 vm: wire.vm,
                 incarnation: wire.incarnation,
@@ -282,9 +275,9 @@
             address: wire.address,
             clock: Timestamp::from_millis(wire.clock_ms),
             epoch: wire.epoch,
-            target: wire.target.map(TargetReport::try_from).transpose()?,
-            departed: wire.left.map(TargetInstance::try_from).transpose()?,
-        })
+            target: wire.target.map(TargetReport::from),
+            departed: wire.left.map(TargetInstance::from),
+        }
     }
 }
 
--- a/crates/rattanwinch_front/src/calls.rs
+++ b/crates/rattanwinch_front/src/calls.rs
@@ -115,9 +115,7 @@
         .and_then(|key| snapshot.orders.config.organisation(key));
     match known {
         Some(organisation) => Ok(organisation.clone()),
-        None if queue.public => {
-            Organisation::new(PUBLIC_ORGANISATION).map_err(|_| Refusal::UnknownKey)
-        }
+        None if queue.public => Ok(Organisation::from_text(PUBLIC_ORGANISATION)),
         None => Err(Refusal::UnknownKey),
     }
 }
--- a/crates/rattanwinch_front/src/records.rs
+++ b/crates/rattanwinch_front/src/records.rs
@@ -81,15 +81,14 @@
     let silences = stored
         .into_iter()
         .map(|(vm, target, started_at_ms, silent_ms)| {
-            let target = TargetName::new(target).map_err(invalid)?;
             let instance = TargetInstance {
                 vm,
-                target,
+                target: TargetName::from_text(target),
                 started_at_ms,
             };
-            Ok((instance, Duration::from_millis(silent_ms)))
+            (instance, Duration::from_millis(silent_ms))
         });
-    silences.collect()
+    Ok(silences.collect())
 }
 
 /// Prefix of the keys of upkeep waves; the wave's number follows.
@@ -191,7 +190,7 @@
                 }),
             advisor,
         },
-        organisation: Organisation::new(stored.organisation).map_err(invalid)?,
+        organisation: Organisation::from_text(stored.organisation),
         accepted_at: Timestamp::from_millis(stored.accepted_ms),
         description: decode_job(&stored.body).map_err(invalid)?,
     })
@@ -265,15 +264,14 @@
     let job = JobId::from(id);
     let tasks = stored.tasks.into_iter().map(|task| {
         let (occurrence, step, index) = task.at;
-        let placed = task.placed.map(|(vm, target, started_at_ms)| {
-            let target = TargetName::new(target).map_err(invalid)?;
-            Ok(TargetInstance {
+        let placed = task
+            .placed
+            .map(|(vm, target, started_at_ms)| TargetInstance {
                 vm,
-                target,
+                target: TargetName::from_text(target),
                 started_at_ms,
-            })
-        });
-        Ok(TaskProgress {
+            });
+        TaskProgress {
             task: TaskId {
                 step: StepId {
                     job: job.clone(),
@@ -285,15 +283,15 @@
             last_run: task.run,
             failed_runs: task.failed_runs,
             done: task.done,
-            placed_on: placed.transpose()?,
+            placed_on: placed,
             checkpoint: task.saved.map(|saved| Checkpoint::from(&*saved)),
-        })
+        }
     });
     Ok(JobProgress {
         cancelled: stored.cancelled,
         failed: stored.failed,
         started: stored.started,
-        tasks: tasks.collect::<Result<_>>()?,
+        tasks: tasks.collect(),
     })
 }
 
--- a/crates/rattanwinch_front/src/rpc.rs
+++ b/crates/rattanwinch_front/src/rpc.rs
@@ -16,7 +16,6 @@
 use rattanwinch_fleet::WireLeaderStatus;
 use rattanwinch_fleet::WireReport;
 use rattanwinch_fleet::WireReportAnswer;
-use slog::warn;
 use tokio::sync::oneshot;
 
 use crate::calls;
@@ -103,10 +102,7 @@
 
     async fn report(&self, report: WireReport) -> RpcResult<WireReportAnswer> {
         let local_leader = self.local_leader()?;
-        let report = AgentReport::try_from(report).map_err(|error| {
-            warn!(self.state.log, "unreadable agent report rejected"; "error" => %error);
-            RpcError::Unanswered(Box::new(error))
-        })?;
+        let report = AgentReport::from(report);
         let (reply, answer) = oneshot::channel();
         let command = Command::Report { report, reply };
         if local_leader.commands.send(command).await.is_err() {
--- a/crates/rattanwinch_front/tests/site/calls.rs
+++ b/crates/rattanwinch_front/tests/site/calls.rs
@@ -5,6 +5,7 @@
 use reqwest::Method;
 use serde_json::json;
 
+use crate::harness::KEY;
 use crate::harness::Site;
 use crate::harness::SiteOptions;
 use crate::harness::job;
@@ -151,3 +152,34 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Guards against a site that stops for one name in the configuration: the orders grew too old to
+/// serve calls or to start tasks by.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_tenant_with_any_name_is_served() {
+    let site = Site::start(2, 1).await;
+    site.submit_until_accepted(0, "00000000000000c7", 10, 1)
+        .await;
+    site.change_config(|config| {
+        let tenant = json!({ "name": "Létrafa Kft.", "api_keys": ["key-of-kft"] });
+        config["tenants"]
+            .as_array_mut()
+            .expect("tenants")
+            .push(tenant);
+    });
+    // Longer than any orders are used after the last ones that could be read.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    for (id, key) in [
+        ("00000000000000c8", KEY),
+        ("00000000000000c9", "key-of-kft"),
+    ] {
+        let path = format!("/checks/{id}");
+        let submitted = site.call_with_key(1, Method::POST, &path, Some(job(10, 1)), key);
+        assert_eq!(submitted.await.0, 200, "{key}");
+        let submitted_at = Instant::now();
+        while site.started(id).is_empty() {
+            assert!(submitted_at.elapsed() < JOB_TIMEOUT, "{key}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
--- a/crates/rattanwinch_front/tests/site/harness.rs
+++ b/crates/rattanwinch_front/tests/site/harness.rs
@@ -300,15 +300,21 @@
         }
     }
 
-    /// Writes a new version of the configuration without API keys.
-    pub fn revoke_api_keys(&self) {
+    /// Writes a new version of the configuration.
+    pub fn change_config(&self, change: impl FnOnce(&mut Value)) {
         let config = self.store.value("op/config").expect("a configuration");
         let mut config: Value = serde_json::from_slice(&config).expect("JSON");
-        config["version"] = json!(2);
-        config["tenants"][0]["api_keys"] = json!([]);
+        let version = config["version"].as_u64().expect("a version");
+        config["version"] = json!(version + 1);
+        change(&mut config);
         self.store.put("op/config", &config);
     }
 
+    /// Writes a new version of the configuration without the first organisation's API keys.
+    pub fn revoke_api_keys(&self) {
+        self.change_config(|config| config["tenants"][0]["api_keys"] = json!([]));
+    }
+
     /// Index of the front named by the leader record.
     pub fn leader_index(&self) -> usize {
         let record = self
--- a/crates/rattanwinch_side/src/orders.rs
+++ b/crates/rattanwinch_side/src/orders.rs
@@ -20,7 +20,6 @@
 use rattanwinch_site_executors::StartRequest;
 use rattanwinch_types::Timestamp;
 use slog::info;
-use slog::warn;
 
 use crate::executor_watch::poll_lists;
 use crate::side_state::SideState;
@@ -40,18 +39,7 @@
 #[async_trait]
 impl AgentRpcServer for OrderServer {
     async fn execute(&self, orders: WireOrders) -> RpcResult<WireResults> {
-        // Unreadable orders name no run, so there is no outcome to return.
-        let results = match AgentOrders::try_from(orders) {
-            Ok(orders) => execute(&self.state, &orders).await,
-            Err(error) => {
-                warn!(self.state.log, "unreadable orders from the scheduler ignored";
-                    "error" => %error);
-                OrderResults {
-                    outcomes: Vec::new(),
-                    report: None,
-                }
-            }
-        };
+        let results = execute(&self.state, &AgentOrders::from(orders)).await;
         Ok(results.into())
     }
 
--- a/crates/rattanwinch_types/src/name.rs
+++ b/crates/rattanwinch_types/src/name.rs
@@ -53,6 +53,15 @@
                 }
             }
 
+            /// Creates a name that another system has chosen; any text is a name there.
+            ///
+            /// Store keys and metric labels need a smaller alphabet, so such a name has to be
+            /// encoded to become part of one.
+            #[must_use]
+            pub fn from_text(text: impl AsRef<str>) -> Self {
+                Self(Arc::from(text.as_ref()))
+            }
+
             /// The name as text.
             #[must_use]
             pub fn as_str(&self) -> &str {
