Keep serving while a part of the operators' configuration is unreadable

Whatever made the configuration unreadable, one odd row among them, left the last readable orders to grow too old, after which nothing was served or started.

Cause: the configuration was decoded as a whole, and the age of all orders was that of the last read in which it could be decoded.

Change: routes, tenants and keys are decoded one by one; unreadable rows are left out, counted and logged. In place of a configuration that can't be decoded the last readable one is kept, beside the present closed zones and waves, and its age is kept apart: once no configuration could be read for 4 s, calls with a key are answered 503, since it may have been revoked, and so are calls to unknown queues. Tasks start and public queues are served.

--- a/crates/rattanwinch_front/src/calls.rs
+++ b/crates/rattanwinch_front/src/calls.rs
@@ -8,6 +8,7 @@
 use rattanwinch_scheduling::AcceptedJob;
 use rattanwinch_scheduling::JobId;
 use rattanwinch_site_callers::decode_job;
+use rattanwinch_site_operators::OperatorConfig;
 use rattanwinch_site_operators::Queue;
 use rattanwinch_types::Organisation;
 use tokio::sync::oneshot;
@@ -53,12 +54,12 @@
     call: &CallerCall,
 ) -> Result<CallerAnswer, Refusal> {
     let snapshot = current_operator_orders(state, local_leader).await?;
-    let (queue, rest) = snapshot
-        .orders
-        .config
+    let config = &snapshot.orders.config;
+    let is_fresh = snapshot.is_config_fresh(MAX_OPERATOR_ORDERS_AGE, state.clock.now());
+    let (queue, rest) = config
         .queue(&call.host, &call.path)
-        .ok_or(Refusal::UnknownQueue)?;
-    let organisation = authorise(&snapshot, queue, call)?;
+        .ok_or_else(|| unless_fresh(is_fresh, Refusal::UnknownQueue))?;
+    let organisation = authorise(config, is_fresh, queue, call)?;
     if rest.is_empty() && call.action == CallerAction::Query {
         return Ok(CallerAnswer::Pending(
             local_leader.published_jobs.queued(&queue.name),
@@ -104,18 +105,38 @@
     })
 }
 
+/// Returns `refusal` if it follows from a fresh configuration; by an older one it may be wrong, and
+/// the call is not run.
+fn unless_fresh(is_fresh: bool, refusal: Refusal) -> Refusal {
+    if is_fresh {
+        refusal
+    } else {
+        Refusal::NotRun {
+            retry_after: RETRY_AFTER,
+        }
+    }
+}
+
+/// Returns the organisation that makes the call. The keys of a configuration that is no longer
+/// fresh may have been revoked.
 fn authorise(
-    snapshot: &OperatorOrdersSnapshot,
+    config: &OperatorConfig,
+    is_fresh: bool,
     queue: &Queue,
     call: &CallerCall,
 ) -> Result<Organisation, Refusal> {
-    let known = call
-        .key
-        .as_ref()
-        .and_then(|key| snapshot.orders.config.organisation(key));
-    match known {
+    let public = || Organisation::from_text(PUBLIC_ORGANISATION);
+    let Some(key) = &call.key else {
+        return if queue.public {
+            Ok(public())
+        } else {
+            Err(unless_fresh(is_fresh, Refusal::UnknownKey))
+        };
+    };
+    match config.organisation(key) {
+        _ if !is_fresh => Err(unless_fresh(is_fresh, Refusal::UnknownKey)),
         Some(organisation) => Ok(organisation.clone()),
-        None if queue.public => Ok(Organisation::from_text(PUBLIC_ORGANISATION)),
+        None if queue.public => Ok(public()),
         None => Err(Refusal::UnknownKey),
     }
 }
--- a/crates/rattanwinch_front/src/local_leader.rs
+++ b/crates/rattanwinch_front/src/local_leader.rs
@@ -34,6 +34,17 @@
 pub(crate) struct OperatorOrdersSnapshot {
     pub orders: OperatorOrders,
     pub sent_at: Timestamp,
+    /// When the last read that returned a readable configuration was sent.
+    pub config_sent_at: Option<Timestamp>,
+}
+
+impl OperatorOrdersSnapshot {
+    /// True if the configuration was current at most `max_age` ago. Operators may since have
+    /// revoked keys and added queues in a configuration that can't be read.
+    pub(crate) fn is_config_fresh(&self, max_age: Duration, now: Timestamp) -> bool {
+        self.config_sent_at
+            .is_some_and(|sent_at| now.since(sent_at) <= max_age)
+    }
 }
 
 /// The leader in this process, as other tasks see it.
--- a/crates/rattanwinch_front/src/operator_watch.rs
+++ b/crates/rattanwinch_front/src/operator_watch.rs
@@ -4,6 +4,7 @@
 
 use rattanwinch_site_operators::OPERATOR_PREFIX;
 use rattanwinch_site_operators::OperatorOrders;
+use rattanwinch_types::Timestamp;
 use slog::info;
 use slog::warn;
 
@@ -32,12 +33,7 @@
                     info!(state.log, "operators' orders readable again");
                 }
                 failing = false;
-                apply_orders(
-                    &state,
-                    &local_leader,
-                    OperatorOrdersSnapshot { orders, sent_at },
-                )
-                .await;
+                apply_orders(&state, &local_leader, orders, sent_at).await;
                 READ_INTERVAL
             }
             Ok(None) => RETRY_BACKOFF,
@@ -63,15 +59,25 @@
         .iter()
         .map(|item| (item.key.as_str(), item.value.as_slice()))
         .collect();
-    OperatorOrders::decode(items, known).map_err(|error| error.to_string())
+    Ok(OperatorOrders::decode(items, known))
 }
 
 async fn apply_orders(
     state: &FrontState,
     local_leader: &LocalLeader,
-    snapshot: OperatorOrdersSnapshot,
+    orders: OperatorOrders,
+    sent_at: Timestamp,
 ) {
     let known = local_leader.orders.load_full();
+    let config_sent_at = match orders.config_error {
+        None => Some(sent_at),
+        Some(_) => known.as_ref().and_then(|known| known.config_sent_at),
+    };
+    let snapshot = OperatorOrdersSnapshot {
+        orders,
+        sent_at,
+        config_sent_at,
+    };
     let changed = known
         .as_ref()
         .is_none_or(|known| known.orders != snapshot.orders);
@@ -83,6 +89,15 @@
         info!(state.log, "operators' orders taken over"; "version" => snapshot.orders.config.version,
             "closed_zones" => ?snapshot.orders.closed_zones, "queues" => snapshot.orders.config.queues().len());
     }
+    if let Some(error) = snapshot.orders.config_error.as_ref().filter(|_| changed) {
+        warn!(state.log, "operators' configuration unreadable; the last readable one is kept";
+            "version" => snapshot.orders.config.version, "error" => %error);
+    }
+    if changed && snapshot.orders.config.unreadable_rows > 0 {
+        warn!(state.log, "unreadable rows of the operators' configuration ignored";
+            "version" => snapshot.orders.config.version,
+            "rows" => snapshot.orders.config.unreadable_rows);
+    }
     if changed && !snapshot.orders.unreadable_keys.is_empty() {
         warn!(state.log, "unreadable operators' keys ignored";
             "keys" => ?snapshot.orders.unreadable_keys);
--- a/crates/rattanwinch_front/tests/site/calls.rs
+++ b/crates/rattanwinch_front/tests/site/calls.rs
@@ -3,6 +3,7 @@
 
 use rattanwinch_site_standins::FaultMode;
 use reqwest::Method;
+use serde_json::Value;
 use serde_json::json;
 
 use crate::harness::KEY;
@@ -183,3 +184,61 @@
         }
     }
 }
+
+/// Guards against a site that stops for a configuration that can't be read, and against keys that
+/// go on working then although that configuration may revoke them.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unreadable_configuration_stops_keys_alone() {
+    let mut site = Site::start(2, 1).await;
+    site.change_config(|config| {
+        let mut open = config["routes"][0].clone();
+        open["name"] = json!("open");
+        open["prefix"] = json!("/open/");
+        open["public"] = json!(true);
+        config["routes"].as_array_mut().expect("routes").push(open);
+    });
+    // Until the queue is in force.
+    let open = "/open/00000000000000a6";
+    while site.call_public(0, Method::POST, open, job(10, 1)).await.0 != 200 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let mut steps = job(6_000, 1);
+    let mut second = steps["phases"][0].clone();
+    second["after"] = json!([0]);
+    steps["phases"].as_array_mut().expect("phases").push(second);
+    let id = "00000000000000a7";
+    let path = format!("/checks/{id}");
+    while site
+        .call(0, Method::POST, &path, Some(steps.clone()))
+        .await
+        .0
+        != 200
+    {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let config = site.store.value("op/config").expect("a configuration");
+    site.store.put("op/config", &json!("not a configuration"));
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let keyed = site.call(1, Method::GET, &path, None).await;
+    assert_eq!(keyed.0, 503, "its key may have been revoked");
+    let open = site.call_public(1, Method::POST, "/open/00000000000000a8", job(10, 1));
+    assert_eq!(open.await.0, 200);
+
+    let leader = site.leader_index();
+    site.fronts.remove(leader).stop().await;
+    let stopped_at = Instant::now();
+    while site.started(id).len() < 2 {
+        let waited = stopped_at.elapsed();
+        assert!(
+            waited < JOB_TIMEOUT,
+            "the next leader starts the second step"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let unknown = site.call_public(0, Method::POST, "/open/00000000000000a9", job(10, 1));
+    assert_eq!(unknown.await.0, 503, "the next leader knows no queue");
+
+    let config: Value = serde_json::from_slice(&config).expect("JSON");
+    site.store.put("op/config", &config);
+    site.wait_for(0, id, "completed", JOB_TIMEOUT).await;
+}
--- a/crates/rattanwinch_front/tests/site/harness/calls.rs
+++ b/crates/rattanwinch_front/tests/site/harness/calls.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use reqwest::Method;
+use reqwest::RequestBuilder;
 use serde_json::Value;
 
 use crate::harness::HOST;
@@ -31,19 +32,32 @@
         body: Option<Value>,
         key: &str,
     ) -> (u16, Value) {
-        let url = format!("http://{}{path}", self.fronts[front].callers);
         let mut req = self
-            .http
-            .request(method, url)
-            .header("Host", HOST)
-            .header("Authorization", format!("Bearer {key}"))
-            .header("Deadline-Ms", "3000");
+            .request(front, method, path)
+            .header("Authorization", format!("Bearer {key}"));
         if let Some(body) = body {
             req = req.json(&body);
         }
-        let answer = req.send().await.expect("the front answers");
-        let status = answer.status().as_u16();
-        (status, answer.json().await.unwrap_or_default())
+        send(req).await
+    }
+
+    /// Makes a call without a key.
+    pub async fn call_public(
+        &self,
+        front: usize,
+        method: Method,
+        path: &str,
+        body: Value,
+    ) -> (u16, Value) {
+        send(self.request(front, method, path).json(&body)).await
+    }
+
+    fn request(&self, front: usize, method: Method, path: &str) -> RequestBuilder {
+        let url = format!("http://{}{path}", self.fronts[front].callers);
+        self.http
+            .request(method, url)
+            .header("Host", HOST)
+            .header("Deadline-Ms", "3000")
     }
 
     pub async fn submit(&self, front: usize, id: &str, work_ms: u64, count: u32) -> u16 {
@@ -112,3 +126,9 @@
         }
     }
 }
+
+async fn send(req: RequestBuilder) -> (u16, Value) {
+    let answer = req.send().await.expect("the front answers");
+    let status = answer.status().as_u16();
+    (status, answer.json().await.unwrap_or_default())
+}
