Keep room only for runs that end, for a limited time

Cause: for a step that fits nowhere whole targets were kept, anew in each pass and without a limit, as if all runs there would end. The record shows no start after the two jobs were accepted.

Change: a reservation is kept from pass to pass. It names its targets, the runs that it waits for and when they should have ended; runs that last are never waited for. Both are logged, which nothing was before.

Tests: six in `reserving`.

--- a/crates/rattanwinch_front/src/event_log.rs
+++ b/crates/rattanwinch_front/src/event_log.rs
@@ -29,7 +29,7 @@
         } => {
             count_decision("reclaimed");
             info!(log, #OUTCOME_TAG, "guarantee reclaimed"; "job" => %step.job, "step" => step.step,
-                "victims" => victims.iter().map(full_name).collect::<Vec<_>>().join(","),
+                "victims" => full_names(victims),
                 "lost_core_ms" => lost_core_ms, "guaranteed" => guaranteed);
         }
         Event::ReclaimGivenUp { step, end } => {
@@ -37,6 +37,22 @@
             info!(log, "reclaimed room released"; "job" => %step.job, "step" => step.step,
                 "reason" => end.as_str());
         }
+        Event::RoomReserved {
+            step,
+            targets,
+            awaited,
+            expected_in_ms,
+        } => {
+            count_decision("reserved");
+            info!(log, "room reserved"; "job" => %step.job, "step" => step.step,
+                "targets" => ?targets, "awaited" => full_names(awaited),
+                "expected_in_ms" => expected_in_ms);
+        }
+        Event::ReservationLapsed { step, awaited } => {
+            count_decision("reservation_lapsed");
+            info!(log, "reservation lapsed"; "job" => %step.job, "step" => step.step,
+                "awaited" => full_names(awaited));
+        }
         Event::Started { run, after_ms } => {
             count_decision("started");
             record_stage("starting", *after_ms);
@@ -135,6 +151,10 @@
         "target" => %target, "reason" => reason);
 }
 
+fn full_names(runs: &[RunId]) -> String {
+    runs.iter().map(full_name).collect::<Vec<_>>().join(",")
+}
+
 /// Name of a run including its job, for log lines about another job.
 fn full_name(run: &RunId) -> String {
     format!("{}.{}", run.task.step.job, run.within_job())
--- a/crates/rattanwinch_scheduling/src/event.rs
+++ b/crates/rattanwinch_scheduling/src/event.rs
@@ -43,6 +43,24 @@
             /// Why the room is no longer held.
             end: ReclaimEnd,
         },
+        /// Room is kept for a blocked step until runs have ended by themselves.
+        RoomReserved {
+            /// The step.
+            step: StepId,
+            /// The target of each task.
+            targets: Vec<TargetName>,
+            /// The runs that have to end first.
+            awaited: Vec<RunId>,
+            /// When the runs are expected to have ended, in milliseconds.
+            expected_in_ms: u64,
+        },
+        /// Room is no longer kept for a step, since runs have not ended in time.
+        ReservationLapsed {
+            /// The step.
+            step: StepId,
+            /// The runs that had to end.
+            awaited: Vec<RunId>,
+        },
         /// A run has started on its target.
         Started {
             /// The run.
--- a/crates/rattanwinch_scheduling/src/lib.rs
+++ b/crates/rattanwinch_scheduling/src/lib.rs
@@ -28,6 +28,7 @@
 mod preemption;
 mod reclaim;
 mod reports;
+mod reservations;
 mod resources;
 mod room;
 mod rules;
--- a/crates/rattanwinch_scheduling/src/placement_pass.rs
+++ b/crates/rattanwinch_scheduling/src/placement_pass.rs
@@ -3,6 +3,7 @@
 
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
+use smallvec::SmallVec;
 
 use crate::Event;
 use crate::RunId;
@@ -13,6 +14,8 @@
 use crate::placement::Candidate;
 use crate::placement::Demand;
 use crate::placement::choose_targets;
+use crate::preemption::ReclaimPass;
+use crate::reservations::ReservedRoom;
 use crate::room::Availability;
 use crate::room::Room;
 use crate::run_lists::Presence;
@@ -36,23 +39,18 @@
         let guaranteed_jobs = self.guaranteed_jobs();
         let steps = self.waiting_steps(&guaranteed_jobs, now, wall);
         let room = self.room(now);
+        self.reservations.retain(&steps);
         let mut pass = self.begin_reclaim_pass(&steps, guaranteed_jobs, room, now);
         let mut blocked = 0;
-        for waiting in steps {
+        for mut waiting in steps {
             let mut reclaim = pass.underway.remove(&waiting.group);
             if let Some(reclaim) = &mut reclaim {
                 reclaim.guaranteed = waiting.guaranteed;
                 reclaim.release(&mut pass.room);
             }
             let mut demand = self.demand(&waiting);
-            let chosen = self.choose(&waiting, &demand, &pass.room, now);
-            for target in &chosen {
-                pass.room.occupy(target, demand.resources);
-            }
-            if !chosen.is_empty() {
-                self.start_tasks(&waiting, &chosen, now);
-            }
-            demand.count -= chosen.len();
+            let mut chosen = self.place_now(&mut waiting, &mut demand, &mut pass.room, now);
+            chosen.extend(self.place_in_reserved_room(&mut waiting, &mut demand, &mut pass, now));
             if demand.count == 0 {
                 continue;
             }
@@ -75,6 +73,51 @@
         self.reclaims = pass.kept;
     }
 
+    /// Places as many tasks of a step as have room now, and removes them from the step and its
+    /// demand; returns their targets.
+    fn place_now(
+        &mut self,
+        waiting: &mut WaitingStep,
+        demand: &mut Demand,
+        room: &mut Room,
+        now: Timestamp,
+    ) -> Vec<TargetName> {
+        let chosen = self.choose(waiting, demand, room, now);
+        for target in &chosen {
+            room.occupy(target, demand.resources);
+        }
+        if !chosen.is_empty() {
+            self.start_tasks(waiting, &chosen, now);
+        }
+        waiting.task_indices.drain(..chosen.len());
+        demand.count -= chosen.len();
+        chosen
+    }
+
+    /// Places the remaining tasks of a step in the room of reservations that admit it.
+    fn place_in_reserved_room(
+        &mut self,
+        waiting: &mut WaitingStep,
+        demand: &mut Demand,
+        pass: &mut ReclaimPass,
+        now: Timestamp,
+    ) -> Vec<TargetName> {
+        let admitting = pass.reserved.iter();
+        let admitting = admitting.filter(|reserved| reserved.admits(waiting, now));
+        let admitting: SmallVec<[&ReservedRoom; 4]> = admitting.collect();
+        if demand.count == 0 || admitting.is_empty() {
+            return Vec::new();
+        }
+        for reserved in &admitting {
+            reserved.release(&mut pass.room);
+        }
+        let chosen = self.place_now(waiting, demand, &mut pass.room, now);
+        for reserved in &admitting {
+            reserved.hold(&mut pass.room);
+        }
+        chosen
+    }
+
     /// Chooses targets for a waiting step among those with room for its tasks now.
     fn choose(
         &mut self,
--- a/crates/rattanwinch_scheduling/src/preemption.rs
+++ b/crates/rattanwinch_scheduling/src/preemption.rs
@@ -1,4 +1,4 @@
-//! Reservation and preemption for steps that do not fit into the free resources.
+//! Preemption for steps that do not fit into the free resources.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -23,6 +23,7 @@
 use crate::reclaim::Reclaim;
 use crate::reclaim::TaskGroup;
 use crate::reclaim::Underway;
+use crate::reservations::ReservedRoom;
 use crate::room::Availability;
 use crate::room::Room;
 use crate::run_set::MAX_PREEMPTIONS;
@@ -49,9 +50,11 @@
     pub kept: BTreeMap<TaskGroup, Reclaim<Underway>>,
     pub guaranteed_jobs: BTreeSet<JobId>,
     /// The runs that are expected to end by themselves.
-    awaited: BTreeSet<RunId>,
+    pub awaited: BTreeSet<RunId>,
     /// The run sets, collected when they are first needed.
-    sets: Option<Vec<RunSet>>,
+    pub sets: Option<Vec<RunSet>>,
+    /// The room that is kept for steps that the pass has reached.
+    pub reserved: Vec<ReservedRoom>,
 }
 
 impl Scheduler {
@@ -101,6 +104,7 @@
             guaranteed_jobs,
             awaited,
             sets: None,
+            reserved: Vec::new(),
         }
     }
 
@@ -382,36 +386,6 @@
             guaranteed,
         });
     }
-
-    /// Reserves the targets that are expected to have enough free resources soonest.
-    fn reserve_earliest(
-        &mut self,
-        waiting: &WaitingStep,
-        demand: &Demand,
-        pass: &mut ReclaimPass,
-        now: Timestamp,
-    ) {
-        // A reservation is for large requests, which smaller tasks would keep from starting; a step
-        // that has waited only briefly needs none.
-        if waiting.waited < self.limits.urgent_locality_wait {
-            return;
-        }
-        let candidates = self.candidates(waiting, demand, &pass.room, Availability::Eventual, now);
-        let sets = pass
-            .sets
-            .get_or_insert_with(|| self.run_sets(&pass.awaited, now));
-        let occupants = occupants(sets, |_, set| {
-            Some(Loss {
-                worn_out: 0,
-                core_millis: self.remaining_percent(set),
-            })
-        });
-        if let Some(plan) = plan_preemption(demand, &candidates, &occupants, u64::MAX) {
-            for target in &plan.targets {
-                pass.room.hold(target, demand.resources);
-            }
-        }
-    }
 }
 
 /// Returns true if the run set may be stopped for the waiting step.
--- a/crates/rattanwinch_scheduling/src/run_set.rs
+++ b/crates/rattanwinch_scheduling/src/run_set.rs
@@ -11,6 +11,7 @@
 use crate::Resources;
 use crate::RunId;
 use crate::Scheduler;
+use crate::StepDescription;
 use crate::StepId;
 use crate::active_run::ActiveRun;
 use crate::active_run::DesiredState;
@@ -43,6 +44,8 @@
     pub preemptions: u32,
     /// When the runs are expected to have ended by themselves, at the earliest.
     remaining_time: Option<Duration>,
+    /// The time after which the runs should have ended by themselves; `None` if they last.
+    pub expected_remaining: Option<Duration>,
     /// The runs are stopped, or awaited by a reclaim.
     pub leaving: bool,
 }
@@ -82,6 +85,7 @@
                     loss: Loss::default(),
                     preemptions: 0,
                     remaining_time: Some(Duration::ZERO),
+                    expected_remaining: (!step.long_running).then_some(Duration::ZERO),
                     leaving: true,
                 });
             }
@@ -99,6 +103,8 @@
                 (Some(set), Some(run)) if !step.long_running => Some(set.max(run)),
                 _ => None,
             };
+            let expected = expected_remaining(active, step, now);
+            set.expected_remaining = set.expected_remaining.map(|set| set.max(expected));
             set.leaving &= active.desired == DesiredState::Stop || awaited.contains(run);
             set.available_runs += usize::from(active.is_available());
             set.runs.push(run.clone());
@@ -110,13 +116,6 @@
         }
         sets
     }
-
-    /// Returns the remaining work of the runs in per cent, as an estimate of which set ends first.
-    pub(crate) fn remaining_percent(&self, set: &RunSet) -> u64 {
-        let runs = set.runs.iter().filter_map(|run| self.active.get(run));
-        let left = runs.map(|active| u64::from(100_u32.saturating_sub(active.percent)));
-        left.max().unwrap_or(0)
-    }
 }
 
 /// Returns the work of a time on the resources, in core-milliseconds.
@@ -146,6 +145,18 @@
     Some(remaining.saturating_sub(now.since(active.progressed_at)))
 }
 
+/// Returns how long a run should still take, from its progress or the estimate of its step. Once a
+/// run has taken longer than estimated, it is expected to take as long again.
+fn expected_remaining(active: &ActiveRun, step: &StepDescription, now: Timestamp) -> Duration {
+    let elapsed = now.since(active.started_at.unwrap_or(active.placed_at));
+    let estimated = step.estimated_run_time.saturating_sub(elapsed);
+    remaining_time(active, now).unwrap_or(if estimated.is_zero() {
+        elapsed
+    } else {
+        estimated
+    })
+}
+
 /// Lists the run sets on each target that do not leave anyway, with the loss of stopping them.
 pub(crate) fn occupants(
     sets: &[RunSet],
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -31,6 +31,7 @@
 use crate::reclaim::Reclaim;
 use crate::reclaim::TaskGroup;
 use crate::reclaim::Underway;
+use crate::reservations::Reservations;
 use crate::run_lists::Presence;
 use crate::silences::SilenceRecords;
 use crate::target::Target;
@@ -53,6 +54,8 @@
     pub(crate) active: ActiveRuns,
     /// Room that is being made for waiting steps.
     pub(crate) reclaims: BTreeMap<TaskGroup, Reclaim<Underway>>,
+    /// Room that is kept for blocked steps until runs have ended.
+    pub(crate) reservations: Reservations,
     pub(crate) advisor_tickets: TicketCache,
     /// Targets that get no new tasks because their machines are about to go down.
     pub(crate) cordoned: BTreeSet<TargetName>,
@@ -115,6 +118,7 @@
             targets: Targets::new(),
             active: ActiveRuns::default(),
             reclaims: BTreeMap::new(),
+            reservations: Reservations::default(),
             advisor_tickets: TicketCache::default(),
             cordoned: BTreeSet::new(),
             silence_records: SilenceRecords::default(),
--- a/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
@@ -233,6 +233,10 @@
             .handle_order_outcome(&run, refused, None, self.now);
     }
 
+    pub fn target_count(&self) -> usize {
+        self.reports.len()
+    }
+
     pub fn report_mut(&mut self, number: usize) -> &mut TargetReport {
         self.reports.get_mut(&target(number)).expect("a target")
     }
--- a/crates/rattanwinch_scheduling/tests/decisions/main.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 mod partial_lists;
 mod placing;
 mod reclaiming;
+mod reserving;
 mod runs;
 mod silences;
 mod states;
