Don't take a machine in an unreadable row for one that is gone

What operators would see: a wave of upkeep is reported as completed although a machine of it has not begun (MIXED).

Cause: rows of the machine list that can't be read are left out, and a machine that the list lacks counts as gone, so its upkeep as finished.

Change: a machine list with unreadable rows is partial (ListExtent), and nothing is concluded from what it lacks. So that an odd row that stays can't hold the wave up, such a machine is ordered when the wave's time runs out; the service's answer tells whether it exists.

Test: a_machine_in_an_unreadable_row_is_not_taken_for_gone, which fails without the check of the extent.

--- a/crates/rattanwinch_front/src/upkeep.rs
+++ b/crates/rattanwinch_front/src/upkeep.rs
@@ -2,7 +2,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rattanwinch_scheduling::Machine;
 use rattanwinch_scheduling::MachineId;
 use rattanwinch_scheduling::Scheduler;
 use rattanwinch_scheduling::UpkeepAction;
@@ -10,6 +9,7 @@
 use rattanwinch_scheduling::UpkeepPlanner;
 use rattanwinch_scheduling::UpkeepWave;
 use rattanwinch_site_machines::LeaseHolder;
+use rattanwinch_site_machines::MachineList;
 use rattanwinch_site_machines::MachinesClient;
 use rattanwinch_site_operators::wave_status;
 use rattanwinch_site_operators::wave_status_key;
@@ -50,7 +50,7 @@
 /// An answer of the machine service.
 pub(crate) enum UpkeepEvent {
     Listed {
-        machines: Option<Vec<Machine>>,
+        list: Option<MachineList>,
         sent_at: Timestamp,
     },
     BeginAnswered {
@@ -155,7 +155,7 @@
                 Err(error) => warn!(log, "machine list not read"; "error" => %error),
             }
             let event = UpkeepEvent::Listed {
-                machines: list.ok().map(|list| list.machines),
+                list: list.ok(),
                 sent_at,
             };
             send_event(&commands, event).await;
@@ -188,10 +188,11 @@
 
     pub(crate) fn handle(&mut self, event: UpkeepEvent, now: Timestamp) {
         match event {
-            UpkeepEvent::Listed { machines, sent_at } => {
+            UpkeepEvent::Listed { list, sent_at } => {
                 self.list_pending = false;
-                if let Some(machines) = machines {
-                    self.planner.update_machines(machines, sent_at);
+                if let Some(list) = list {
+                    let extent = list.extent();
+                    self.planner.update_machines(list.machines, extent, sent_at);
                 }
             }
             UpkeepEvent::BeginAnswered {
--- a/crates/rattanwinch_scheduling/src/run_lists.rs
+++ b/crates/rattanwinch_scheduling/src/run_lists.rs
@@ -5,12 +5,12 @@
 use crate::RunningTask;
 
 value! { copy
-    /// Whether lists name every run of a target.
+    /// Whether a list names all that it is about.
     pub enum ListExtent {
-        /// All runs and all unacknowledged ends are listed, so a run that is not listed is not on
-        /// the target.
+        /// What is not listed does not exist.
         Complete,
-        /// Further runs may have ended; a target lists a limited number of ends at a time.
+        /// Further entries may exist: a target lists a limited number of ends at a time, and a row
+        /// of the machine list may be unreadable.
         Partial,
     }
 }
--- a/crates/rattanwinch_scheduling/src/upkeep.rs
+++ b/crates/rattanwinch_scheduling/src/upkeep.rs
@@ -6,6 +6,7 @@
 use rattanwinch_types::Timestamp;
 use rattanwinch_types::value;
 
+use crate::ListExtent;
 use crate::Machine;
 use crate::MachineId;
 use crate::MachineState;
@@ -133,8 +134,13 @@
         self.waves.values().any(|state| !state.is_finished())
     }
 
-    /// Applies a complete listing of the machines, requested at `sent_at`.
-    pub fn update_machines(&mut self, machines: Vec<Machine>, sent_at: Timestamp) {
+    /// Applies a listing of the machines, requested at `sent_at`.
+    pub fn update_machines(
+        &mut self,
+        machines: Vec<Machine>,
+        extent: ListExtent,
+        sent_at: Timestamp,
+    ) {
         self.machines = machines
             .into_iter()
             .map(|machine| (machine.id.clone(), machine))
@@ -147,7 +153,11 @@
                         Progress::Finished
                     }
                     // A machine that no longer exists needs no upkeep.
-                    (Progress::Pending | Progress::Begun(_), None) => Progress::Finished,
+                    (Progress::Pending | Progress::Begun(_), None)
+                        if extent == ListExtent::Complete =>
+                    {
+                        Progress::Finished
+                    }
                     (progress, _) => progress,
                 };
             }
@@ -262,6 +272,10 @@
         self.retry_unconfirmed_orders(actions, now);
         let latest_begin = self.latest_begin(max_down);
         let mut candidates = self.candidates(listed, scheduler);
+        if now + EVICTION_LEAD_TIME >= latest_begin {
+            // The answer to an order shows whether a machine that no list names exists.
+            candidates.extend(self.unlisted(listed).map(|id| (id.clone(), None)));
+        }
         candidates.truncate(free);
         for (id, target) in candidates {
             let idle = target
@@ -318,6 +332,18 @@
         )
     }
 
+    /// Returns the machines that have not begun and are not in the last, partial, listing.
+    fn unlisted<'a>(
+        &'a self,
+        listed: &'a BTreeMap<MachineId, Machine>,
+    ) -> impl Iterator<Item = &'a MachineId> {
+        let waiting = self.machines.iter();
+        let waiting = waiting.filter(|(id, upkeep)| {
+            upkeep.progress == Progress::Pending && !listed.contains_key(*id)
+        });
+        waiting.map(|(id, _)| id)
+    }
+
     /// Returns the machines that may begin, the least loaded first.
     fn candidates(
         &self,
--- a/crates/rattanwinch_scheduling/tests/decisions/upkeep.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/upkeep.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rattanwinch_scheduling::ListExtent;
 use rattanwinch_scheduling::Machine;
 use rattanwinch_scheduling::MachineId;
 use rattanwinch_scheduling::MachineState;
@@ -22,6 +23,8 @@
     site: Fixture,
     planner: UpkeepPlanner,
     states: Vec<MachineState>,
+    /// The machine whose row in the list can't be read.
+    unreadable: Option<usize>,
 }
 
 impl UpkeepFixture {
@@ -41,6 +44,7 @@
             site,
             planner,
             states: vec![MachineState::Up; machines],
+            unreadable: None,
         };
         fixture.wait(TAKEOVER_DELAY_MS);
         fixture
@@ -52,13 +56,18 @@
             .states
             .iter()
             .enumerate()
+            .filter(|(number, _)| Some(*number) != self.unreadable)
             .map(|(number, state)| Machine {
                 id: machine(number),
                 state: *state,
                 target: Some(target(number)),
             });
+        let extent = match self.unreadable {
+            None => ListExtent::Complete,
+            Some(_) => ListExtent::Partial,
+        };
         self.planner
-            .update_machines(machines.collect(), self.site.now);
+            .update_machines(machines.collect(), extent, self.site.now);
     }
 
     /// Returns the machines that are ordered to begin now.
@@ -225,9 +234,32 @@
         site,
         planner,
         states: vec![MachineState::Up],
+        unreadable: None,
     };
     fixture.wait(3_000);
     assert!(fixture.ordered_machines().is_empty());
     fixture.wait(1_000);
     assert_eq!(fixture.ordered_machines(), [0]);
 }
+
+/// Guards against a wave that is reported as completed without a machine whose row in the list could
+/// not be read, and against one that is never completed since such a row stays.
+#[test]
+fn a_machine_in_an_unreadable_row_is_not_taken_for_gone() {
+    let mut fixture = UpkeepFixture::start(2, Duration::from_secs(20), 2);
+    fixture.unreadable = Some(1);
+    fixture.wait(100);
+    assert_eq!(fixture.ordered_machines(), [0]);
+    fixture.handle_outcome(0, UpkeepOutcome::Begun);
+    fixture.states[0] = MachineState::Upkeep;
+    fixture.wait(1_000);
+    fixture.states[0] = MachineState::Up;
+    fixture.wait(1_000);
+    assert!(!fixture.is_completed(), "the other machine has not begun");
+    assert_eq!(fixture.ordered_machines(), [0_usize; 0]);
+    // Time runs out; the order's answer shows whether there is such a machine.
+    fixture.wait(10_000);
+    assert_eq!(fixture.ordered_machines(), [1]);
+    fixture.handle_outcome(1, UpkeepOutcome::NotNeeded);
+    assert!(fixture.is_completed());
+}
