Reserve the room of each task until its own target is free

Cause: a reservation for a step that is no gang had one expected time, that of the last of its targets. On the other targets longer work than fits could use the room, and delayed tasks that could have started soon.

Change: room is kept target by target, each until its own awaited runs should have ended; the members of a gang still wait for the last.

Test: each_task_of_a_step_has_its_own_time, which fails with one time for all targets.

--- a/crates/rattanwinch_scheduling/src/reservations.rs
+++ b/crates/rattanwinch_scheduling/src/reservations.rs
@@ -51,13 +51,18 @@
 pub(crate) struct Kept {
     /// The target for each task, one entry a task.
     targets: Vec<TargetName>,
-    /// The runs that have to end first.
-    awaited: BTreeSet<RunId>,
-    /// When these runs are expected to have ended.
-    expected_at: Timestamp,
+    /// The runs that have to end first, and when they are expected to have ended.
+    awaited: BTreeMap<RunId, Timestamp>,
     lapses_at: Timestamp,
 }
 
+impl Kept {
+    /// Returns when all awaited runs are expected to have ended.
+    fn expected_at(&self) -> Timestamp {
+        self.awaited.values().copied().max().unwrap_or_default()
+    }
+}
+
 /// A reservation whose awaited runs have not ended in time.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Lapsed {
@@ -75,22 +80,21 @@
 /// Room and runs of which a reservation can be made.
 struct Plan {
     targets: Vec<TargetName>,
-    awaited: BTreeSet<RunId>,
-    expected_at: Timestamp,
+    awaited: BTreeMap<RunId, Timestamp>,
 }
 
 impl Reservation<Kept> {
     fn begin(plan: Plan, now: Timestamp) -> Self {
-        let wait = plan.expected_at.since(now);
-        let overrun = (wait / OVERRUN_DIVISOR).max(MIN_OVERRUN);
+        let mut state = Kept {
+            targets: plan.targets,
+            awaited: plan.awaited,
+            lapses_at: now,
+        };
+        let wait = state.expected_at().since(now);
+        state.lapses_at = now + wait + (wait / OVERRUN_DIVISOR).max(MIN_OVERRUN);
         Self {
             begun_at: now,
-            state: Kept {
-                lapses_at: plan.expected_at + overrun,
-                targets: plan.targets,
-                awaited: plan.awaited,
-                expected_at: plan.expected_at,
-            },
+            state,
         }
     }
 
@@ -102,7 +106,6 @@
                 lapses_at: self.state.lapses_at,
                 targets: plan.targets,
                 awaited: plan.awaited,
-                expected_at: plan.expected_at,
             },
         }
     }
@@ -142,11 +145,12 @@
     }
 }
 
-/// A reservation that keeps room during the present placement pass.
+/// Room on a target that is kept during the present placement pass.
 #[derive(Debug)]
 pub(crate) struct ReservedRoom {
-    targets: Vec<TargetName>,
+    target: TargetName,
     resources: Resources,
+    /// When the room is expected to be needed.
     expected_at: Timestamp,
     /// The room is kept for long on a service of which less than half is in use.
     is_long_and_idle: bool,
@@ -154,15 +158,11 @@
 
 impl ReservedRoom {
     pub(crate) fn hold(&self, room: &mut Room) {
-        for target in &self.targets {
-            room.hold(target, self.resources);
-        }
+        room.hold(&self.target, self.resources);
     }
 
     pub(crate) fn release(&self, room: &mut Room) {
-        for target in &self.targets {
-            room.release(target, self.resources);
-        }
+        room.release(&self.target, self.resources);
     }
 
     /// Returns true if a step may be placed in the room.
@@ -226,9 +226,9 @@
             return;
         };
         if now >= reservation.state.lapses_at
-            || reservation.state.expected_at > reservation.state.lapses_at
+            || reservation.state.expected_at() > reservation.state.lapses_at
         {
-            let awaited = reservation.state.awaited.iter().cloned().collect();
+            let awaited = reservation.state.awaited.keys().cloned().collect();
             self.record_event(Event::ReservationLapsed {
                 step: waiting.step.clone(),
                 awaited,
@@ -238,17 +238,44 @@
             return;
         }
         reservation.state.targets.truncate(demand.count);
-        let reserved = ReservedRoom {
-            targets: reservation.state.targets.clone(),
-            resources: demand.resources,
-            expected_at: reservation.state.expected_at,
-            is_long_and_idle: !reservation.is_short() && self.is_mostly_idle(&waiting.step.job),
-        };
-        reserved.hold(&mut pass.room);
-        pass.reserved.push(reserved);
+        for reserved in self.reserved_room(&reservation, waiting, demand) {
+            reserved.hold(&mut pass.room);
+            pass.reserved.push(reserved);
+        }
         self.reservations.kept.insert(group.clone(), reservation);
     }
 
+    /// Returns the room that a reservation keeps on each target.
+    fn reserved_room(
+        &self,
+        reservation: &Reservation<Kept>,
+        waiting: &WaitingStep,
+        demand: &Demand,
+    ) -> Vec<ReservedRoom> {
+        let is_long_and_idle = !reservation.is_short() && self.is_mostly_idle(&waiting.step.job);
+        let mut expected: BTreeMap<&TargetName, Timestamp> = BTreeMap::new();
+        for (run, ended_at) in &reservation.state.awaited {
+            if let Some(active) = self.active.get(run) {
+                let latest = expected.entry(&active.target.target).or_default();
+                *latest = (*latest).max(*ended_at);
+            }
+        }
+        let all_expected_at = reservation.state.expected_at();
+        let targets = reservation.state.targets.iter();
+        let rooms = targets.map(|target| ReservedRoom {
+            target: target.clone(),
+            resources: demand.resources,
+            // The members of a gang start together, other tasks as soon as each has room.
+            expected_at: if demand.gang {
+                all_expected_at
+            } else {
+                expected.get(target).copied().unwrap_or_default()
+            },
+            is_long_and_idle,
+        });
+        rooms.collect()
+    }
+
     /// Returns the step's reservation as it was if its room can still be counted on, otherwise with
     /// other room; a new one if there was none. `None` if no room can be planned for now.
     fn renew_reservation(
@@ -278,9 +305,13 @@
         self.record_event(Event::RoomReserved {
             step: waiting.step.clone(),
             targets: plan.targets.clone(),
-            awaited: plan.awaited.iter().cloned().collect(),
-            expected_in_ms: u64::try_from(plan.expected_at.since(now).as_millis())
-                .unwrap_or(u64::MAX),
+            awaited: plan.awaited.keys().cloned().collect(),
+            expected_in_ms: plan
+                .awaited
+                .values()
+                .map(|ended_at| ended_at.since(now).as_millis())
+                .max()
+                .map_or(0, |wait| u64::try_from(wait).unwrap_or(u64::MAX)),
         });
         Some(Reservation::begin(plan, now))
     }
@@ -297,7 +328,7 @@
             let needed = needed.entry(target).or_insert(Resources::NONE);
             *needed = needed.plus(demand.resources);
         }
-        let awaited = reservation.state.awaited.iter();
+        let awaited = reservation.state.awaited.keys();
         let awaited = awaited.filter_map(|run| Some((run, self.active.get(run)?)));
         let mut ending: BTreeMap<&TargetName, Resources> = BTreeMap::new();
         for (run, active) in awaited {
@@ -336,15 +367,14 @@
             })
         });
         let plan = plan_preemption(demand, &candidates, &occupants, u64::MAX)?;
-        let awaited = plan.sets.iter().filter_map(|&index| sets.get(index));
-        let wait = awaited
-            .clone()
-            .filter_map(|set| set.expected_remaining)
-            .max();
+        let planned = plan.sets.iter().filter_map(|&index| sets.get(index));
+        let awaited = planned.flat_map(|set| {
+            let ended_at = now + set.expected_remaining.unwrap_or_default();
+            set.runs.iter().map(move |run| (run.clone(), ended_at))
+        });
         Some(Plan {
+            awaited: awaited.collect(),
             targets: plan.targets,
-            awaited: awaited.flat_map(|set| set.runs.iter().cloned()).collect(),
-            expected_at: now + wait.unwrap_or_default(),
         })
     }
 }
--- a/crates/rattanwinch_scheduling/tests/decisions/reserving.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/reserving.rs
@@ -250,3 +250,23 @@
         assert!(waited <= 15_000, "job {job} waited {waited} ms");
     }
 }
+
+/// Guards against shorter work that delays a task whose room is expected soon, because other tasks
+/// of its step have to wait for longer.
+#[test]
+fn each_task_of_a_step_has_its_own_time() {
+    let mut play = Play::new(2);
+    play.submit(2, 4_000, step(1, 5));
+    play.submit(2, 60_000, step(1, 8));
+    play.play(100);
+    let wide = play.submit(1, 2_000, step(2, 8));
+    play.play(1_500);
+    let short = play.submit(2, 1_000, step(1, 2));
+    let longer = play.submit(2, 30_000, step(1, 2));
+    play.play(200);
+    assert_eq!(play.waited_ms(short), Some(100));
+    assert_eq!(play.waited_ms(longer), None);
+    play.play(2_500);
+    let waited = play.waited_ms(wide).expect("a task has started");
+    assert!(waited <= 4_100, "{waited} ms");
+}
