Give the tasks of the reservation tests as many cores as accelerators need

In the fixture a site with 13 of 16 accelerators in use counts as less than half in use, since nearly all its cores are free, so the longer work was let into the kept room after 2 s, as it should be then.

Change: the tasks of these tests take 8 cores for each accelerator, as on targets whose cores and accelerators are used up together. Checks and bounds are as they were.

Result: all seven pass; with one expected time for all targets each_task_of_a_step_has_its_own_time fails, the others pass.

--- a/crates/rattanwinch_scheduling/tests/decisions/reserving.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/reserving.rs
@@ -4,6 +4,7 @@
 
 use rattanwinch_scheduling::Event;
 use rattanwinch_scheduling::JobId;
+use rattanwinch_scheduling::Resources;
 use rattanwinch_scheduling::RunOutcome;
 use rattanwinch_scheduling::StepDescription;
 
@@ -71,8 +72,14 @@
         estimate_ms: u64,
         step: StepDescription,
     ) -> usize {
+        // A target whose accelerators are all in use has no free core either.
+        let resources = Resources {
+            cpu_millis: 8_000 * step.resources.accelerators,
+            ..step.resources
+        };
         let step = StepDescription {
             estimated_run_time: Duration::from_millis(estimate_ms),
+            resources,
             ..step
         };
         let job = self.site.submit(priority, "a", &[step]);
