Begin a reservation anew when a task of its step starts

Cause: a reservation lapses a while after its runs should have ended. For a step of many tasks that start one after the other, that time passed while all went as expected, and smaller work took the room for twice as long. Found by reading.

Change: the reservation, or its pause, ends when a task of the step is placed, and the next one has its own time.

Test: a_reservation_goes_on_while_tasks_of_its_step_start, which fails without the change. The runs of these tests now end one by one, where all runs of a job ended with its first.

--- a/crates/rattanwinch_scheduling/src/placement_pass.rs
+++ b/crates/rattanwinch_scheduling/src/placement_pass.rs
@@ -88,6 +88,7 @@
         }
         if !chosen.is_empty() {
             self.start_tasks(waiting, &chosen, now);
+            self.reservations.restart(&waiting.group);
         }
         waiting.task_indices.drain(..chosen.len());
         demand.count -= chosen.len();
--- a/crates/rattanwinch_scheduling/src/reservations.rs
+++ b/crates/rattanwinch_scheduling/src/reservations.rs
@@ -134,6 +134,12 @@
 }
 
 impl Reservations {
+    /// Drops the reservation of a step of which tasks were placed; the others get a new one.
+    pub(crate) fn restart(&mut self, group: &TaskGroup) {
+        self.kept.remove(group);
+        self.lapsed.remove(group);
+    }
+
     /// Drops the reservations of steps that no longer wait.
     pub(crate) fn retain(&mut self, waiting: &[WaitingStep]) {
         if self.kept.is_empty() && self.lapsed.is_empty() {
--- a/crates/rattanwinch_scheduling/tests/decisions/reserving.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/reserving.rs
@@ -1,10 +1,12 @@
 //! Room that is kept for large steps, and what it keeps other work from.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rattanwinch_scheduling::Event;
 use rattanwinch_scheduling::JobId;
 use rattanwinch_scheduling::Resources;
+use rattanwinch_scheduling::RunId;
 use rattanwinch_scheduling::RunOutcome;
 use rattanwinch_scheduling::StepDescription;
 
@@ -44,6 +46,8 @@
     site: Fixture,
     /// Each job with its run time, and when it was submitted and started, in milliseconds.
     jobs: Vec<(JobId, u64, u64, Option<u64>)>,
+    /// When each run started, in milliseconds.
+    started: BTreeMap<RunId, u64>,
     clock_ms: u64,
 }
 
@@ -57,6 +61,7 @@
         Self {
             site,
             jobs: Vec::new(),
+            started: BTreeMap::new(),
             clock_ms: 0,
         }
     }
@@ -90,21 +95,7 @@
     fn play(&mut self, millis: u64) {
         for _ in 0..millis / Self::STEP_MS {
             self.clock_ms += Self::STEP_MS;
-            for (job, run_ms, _, started) in &mut self.jobs {
-                let Some(started) = *started else { continue };
-                let worked = self.clock_ms - started;
-                let percent = (worked * 100 / *run_ms).min(99);
-                for number in 0..self.site.target_count() {
-                    for running in &mut self.site.report_mut(number).lists.running {
-                        if running.run.task.step.job == *job {
-                            running.percent = u32::try_from(percent).expect("below 100");
-                        }
-                    }
-                }
-                if worked >= *run_ms {
-                    self.site.end_job(job, RunOutcome::Done);
-                }
-            }
+            self.work();
             self.site.wait(Self::STEP_MS);
             self.site.step();
             for (job, _, _, started) in &mut self.jobs {
@@ -115,6 +106,28 @@
         }
     }
 
+    /// Reports the progress of all runs, and ends those that have worked for long enough.
+    fn work(&mut self) {
+        let mut ended = Vec::new();
+        for number in 0..self.site.target_count() {
+            for running in &mut self.site.report_mut(number).lists.running {
+                let job = &running.run.task.step.job;
+                let job = self.jobs.iter().find(|(id, ..)| id == job);
+                let run_ms = job.expect("a job of the play").1;
+                let started = self.started.entry(running.run.clone());
+                let worked = self.clock_ms - *started.or_insert(self.clock_ms - Self::STEP_MS);
+                let percent = (worked * 100 / run_ms).min(99);
+                running.percent = u32::try_from(percent).expect("below 100");
+                if worked >= run_ms {
+                    ended.push(running.run.clone());
+                }
+            }
+        }
+        for run in ended {
+            self.site.end(&run, RunOutcome::Done);
+        }
+    }
+
     /// Returns how long a job waited for its first start; `None` if it has not started.
     fn waited_ms(&self, job: usize) -> Option<u64> {
         let (_, _, submitted, started) = &self.jobs[job];
@@ -277,3 +290,22 @@
     let waited = play.waited_ms(wide).expect("a task has started");
     assert!(waited <= 4_100, "{waited} ms");
 }
+
+/// Guards against a step that loses its room to smaller tasks while its own start one after the
+/// other as expected.
+#[test]
+fn a_reservation_goes_on_while_tasks_of_its_step_start() {
+    let mut play = Play::new(1);
+    let wide = play.submit(1, 3_000, step(4, 8));
+    for _ in 0..14 {
+        play.submit(2, 3_000, step(1, 1));
+        play.play(1_000);
+    }
+    let events = play.site.scheduler.take_events();
+    let of_wide = |event: &&Event| matches!(event, Event::Placed { step, .. } if step.job == play.jobs[wide].0);
+    assert_eq!(events.iter().filter(of_wide).count(), 4);
+    let wide = &play.jobs[wide].0;
+    let lapsed =
+        |event: &Event| matches!(event, Event::ReservationLapsed { step, .. } if step.job == *wide);
+    assert!(!events.iter().any(lapsed), "{events:?}");
+}
