Compare organisations of jobs that are not durable yet

What callers saw: until a job was durable, a caller of another organisation could cancel it, or was answered 200 when it submitted the same id, although no job of its own was accepted.

Cause: a front's leader compared the organisations with the published state of the job, which follows the commit; the coordinator, which knows the job before, didn't compare them.

Change: the coordinator compares them, for submissions and cancels, and the comparison with the published state is gone.

Test: a_job_belongs_to_its_organisation_before_it_is_durable (403 and 403).

--- a/crates/rattanwinch_front/src/calls.rs
+++ b/crates/rattanwinch_front/src/calls.rs
@@ -71,7 +71,7 @@
     let id = JobId::from(rest);
     match &call.action {
         CallerAction::Query => job_state(local_leader, &id, &organisation),
-        CallerAction::Cancel => cancel(local_leader, id, &organisation).await,
+        CallerAction::Cancel => cancel(local_leader, id, organisation).await,
         CallerAction::Submit(body) => {
             let job = AcceptedJob {
                 id,
@@ -158,15 +158,16 @@
 
 async fn cancel(
     local_leader: &LocalLeader,
-    id: JobId,
-    organisation: &Organisation,
+    job: JobId,
+    organisation: Organisation,
 ) -> Result<CallerAnswer, Refusal> {
-    let known = local_leader.published_jobs.get(&id);
-    if known.is_some_and(|job| job.organisation != *organisation) {
-        return Err(Refusal::OtherOrganisation);
-    }
     let (reply, answer) = oneshot::channel();
-    execute(local_leader, Command::Cancel { job: id, reply }, answer).await
+    let cancel = Command::Cancel {
+        job,
+        organisation,
+        reply,
+    };
+    execute(local_leader, cancel, answer).await
 }
 
 async fn submit(
@@ -174,10 +175,6 @@
     job: AcceptedJob,
     body: Arc<str>,
 ) -> Result<CallerAnswer, Refusal> {
-    let known = local_leader.published_jobs.get(&job.id);
-    if known.is_some_and(|known| known.organisation != job.organisation) {
-        return Err(Refusal::OtherOrganisation);
-    }
     let (reply, answer) = oneshot::channel();
     let submit = Command::Submit {
         job: Arc::new(job),
--- a/crates/rattanwinch_front/src/commands.rs
+++ b/crates/rattanwinch_front/src/commands.rs
@@ -10,6 +10,7 @@
 use rattanwinch_scheduling::Changes;
 use rattanwinch_scheduling::JobId;
 use rattanwinch_scheduling::RunId;
+use rattanwinch_types::Organisation;
 use rattanwinch_types::Timestamp;
 use tokio::sync::oneshot;
 
@@ -24,9 +25,10 @@
         body: Arc<str>,
         reply: oneshot::Sender<CallerAnswer>,
     },
-    /// A caller cancels a job.
+    /// A caller cancels a job of its organisation.
     Cancel {
         job: JobId,
+        organisation: Organisation,
         reply: oneshot::Sender<CallerAnswer>,
     },
     /// An agent sends a report.
--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -24,6 +24,7 @@
 use rattanwinch_scheduling::Scheduler;
 use rattanwinch_scheduling::SilentInstances;
 use rattanwinch_site_advisor::AdvisorClient;
+use rattanwinch_types::Organisation;
 use rattanwinch_types::Timestamp;
 use slog::info;
 use slog::warn;
@@ -155,7 +156,11 @@
         let now = self.state.clock.now();
         match command {
             Command::Submit { job, body, reply } => self.handle_submit(job, body, reply),
-            Command::Cancel { job, reply } => self.handle_cancel(job, reply),
+            Command::Cancel {
+                job,
+                organisation,
+                reply,
+            } => self.handle_cancel(job, &organisation, reply),
             Command::Report { report, reply } => return self.handle_report(&report, reply, now),
             Command::AgentAnswered { runs, results } => {
                 return self.handle_results(runs, results, now);
@@ -192,6 +197,9 @@
         reply: oneshot::Sender<CallerAnswer>,
     ) {
         let id = job.id.clone();
+        if self.is_of_another_organisation(&id, &job.organisation) {
+            return send_reply(reply, CallerAnswer::Refused(Refusal::OtherOrganisation));
+        }
         if self.scheduler.job_state(&id).is_none() {
             info!(self.state.log, "job taken"; "job" => %id, "queue" => %job.queue,
                 "organisation" => %job.organisation, "priority" => job.rules.priority,
@@ -202,7 +210,22 @@
         self.reply_when_durable(id, reply, CallerAnswer::Accepted);
     }
 
-    fn handle_cancel(&mut self, job: JobId, reply: oneshot::Sender<CallerAnswer>) {
+    /// True if the job is known, durable or not, and another organisation has submitted it.
+    fn is_of_another_organisation(&self, job: &JobId, organisation: &Organisation) -> bool {
+        self.scheduler
+            .job_organisation(job)
+            .is_some_and(|submitter| submitter != organisation)
+    }
+
+    fn handle_cancel(
+        &mut self,
+        job: JobId,
+        organisation: &Organisation,
+        reply: oneshot::Sender<CallerAnswer>,
+    ) {
+        if self.is_of_another_organisation(&job, organisation) {
+            return send_reply(reply, CallerAnswer::Refused(Refusal::OtherOrganisation));
+        }
         if self.scheduler.cancel(&job) {
             info!(self.state.log, #OUTCOME_TAG, "job cancelled"; "job" => %job);
             self.reply_when_durable(job, reply, CallerAnswer::Cancelled);
--- a/crates/rattanwinch_front/tests/site/calls.rs
+++ b/crates/rattanwinch_front/tests/site/calls.rs
@@ -242,3 +242,26 @@
     site.store.put("op/config", &config);
     site.wait_for(0, id, "completed", JOB_TIMEOUT).await;
 }
+
+/// Guards against an organisation that cancels another one's job, or is told that a job of the same
+/// id is accepted as its own, while that job isn't durable yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_belongs_to_its_organisation_before_it_is_durable() {
+    let site = Site::start(1, 1).await;
+    site.submit_until_accepted(0, "00000000000000e7", 10, 1)
+        .await;
+    let slow = FaultMode::Slow(Duration::from_millis(300));
+    site.fronts[0].store_endpoint.set_mode(slow);
+    let path = "/checks/00000000000000e8";
+    let others = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let submit = site.call_with_key(0, Method::POST, path, Some(job(10, 1)), "key-of-gait");
+        let cancel = site.call_with_key(0, Method::DELETE, path, None, "key-of-gait");
+        tokio::join!(submit, cancel)
+    };
+    let own = site.submit(0, "00000000000000e8", 10, 1);
+    let (own, (submitted, cancelled)) = tokio::join!(own, others);
+    assert_eq!((own, submitted.0, cancelled.0), (200, 403, 403));
+    site.wait_for(0, "00000000000000e8", "completed", JOB_TIMEOUT)
+        .await;
+}
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rattanwinch_types::Organisation;
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
 
@@ -253,6 +254,12 @@
         self.jobs.get(id).map(Job::state)
     }
 
+    /// Returns the organisation that has submitted a job, durable or not.
+    #[must_use]
+    pub fn job_organisation(&self, id: &JobId) -> Option<&Organisation> {
+        self.jobs.get(id).map(|job| &job.accepted.organisation)
+    }
+
     /// Returns true if the job has changes that are not taken for commit yet.
     #[must_use]
     pub fn has_uncommitted_changes(&self, id: &JobId) -> bool {
