--- a/crates/rattanwinch_scheduling/src/lib.rs
+++ b/crates/rattanwinch_scheduling/src/lib.rs
@@ -15,6 +15,7 @@
 mod advisor_tickets;
 mod closure;
 mod event;
+mod evictions;
 mod guarantees;
 mod job;
 mod job_description;
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -23,7 +23,6 @@
 use crate::StepDescription;
 use crate::StepId;
 use crate::TargetInstance;
-use crate::TaskId;
 use crate::active_run::ActiveRun;
 use crate::active_run::DesiredState;
 use crate::active_runs::ActiveRuns;
@@ -411,42 +410,6 @@
             .fold(0, u64::saturating_add)
     }
 
-    /// Stops the runs on the target, except where a step allows no more unavailable tasks.
-    pub fn evict_target(&mut self, target: &TargetName) {
-        let here = self
-            .active
-            .iter()
-            .filter(|(_, active)| active.target.target == *target);
-        let runs: Vec<RunId> = here.map(|(run, _)| run.clone()).collect();
-        for run in runs {
-            if self.may_evict(&run) {
-                self.stop_runs(|other| *other == run);
-            }
-        }
-    }
-
-    /// Returns true if the run's step allows one more of its tasks to be unavailable.
-    fn may_evict(&self, run: &RunId) -> bool {
-        let available = self.active.get(run).is_some_and(ActiveRun::is_available);
-        !available
-            || self
-                .allowed_evictions(&run.task.step)
-                .is_none_or(|left| left > 0)
-    }
-
-    /// Returns how many more tasks of a step may be made unavailable; `None` if that isn't limited.
-    pub(crate) fn allowed_evictions(&self, step: &StepId) -> Option<usize> {
-        let job = self.jobs.get(&step.job)?;
-        let max_unavailable = job.step(step.step)?.max_unavailable?;
-        let runs = self
-            .active
-            .iter()
-            .filter(|(run, active)| run.task.step == *step && active.is_available());
-        let available: BTreeSet<&TaskId> = runs.map(|(run, _)| &run.task).collect();
-        let unavailable = job.step_tasks(step).count().saturating_sub(available.len());
-        Some((max_unavailable as usize).saturating_sub(unavailable))
-    }
-
     pub(crate) fn record_event(&mut self, event: Event) {
         self.events.push(event);
     }
