Let long tasks show no progress for as long as their estimate explains

Cause: a run without progress for 3 s counted as standing still, but progress is listed in whole per cent, which takes longer than that in a task of over 300 s.

Change: the time follows from the step: an eighth of its estimate, 3 s at least, since a task may take ten times as long as estimated. It doubles for the task with each stop, so that no stop repeats without an end.

Tests: three in `stalls`. Two fail without the change; the third, that a short task which stands still is stopped after 3 s, passes with and without.

--- a/crates/rattanwinch_scheduling/src/job.rs
+++ b/crates/rattanwinch_scheduling/src/job.rs
@@ -118,7 +118,9 @@
     pub failed_on: SmallVec<[TargetName; 2]>,
     /// How often a run of the task was stopped for another step, by this scheduler.
     pub preemptions: u32,
-    /// The work lost by these stops, in core-milliseconds.
+    /// How often a run of the task was stopped because it made no progress, by this scheduler.
+    pub stalls: u32,
+    /// The work lost by preemptions, in core-milliseconds.
     pub lost_core_millis: u64,
 }
 
--- a/crates/rattanwinch_scheduling/src/limits.rs
+++ b/crates/rattanwinch_scheduling/src/limits.rs
@@ -25,7 +25,8 @@
         pub max_stop_time: Duration,
         /// The interval at which checkpoints and first starts of jobs are made durable.
         pub progress_write_interval: Duration,
-        /// A run without progress for this long is stopped and started elsewhere.
+        /// The least time without progress after which a run is stopped and started elsewhere; runs
+        /// of long steps have more.
         pub stall_timeout: Duration,
         /// The duration of the first quarantine of a target; doubled for each further one.
         pub initial_quarantine: Duration,
--- a/crates/rattanwinch_scheduling/src/stalls.rs
+++ b/crates/rattanwinch_scheduling/src/stalls.rs
@@ -3,15 +3,19 @@
 use rattanwinch_types::Timestamp;
 
 use crate::Event;
+use crate::RunId;
 use crate::Scheduler;
 use crate::active_run::ActiveRun;
 use crate::active_run::DesiredState;
 use crate::run_lists::Presence;
 
+/// The part of its estimated run time in which a run makes a per cent of progress at least. By the
+/// users' requirements a task takes up to ten times as long as estimated, a tenth for a per cent.
+const ESTIMATE_DIVISOR: u32 = 8;
+
 impl Scheduler {
     /// Stops runs that are listed without progress, and quarantines their targets.
     pub(crate) fn stop_stalled_runs(&mut self, now: Timestamp) {
-        let stall = self.limits.stall_timeout;
         let stalled: Vec<_> = self
             .active
             .iter()
@@ -19,19 +23,21 @@
                 active.presence == Presence::Running
                     && active.desired == DesiredState::Run
                     && active.percent < 100
-                    && self.observed_time(active, now) > stall
+                    && self.observed_time(active, now) > self.limits.stall_timeout
                     && self
-                        .step(&run.task.step)
-                        .is_some_and(|step| !step.long_running)
+                        .stall_timeout(run)
+                        .is_some_and(|timeout| self.observed_time(active, now) > timeout)
             })
             .map(|(run, active)| (run.clone(), active.target.target.clone()))
             .collect();
         for (run, target) in stalled {
             if let Some(job) = self.jobs.get_mut(&run.task.step.job)
                 && let Some(task) = job.task_mut(&run.task)
-                && !task.failed_on.contains(&target)
             {
-                task.failed_on.push(target.clone());
+                task.stalls = task.stalls.saturating_add(1);
+                if !task.failed_on.contains(&target) {
+                    task.failed_on.push(target.clone());
+                }
             }
             self.stop_with_gang(&run);
             self.quarantine(&target, now);
@@ -39,6 +45,23 @@
         }
     }
 
+    /// Returns how long a run may show no progress, which is listed in whole per cent; `None` for a
+    /// run that lasts. It doubles with each stop for it, so that a task that is slower than all
+    /// that is known of it gets its time after a few.
+    fn stall_timeout(&self, run: &RunId) -> Option<Duration> {
+        let job = self.jobs.get(&run.task.step.job)?;
+        let step = job.step(run.task.step.step)?;
+        if step.long_running {
+            return None;
+        }
+        let timeout = self
+            .limits
+            .stall_timeout
+            .max(step.estimated_run_time / ESTIMATE_DIVISOR);
+        let stalls = job.task(&run.task).map_or(0, |task| task.stalls);
+        Some(timeout.saturating_mul(2_u32.saturating_pow(stalls)))
+    }
+
     /// Returns for how long the lists of the run's target have shown no progress. Time in which the
     /// target made no lists does not count, since the run may have worked.
     fn observed_time(&self, active: &ActiveRun, now: Timestamp) -> Duration {
--- a/crates/rattanwinch_scheduling/tests/decisions/main.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/main.rs
@@ -10,5 +10,6 @@
 mod reserving;
 mod runs;
 mod silences;
+mod stalls;
 mod states;
 mod upkeep;
