Place work again once the leases of a target that is gone have ended

Cause: an agent whose executor was gone for good, without a departure message, went on to report the last lists. The scheduler counted the runs as running until the agent was silent too, and for 16 s or more beyond that.

Change: the agent knows the end of the last lease that it may have granted. It stops renewing 2.5 s after the last answer, and reports the instance as lapsed once all leases have ended on the VM's steady clock, 2% slow. Leases are 6 s long, also where targets allow more. An agent that has started again counts the leases of its predecessor, and does not renew beside an executor that never answers, so that one is bounded too. Reports also carry the least time until a draining target ends.

--- a/crates/rattanwinch_fleet/src/agent_report.rs
+++ b/crates/rattanwinch_fleet/src/agent_report.rs
@@ -34,6 +34,9 @@
         pub target: Option<TargetReport>,
         /// The last target instance that announced its departure.
         pub departed: Option<TargetInstance>,
+        /// The target instance that does not answer and whose leases have all ended, so that none of
+        /// its runs can be at work.
+        pub lapsed: Option<TargetInstance>,
     }
 }
 
--- a/crates/rattanwinch_fleet/src/lib.rs
+++ b/crates/rattanwinch_fleet/src/lib.rs
@@ -65,6 +65,18 @@
 /// Interval of an agent's reports to the leader if nothing has changed.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(1000);
 
+/// The longest lease that an agent grants, if its target allows as much.
+///
+/// It covers the restart of an agent and an executor that leaves calls unanswered for some seconds.
+/// A longer one would only delay the restart of work whose target is gone.
+const MAX_LEASE_LENGTH: Duration = Duration::from_secs(6);
+
+/// The length of the leases that an agent grants, given the longest one that its target allows.
+#[must_use]
+pub fn lease_length(max_lease: Duration) -> Duration {
+    max_lease.min(MAX_LEASE_LENGTH)
+}
+
 /// Silence of an agent after which all leases of its target have expired.
 ///
 /// The sum of [`LEADER_CONTACT_TIMEOUT`], a batch of orders that begins at its end, the
@@ -73,6 +85,6 @@
 pub fn target_silence_timeout(max_lease: Duration) -> Duration {
     LEADER_CONTACT_TIMEOUT
         + ORDER_BATCH_TIMEOUT
-        + max_lease * 102 / 100
+        + lease_length(max_lease) * 102 / 100
         + Duration::from_millis(500)
 }
--- a/crates/rattanwinch_fleet/src/wire/reports.rs
+++ b/crates/rattanwinch_fleet/src/wire/reports.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rattanwinch_scheduling::Checkpoint;
 use rattanwinch_scheduling::EndedTask;
@@ -152,6 +153,9 @@
     /// Further ends may follow.
     #[serde(default)]
     partial: bool,
+    /// The least time until a draining target ends.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    leaves_in_ms: Option<u64>,
 }
 
 fn saved(checkpoint: Option<&Checkpoint>) -> Option<Arc<str>> {
@@ -190,6 +194,9 @@
             running: running.collect(),
             ended: ended.collect(),
             partial: report.lists.extent == ListExtent::Partial,
+            leaves_in_ms: report
+                .leaves_in
+                .map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX)),
         }
     }
 }
@@ -221,6 +228,7 @@
                 labels: labels.map(|label| Label::from(&**label)).collect(),
                 draining: wire.draining,
             },
+            leaves_in: wire.leaves_in_ms.map(Duration::from_millis),
             lists_clock_ms: wire.lists_clock_ms,
             lists: RunLists {
                 running: running.collect(),
@@ -247,6 +255,8 @@
     target: Option<WireTarget>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     left: Option<WireInstance>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    lapsed: Option<WireInstance>,
 }
 
 impl From<&AgentReport> for WireReport {
@@ -260,6 +270,7 @@
             epoch: report.epoch,
             target: report.target.as_ref().map(WireTarget::from),
             left: report.departed.as_ref().map(WireInstance::from),
+            lapsed: report.lapsed.as_ref().map(WireInstance::from),
         }
     }
 }
@@ -277,6 +288,7 @@
             epoch: wire.epoch,
             target: wire.target.map(TargetReport::from),
             departed: wire.left.map(TargetInstance::from),
+            lapsed: wire.lapsed.map(TargetInstance::from),
         }
     }
 }
--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -331,6 +331,10 @@
         if let Some(instance) = &report.departed {
             self.scheduler.remove_instance(instance, RemovalCause::Left);
         }
+        if let Some(instance) = &report.lapsed {
+            self.scheduler
+                .remove_instance(instance, RemovalCause::Unresponsive);
+        }
         if let Some(target) = &report.target {
             self.scheduler.handle_report(target, now);
         }
--- a/crates/rattanwinch_front/tests/site/lost_targets.rs
+++ b/crates/rattanwinch_front/tests/site/lost_targets.rs
@@ -9,6 +9,10 @@
 /// Silence of a target after which its leases have expired, with leases of 6 s.
 const TARGET_SILENCE_TIMEOUT: Duration = Duration::from_millis(16_120);
 
+/// Time from the last answer of an executor to the end of the work that was moved: renewals for 2.5 s,
+/// a lease of 6 s on a slow clock, two polls and reports, and the work itself.
+const GONE_EXECUTOR_TIMEOUT: Duration = Duration::from_millis(14_000);
+
 /// Time from the confirmation of a closed zone to the last start there.
 const EVACUATION_TIME: Duration = Duration::from_secs(5);
 
@@ -59,6 +63,23 @@
     assert_eq!(site.runs("00000000000000b9").len(), 16, "a task ran again");
 }
 
+/// Guards against an executor that is gone for good, or can't be reached, beside a live agent: its
+/// jobs hung for as long as the agent went on to report the last lists.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_of_an_executor_that_never_answers_again_starts_elsewhere() {
+    let site = Site::start(2, 2).await;
+    site.submit_until_accepted(0, "00000000000000d8", 1_500, 8)
+        .await;
+    site.wait_for(0, "00000000000000d8", "running", Duration::from_secs(10))
+        .await;
+    site.workers[0].executor.set_partitioned(true);
+    let took = site
+        .wait_for(0, "00000000000000d8", "completed", Duration::from_secs(30))
+        .await;
+    assert!(took < GONE_EXECUTOR_TIMEOUT, "completed after {took:?}");
+    site.assert_no_task_ran_twice("00000000000000d8");
+}
+
 /// A draining target must get no new runs once its agent has received the heartbeat.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_draining_target_gets_nothing_new() {
--- a/crates/rattanwinch_runtime/src/boot_clock.rs
+++ b/crates/rattanwinch_runtime/src/boot_clock.rs
@@ -16,10 +16,15 @@
     /// The current time since boot.
     #[must_use]
     pub fn now(self) -> Timestamp {
-        let time = clock_gettime(ClockId::Boottime);
-        let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
-        let nanos = u64::try_from(time.tv_nsec).unwrap_or(0);
-        Timestamp::from_millis(seconds * 1000 + nanos / 1_000_000)
+        read(ClockId::Boottime)
+    }
+
+    /// The time since boot without the time in which the VM was suspended.
+    ///
+    /// Other processes on the VM measure their timeouts on it.
+    #[must_use]
+    pub fn steady(self) -> Timestamp {
+        read(ClockId::Monotonic)
     }
 
     /// The wall-clock time, for values exchanged with callers; it may jump.
@@ -30,3 +35,10 @@
         Timestamp::from_millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
     }
 }
+
+fn read(clock: ClockId) -> Timestamp {
+    let time = clock_gettime(clock);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or(0);
+    Timestamp::from_millis(seconds * 1000 + nanos / 1_000_000)
+}
--- a/crates/rattanwinch_scheduling/src/event.rs
+++ b/crates/rattanwinch_scheduling/src/event.rs
@@ -155,6 +155,8 @@
         Replaced,
         /// The target has announced that it leaves.
         Left,
+        /// The target doesn't answer its agent, and its leases have expired.
+        Unresponsive,
         /// The target was silent for so long that its leases have expired.
         Silent,
     }
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -54,6 +54,9 @@
             target.description = report.description.clone();
             target.last_report_at = now;
         }
+        if let Some(target) = self.targets.get_mut(&instance.target) {
+            target.leaves_at = report.leaves_in.map(|time| now + time);
+        }
         let lists = &report.lists;
         for ended in &lists.ended {
             self.handle_ended_task(instance, ended, now);
--- a/crates/rattanwinch_scheduling/src/target.rs
+++ b/crates/rattanwinch_scheduling/src/target.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
@@ -115,6 +116,8 @@
         pub lists_clock_ms: u64,
         /// The runs on the target.
         pub lists: RunLists,
+        /// The least time until a draining target ends; `None` if it isn't known.
+        pub leaves_in: Option<Duration>,
     }
 }
 
@@ -123,6 +126,8 @@
 pub(crate) struct Target {
     pub description: TargetDescription,
     pub last_report_at: Timestamp,
+    /// When a draining target may end; `None` if it isn't known.
+    pub leaves_at: Option<Timestamp>,
     /// The target's clock in the last lists, and when they were first reported.
     pub lists: (u64, Timestamp),
     /// Ended runs up to this sequence are durable and may be forgotten by the target.
@@ -150,6 +155,7 @@
         Self {
             description,
             last_report_at: now,
+            leaves_at: None,
             lists: (0, now),
             acknowledged_sequence: 0,
             processed_sequence: 0,
--- a/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
@@ -140,6 +140,7 @@
             description,
             lists_clock_ms: self.now.as_millis(),
             lists: RunLists::empty(ListExtent::Complete),
+            leaves_in: None,
         };
         self.scheduler.handle_report(&report, self.now);
         self.reports.insert(target(number), report);
--- a/crates/rattanwinch_scheduling/tests/world/target.rs
+++ b/crates/rattanwinch_scheduling/tests/world/target.rs
@@ -169,6 +169,7 @@
                 labels: smallvec!["a".into(), "r1".into()],
                 draining: false,
             },
+            leaves_in: None,
             lists: RunLists {
                 running: running.collect(),
                 ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
--- a/crates/rattanwinch_side/src/executor_watch.rs
+++ b/crates/rattanwinch_side/src/executor_watch.rs
@@ -76,11 +76,11 @@
     client: &ExecutorClient,
     wait: Option<Duration>,
 ) -> Result<(), ExecutorError> {
-    let now = state.clock.now();
-    let renew = state.may_renew_leases(now);
-    let lease = state.settings.vm.max_lease;
+    let renew = state.may_renew_leases(state.clock.now());
+    let now = state.clock.steady();
     let req = state.update_view(client, |view| ListRequest {
-        lease_end_ms: renew.then(|| view.lease_end(lease, now)),
+        lease_end_ms: (renew && view.may_renew_lease(now))
+            .then(|| view.grant_lease(state.lease_length(), now)),
         epoch: state.epoch(),
         acknowledged: view.acknowledged(),
         wait,
@@ -92,7 +92,7 @@
         warn!(state.log, "unreadable rows in the target's lists ignored";
             "rows" => lists.unreadable);
     }
-    let now = state.clock.now();
+    let now = state.clock.steady();
     let changed = state.update_view(client, |view| {
         let recovered = view.set_responsive(true);
         view.apply_lists(lists, now) || recovered
--- a/crates/rattanwinch_side/src/lib.rs
+++ b/crates/rattanwinch_side/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod executor_watch;
 mod leader_search;
+mod lease_grants;
 mod orders;
 mod reporter;
 mod side_daemon;
@@ -15,6 +16,7 @@
 mod side_state;
 mod target_view;
 
+pub use lease_grants::LeaseGrants;
 pub use side_daemon::SideDaemon;
 pub use side_settings::SideSettings;
 pub use target_view::TargetView;
--- a/crates/rattanwinch_side/src/orders.rs
+++ b/crates/rattanwinch_side/src/orders.rs
@@ -130,8 +130,9 @@
         }
         // A request that a partition or the executor delays must not start the run after the order
         // has expired, when the target may have been closed. Polls renew the lease soon after.
-        let lease = valid_until.since(now).min(state.settings.vm.max_lease);
-        let Some(lease_end_ms) = state.update_view(client, |view| view.lease_end(lease, now))
+        let lease = valid_until.since(now).min(state.lease_length());
+        let steady = state.clock.steady();
+        let Some(lease_end_ms) = state.update_view(client, |view| view.grant_lease(lease, steady))
         else {
             break;
         };
@@ -143,7 +144,7 @@
         sent = true;
         match client.start(&req, EXECUTOR_CALL_TIMEOUT).await {
             Ok(clock_ms) => {
-                let now = state.clock.now();
+                let now = state.clock.steady();
                 state.update_view(client, |view| {
                     view.record_start(&order.run, clock_ms, now);
                 });
--- a/crates/rattanwinch_side/src/side_state.rs
+++ b/crates/rattanwinch_side/src/side_state.rs
@@ -5,6 +5,7 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
@@ -12,6 +13,7 @@
 use rattanwinch_fleet::AgentReport;
 use rattanwinch_fleet::LEADER_CONTACT_TIMEOUT;
 use rattanwinch_fleet::LeaderInfo;
+use rattanwinch_fleet::lease_length;
 use rattanwinch_runtime::BootClock;
 use rattanwinch_scheduling::TargetInstance;
 use rattanwinch_site_executors::ExecutorBackend;
@@ -176,17 +178,26 @@
         contact > Timestamp::ZERO && now.since(contact) < LEADER_CONTACT_TIMEOUT
     }
 
+    /// The length of the leases that this agent grants.
+    pub(crate) fn lease_length(&self) -> Duration {
+        lease_length(self.settings.vm.max_lease)
+    }
+
     /// Builds the next report; each has a higher sequence number than the one before.
     pub(crate) fn report(&self) -> AgentReport {
+        let now = self.clock.steady();
         let target = self.target();
-        let report = target.as_ref().and_then(|target| target.view.report());
+        let view = target.as_ref().map(|target| &target.view);
+        let lapsed = view.filter(|view| view.has_lapsed(now));
+        let answering = view.filter(|_| lapsed.is_none());
         AgentReport {
             agent: self.id.clone(),
             sequence: self.sequence.fetch_add(1, Ordering::AcqRel),
             address: self.address,
             clock: self.clock.now(),
             epoch: self.epoch(),
-            target: report,
+            target: answering.and_then(|view| view.report(now)),
+            lapsed: lapsed.map(|view| view.instance().clone()),
             departed: self
                 .last_departed
                 .load_full()
@@ -221,7 +232,7 @@
             "draining" => heartbeat.description.draining);
         let client = ExecutorClient::new(heartbeat.address, instance.clone());
         *target = Some(Target {
-            view: TargetView::new(heartbeat, self.clock.now()),
+            view: TargetView::new(heartbeat, self.lease_length(), self.clock.steady()),
             client,
         });
     }
@@ -243,7 +254,7 @@
         let known_instance = known.client.instance();
         if known_instance == instance {
             let was_draining = known.view.description().draining;
-            if known.view.apply_heartbeat(&heartbeat, self.clock.now()) {
+            if known.view.apply_heartbeat(&heartbeat, self.clock.steady()) {
                 if heartbeat.description.draining && !was_draining {
                     info!(self.log, "target drains"; "target" => %instance.target);
                 }
--- a/crates/rattanwinch_side/src/target_view.rs
+++ b/crates/rattanwinch_side/src/target_view.rs
@@ -5,11 +5,14 @@
 use rattanwinch_scheduling::RunLists;
 use rattanwinch_scheduling::RunningTask;
 use rattanwinch_scheduling::TargetDescription;
+use rattanwinch_scheduling::TargetInstance;
 use rattanwinch_scheduling::TargetReport;
 use rattanwinch_site_executors::ExecutorHeartbeat;
 use rattanwinch_site_executors::ExecutorLists;
 use rattanwinch_types::Timestamp;
 
+use crate::LeaseGrants;
+
 /// Two heartbeats whose sequence numbers differ by more than this are not of the same sequence: one
 /// is from another writer.
 const MAX_SEQUENCE_JUMP: u64 = 100_000;
@@ -18,6 +21,7 @@
 ///
 /// The executor's answers may be received out of order, so lists are ordered by its own clock. A
 /// run whose start was confirmed stays in the view until lists made after that have been read.
+/// Times are those of the VM's steady clock.
 #[derive(Clone, Debug)]
 pub struct TargetView {
     description: TargetDescription,
@@ -34,12 +38,16 @@
     acknowledged: u64,
     /// The executor doesn't answer; it is reported as draining, so that it gets no new runs.
     unresponsive: bool,
+    /// The earliest end of a draining executor, from its last heartbeat.
+    leaves_at: Option<Timestamp>,
+    grants: LeaseGrants,
 }
 
 impl TargetView {
-    /// Creates the view from an instance's first heartbeat.
+    /// Creates the view from an instance's first heartbeat. An earlier agent may have granted it
+    /// leases of up to `longest_lease`.
     #[must_use]
-    pub fn new(heartbeat: &ExecutorHeartbeat, now: Timestamp) -> Self {
+    pub fn new(heartbeat: &ExecutorHeartbeat, longest_lease: Duration, now: Timestamp) -> Self {
         Self {
             description: heartbeat.description.clone(),
             sequence: heartbeat.sequence,
@@ -49,6 +57,8 @@
             confirmed_starts: Vec::new(),
             acknowledged: 0,
             unresponsive: false,
+            leaves_at: heartbeat.remaining.map(|time| now + time),
+            grants: LeaseGrants::new(longest_lease, now),
         }
     }
 
@@ -68,6 +78,7 @@
         }
         self.sequence = heartbeat.sequence;
         self.update_clock(heartbeat.clock_ms, now);
+        self.leaves_at = heartbeat.remaining.map(|time| now + time);
         let mut new_description = heartbeat.description.clone();
         // An instance never stops draining.
         new_description.draining |= self.description.draining;
@@ -85,13 +96,32 @@
         clock_ms.saturating_add(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
     }
 
-    /// End of a lease of `length` from `now`, on the executor's clock.
-    #[must_use]
-    pub fn lease_end(&self, length: Duration, now: Timestamp) -> u64 {
+    /// Grants a lease of `length` from `now`; returns its end on the executor's clock.
+    pub fn grant_lease(&mut self, length: Duration, now: Timestamp) -> u64 {
+        self.grants.record_grant(length, now);
         self.clock_ms(now)
             .saturating_add(u64::try_from(length.as_millis()).unwrap_or(u64::MAX))
     }
 
+    /// True if the executor has answered recently enough for a renewal of its lease.
+    #[must_use]
+    pub fn may_renew_lease(&self, now: Timestamp) -> bool {
+        self.grants.may_renew(now)
+    }
+
+    /// True if none of the instance's runs can be at work: it doesn't answer, and all its leases
+    /// have ended.
+    #[must_use]
+    pub fn has_lapsed(&self, now: Timestamp) -> bool {
+        self.unresponsive && self.grants.have_ended(now)
+    }
+
+    /// The instance of the executor.
+    #[must_use]
+    pub const fn instance(&self) -> &TargetInstance {
+        &self.description.instance
+    }
+
     fn update_clock(&mut self, clock_ms: u64, now: Timestamp) {
         if clock_ms >= self.clock.0 {
             self.clock = (clock_ms, now);
@@ -107,6 +137,7 @@
 
     /// Records that the executor confirmed a start.
     pub fn record_start(&mut self, run: &RunId, clock_ms: u64, now: Timestamp) {
+        self.grants.record_answer(now);
         self.update_clock(clock_ms, now);
         self.confirmed_starts.push((run.clone(), clock_ms));
     }
@@ -135,6 +166,7 @@
     /// Applies the executor's lists, unless newer ones have been applied; true if a run was added
     /// or removed.
     pub fn apply_lists(&mut self, lists: ExecutorLists, now: Timestamp) -> bool {
+        self.grants.record_answer(now);
         if self
             .lists_clock_ms
             .is_some_and(|applied_ms| lists.clock_ms < applied_ms)
@@ -160,7 +192,7 @@
 
     /// The report for the scheduler; `None` until the lists have been read once.
     #[must_use]
-    pub fn report(&self) -> Option<TargetReport> {
+    pub fn report(&self, now: Timestamp) -> Option<TargetReport> {
         let lists_clock_ms = self.lists_clock_ms?;
         let mut lists = self.lists.clone();
         for (run, _) in &self.confirmed_starts {
@@ -180,6 +212,7 @@
             description,
             lists_clock_ms,
             lists,
+            leaves_in: self.leaves_at.map(|leaves_at| leaves_at.since(now)),
         })
     }
 }
--- a/crates/rattanwinch_side/tests/target_view.rs
+++ b/crates/rattanwinch_side/tests/target_view.rs
@@ -1,6 +1,7 @@
 //! What an agent makes of heartbeats that another writer may have sent.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rattanwinch_scheduling::ListExtent;
 use rattanwinch_scheduling::RunLists;
@@ -9,6 +10,9 @@
 use rattanwinch_site_executors::ExecutorLists;
 use rattanwinch_types::Timestamp;
 
+/// The leases that an agent grants.
+const LEASE: Duration = Duration::from_secs(6);
+
 fn heartbeat(sequence: u64, service: &str) -> ExecutorHeartbeat {
     let body = serde_json::json!({
         "service": service, "addr": "10.0.0.9:8080", "zone": "az-1", "state": "ready",
@@ -23,7 +27,7 @@
 #[test]
 fn an_odd_sequence_number_is_not_followed() {
     let now = Timestamp::from_millis(1);
-    let mut view = TargetView::new(&heartbeat(4, "design"), now);
+    let mut view = TargetView::new(&heartbeat(4, "design"), LEASE, now);
     assert!(!view.apply_heartbeat(&heartbeat(u64::MAX, "odd"), now));
     assert_eq!(view.description().service.as_str(), "design");
     assert!(view.apply_heartbeat(&heartbeat(5, "next"), now));
@@ -34,7 +38,7 @@
 #[test]
 fn an_odd_first_heartbeat_is_replaced() {
     let now = Timestamp::from_millis(1);
-    let mut view = TargetView::new(&heartbeat(u64::MAX, "odd"), now);
+    let mut view = TargetView::new(&heartbeat(u64::MAX, "odd"), LEASE, now);
     assert!(view.apply_heartbeat(&heartbeat(4, "design"), now));
     assert_eq!(view.description().service.as_str(), "design");
 }
@@ -44,7 +48,7 @@
 #[test]
 fn partial_lists_are_reported_as_such_and_read_on_when_acknowledged() {
     let now = Timestamp::from_millis(1);
-    let mut view = TargetView::new(&heartbeat(4, "design"), now);
+    let mut view = TargetView::new(&heartbeat(4, "design"), LEASE, now);
     let lists = |extent| ExecutorLists {
         clock_ms: 1_000,
         started_at_ms: Some(99),
@@ -52,12 +56,47 @@
         unreadable: 0,
     };
     view.apply_lists(lists(ListExtent::Partial), now);
-    let report = view.report().expect("a report");
+    let report = view.report(now).expect("a report");
     assert_eq!(report.lists.extent, ListExtent::Partial);
     assert!(view.acknowledge(500));
     assert!(!view.acknowledge(500), "nothing new to list");
     assert!(view.apply_lists(lists(ListExtent::Complete), now));
-    let report = view.report().expect("a report");
+    let report = view.report(now).expect("a report");
     assert_eq!(report.lists.extent, ListExtent::Complete);
     assert!(!view.acknowledge(501));
 }
+
+/// Guards against work that never starts again because its executor is gone for good beside a live
+/// agent: leases have to end at a time that the agent knows.
+#[test]
+fn an_executor_that_answers_nothing_lapses_when_its_last_lease_has_ended() {
+    let started = Timestamp::from_millis(1_000_000);
+    let after = |millis| started + Duration::from_millis(millis);
+    let mut view = TargetView::new(&heartbeat(4, "design"), LEASE, started);
+    assert!(view.may_renew_lease(after(2_400)));
+    view.grant_lease(LEASE, after(2_400));
+    assert!(
+        !view.may_renew_lease(after(2_500)),
+        "renewed without an end"
+    );
+    view.set_responsive(false);
+    assert!(
+        !view.has_lapsed(after(2_400 + 6_000)),
+        "a clock may be slow"
+    );
+    assert!(view.has_lapsed(after(2_400 + 6_130)));
+}
+
+/// Guards against an executor that is given up though its runs go on: a former process of the agent
+/// has renewed the lease just before, and a start grants one as well.
+#[test]
+fn leases_of_a_former_agent_and_of_starts_count() {
+    let now = Timestamp::from_millis(1_000_000);
+    let mut view = TargetView::new(&heartbeat(4, "design"), LEASE, now);
+    view.set_responsive(false);
+    assert!(!view.has_lapsed(now + LEASE));
+    let later = now + Duration::from_secs(60);
+    assert!(view.has_lapsed(later));
+    view.grant_lease(Duration::from_secs(1), later);
+    assert!(!view.has_lapsed(later + Duration::from_secs(1)));
+}
--- a/crates/rattanwinch_trials/src/passes.rs
+++ b/crates/rattanwinch_trials/src/passes.rs
@@ -250,6 +250,7 @@
             draining: false,
         },
         lists: RunLists::empty(ListExtent::Complete),
+        leaves_in: None,
     }
 }
 
