Learn the speeds of targets and place work by them

Cause: targets differ in speed, and no message states it.

Change: the rates of progress of a step's tasks are compared with each other. An urgent gang gets the fastest targets that hold it as a whole, a step with little time to spare fast ones, and one with time to spare slow ones. Where targets don't differ, placement is as before.

--- a/crates/rattanwinch_scheduling/src/active_run.rs
+++ b/crates/rattanwinch_scheduling/src/active_run.rs
@@ -5,6 +5,7 @@
 use crate::TargetInstance;
 use crate::Ticket;
 use crate::run_lists::Presence;
+use crate::target_speeds::ProgressBase;
 
 value! { copy
     /// The desired state of a run.
@@ -45,6 +46,8 @@
     /// The progress in the first report that listed the run, and when it came. A run that a previous
     /// scheduler started has made progress before.
     pub first_progress: Option<(Timestamp, u32)>,
+    /// The first progress in the lists that a rate is computed from.
+    pub progress_base: Option<ProgressBase>,
     /// When `percent` last changed.
     pub progressed_at: Timestamp,
     pub ticket: Option<Ticket>,
--- a/crates/rattanwinch_scheduling/src/placement.rs
+++ b/crates/rattanwinch_scheduling/src/placement.rs
@@ -7,6 +7,8 @@
 
 use crate::Label;
 use crate::Resources;
+use crate::target_speeds::SpeedClass;
+use crate::target_speeds::SpeedPreference;
 
 value! {
     /// A target that may run tasks of a step, with its free resources.
@@ -18,6 +20,7 @@
         pub max_tasks: usize,
         /// A task of the step has failed on the target, so other targets are preferred.
         pub failed_here: bool,
+        pub speed: SpeedClass,
     }
 }
 
@@ -33,6 +36,7 @@
         pub data_rack: Option<Label>,
         /// The step has waited long enough for its preferred racks; any rack is accepted.
         pub any_rack: bool,
+        pub speed: SpeedPreference,
     }
 }
 
@@ -96,8 +100,38 @@
     best
 }
 
-/// Places tasks by best fit; returns the targets and how many tasks go where one has failed.
+/// Places tasks by their preferred speed, then by best fit; returns the targets and how many tasks
+/// go where one has failed.
 fn best_fit(demand: &Demand, group: &[&Candidate]) -> (Vec<TargetName>, usize) {
+    if demand.gang && demand.speed == SpeedPreference::Fast {
+        return fastest_gang(demand, group);
+    }
+    best_fit_by(demand, group, demand.speed)
+}
+
+/// Places a gang so that its slowest target is as fast as possible. The other members gain nothing
+/// by faster targets than that one, which are left to other work.
+fn fastest_gang(demand: &Demand, group: &[&Candidate]) -> (Vec<TargetName>, usize) {
+    let mut placed = (Vec::new(), 0);
+    for slowest in SpeedClass::DESCENDING {
+        let fast_enough = group
+            .iter()
+            .copied()
+            .filter(|candidate| candidate.speed >= slowest);
+        let fast_enough: Vec<_> = fast_enough.collect();
+        placed = best_fit_by(demand, &fast_enough, SpeedPreference::Slow);
+        if placed.0.len() == demand.count {
+            break;
+        }
+    }
+    placed
+}
+
+fn best_fit_by(
+    demand: &Demand,
+    group: &[&Candidate],
+    preference: SpeedPreference,
+) -> (Vec<TargetName>, usize) {
     let mut left: Vec<(Resources, usize)> = group
         .iter()
         .map(|candidate| (candidate.free, candidate.max_tasks))
@@ -113,6 +147,7 @@
             let remaining = left[index].0.minus(demand.resources);
             (
                 candidate.failed_here,
+                preference.rank(candidate.speed),
                 remaining.accelerators,
                 remaining.memory_mb,
                 remaining.cpu_millis,
@@ -208,10 +243,11 @@
                 .map_or(&[][..], Vec::as_slice);
             let (sets, loss) =
                 preempt_for_one_task(demand, candidate, taken, occupants_here, &plan.sets)?;
-            Some((loss, candidate.free.accelerators, *candidate, sets))
+            let rank = demand.speed.rank(candidate.speed);
+            Some(((loss, rank, candidate.free.accelerators), *candidate, sets))
         });
-        let best = options.min_by_key(|option| (option.0, option.1));
-        let Some((loss, _, candidate, sets)) = best else {
+        let best = options.min_by_key(|(key, ..)| *key);
+        let Some(((loss, ..), candidate, sets)) = best else {
             break;
         };
         let total = plan.loss.plus(loss);
--- a/crates/rattanwinch_scheduling/src/placement_pass.rs
+++ b/crates/rattanwinch_scheduling/src/placement_pass.rs
@@ -35,6 +35,7 @@
     /// `wall` is the wall-clock time, which decides when repeated jobs are due.
     pub fn place_tasks(&mut self, now: Timestamp, wall: Timestamp) {
         self.clear_placement_request();
+        self.speeds.fit_if_due(now);
         self.stop_stalled_runs(now);
         let guaranteed_jobs = self.guaranteed_jobs();
         let steps = self.waiting_steps(&guaranteed_jobs, now, wall);
@@ -250,6 +251,7 @@
                         (max_tasks as usize).saturating_sub(here)
                     }),
                 failed_here: failed_on.contains(name),
+                speed: self.speeds.speed(name).into(),
             });
         }
         candidates
@@ -310,6 +312,7 @@
                 retry_at: now,
                 percent: 0,
                 first_progress: None,
+                progress_base: None,
                 progressed_at: now,
                 ticket,
             };
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -16,6 +16,7 @@
 use crate::active_run::DesiredState;
 use crate::run_lists::Presence;
 use crate::target::Target;
+use crate::target_speeds::ProgressBase;
 
 /// A run that fails within this time of its placement has done hardly any work: orders take some
 /// tens of milliseconds, and the shortest task in the users' requirements a second.
@@ -66,7 +67,7 @@
         self.active
             .update_on(instance, |active| active.presence = of_others);
         for running in &lists.running {
-            self.handle_running_task(instance, running, now);
+            self.handle_running_task(instance, running, report.lists_clock_ms, now);
         }
         self.update_missing_runs(instance, now);
         let listed = lists.running.iter().map(|running| &running.run);
@@ -156,6 +157,7 @@
             return;
         };
         self.advisor_tickets.forget_target(target);
+        self.speeds.forget_target(target);
         self.record_event(Event::TargetRemoved {
             instance: known.description.instance.clone(),
             cause,
@@ -225,6 +227,7 @@
         &mut self,
         instance: &TargetInstance,
         running: &RunningTask,
+        lists_clock_ms: u64,
         now: Timestamp,
     ) {
         if !self.is_placed_on(&running.run, instance) {
@@ -248,7 +251,22 @@
         active.started_at.get_or_insert(now);
         active.presence = Presence::Running;
         active.percent = running.percent;
-        active.first_progress.get_or_insert((now, running.percent));
+        let (_, first_percent) = *active.first_progress.get_or_insert((now, running.percent));
+        match active.progress_base {
+            // A run waits for the other members of its gang, and restores its checkpoint, before it
+            // makes progress.
+            None if running.percent > first_percent => {
+                active.progress_base = ProgressBase::begin(lists_clock_ms, running.percent);
+            }
+            None => {}
+            Some(base) => self.speeds.observe(
+                &instance.target,
+                &running.run,
+                base,
+                lists_clock_ms,
+                running.percent,
+            ),
+        }
     }
 
     fn update_missing_runs(&mut self, instance: &TargetInstance, now: Timestamp) {
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -36,6 +36,8 @@
 use crate::silences::SilenceRecords;
 use crate::target::Target;
 use crate::target::Targets;
+use crate::target_speeds::Speed;
+use crate::target_speeds::TargetSpeeds;
 
 /// Decides which task runs where and when, for all queues of a site.
 ///
@@ -52,6 +54,7 @@
     pub(crate) open_jobs: BTreeSet<JobId>,
     pub(crate) targets: Targets,
     pub(crate) active: ActiveRuns,
+    pub(crate) speeds: TargetSpeeds,
     /// Room that is being made for waiting steps.
     pub(crate) reclaims: BTreeMap<TaskGroup, Reclaim<Underway>>,
     /// Room that is kept for blocked steps until runs have ended.
@@ -117,6 +120,7 @@
             open_jobs: BTreeSet::new(),
             targets: Targets::new(),
             active: ActiveRuns::default(),
+            speeds: TargetSpeeds::default(),
             reclaims: BTreeMap::new(),
             reservations: Reservations::default(),
             advisor_tickets: TicketCache::default(),
@@ -176,6 +180,7 @@
                 retry_at: now,
                 percent: 0,
                 first_progress: None,
+                progress_base: None,
                 progressed_at: now,
                 ticket: None,
             };
@@ -377,6 +382,11 @@
         self.targets.len()
     }
 
+    /// Returns the targets whose speed differs from the usual one.
+    pub fn unusual_speeds(&self) -> impl Iterator<Item = (&TargetName, Speed)> {
+        self.speeds.unusual()
+    }
+
     /// Holds all starts, or orders them again. They are held while it isn't known whether the rules
     /// are still in force.
     pub const fn hold_starts(&mut self, held: bool) {
--- a/crates/rattanwinch_scheduling/src/waiting.rs
+++ b/crates/rattanwinch_scheduling/src/waiting.rs
@@ -18,6 +18,7 @@
 use crate::placement::Demand;
 use crate::reclaim::TaskGroup;
 use crate::scheduler::occupied_resources;
+use crate::target_speeds::SpeedPreference;
 
 /// A step with tasks that are ready and not placed.
 pub(crate) struct WaitingStep {
@@ -179,6 +180,10 @@
             same_rack: waiting.description.same_rack,
             data_rack: waiting.description.data_rack.clone(),
             any_rack: waiting.waited >= locality_wait,
+            speed: SpeedPreference::of(
+                (waiting.slack < Duration::MAX).then_some(waiting.slack),
+                waiting.description.estimated_run_time,
+            ),
         }
     }
 }
--- a/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
@@ -41,6 +41,8 @@
     pub repeats_lists: bool,
     /// Stops take up to this long, different for each run; zero if they end at once.
     pub max_stop_time: Duration,
+    /// Progress of each run on a target in a wait, in per cent, where it isn't 1.
+    pub progress: BTreeMap<TargetName, u32>,
     stopping: BTreeMap<RunId, Timestamp>,
     reports: BTreeMap<TargetName, TargetReport>,
     jobs: u64,
@@ -105,6 +107,7 @@
             is_hung: false,
             repeats_lists: false,
             max_stop_time: Duration::ZERO,
+            progress: BTreeMap::new(),
             stopping: BTreeMap::new(),
             reports: BTreeMap::new(),
             jobs: 0,
@@ -193,14 +196,15 @@
 
     pub fn wait(&mut self, millis: u64) {
         self.now = self.now + Duration::from_millis(millis);
-        for report in self.reports.values_mut() {
+        for (name, report) in &mut self.reports {
+            let gained = self.progress.get(name).copied().unwrap_or(1);
             if self.repeats_lists {
                 self.scheduler.handle_report(report, self.now);
                 continue;
             }
             report.lists_clock_ms = self.now.as_millis();
             for running in report.lists.running.iter_mut().filter(|_| !self.is_hung) {
-                running.percent = (running.percent + 1) % 99;
+                running.percent = (running.percent + gained) % 99;
             }
             self.scheduler.handle_report(report, self.now);
         }
--- a/crates/rattanwinch_scheduling/tests/decisions/main.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod reserving;
 mod runs;
 mod silences;
+mod speeds;
 mod stalls;
 mod states;
 mod upkeep;
