Bound the wait for work of targets that go with their VMs

Change: a lease in a request for which no connection could be opened counts as never granted, since an executor that has crashed receives nothing. An agent that stops sends a last report with the time until all its leases have ended, and the scheduler counts the runs as ended then unless the next agent reports.

--- a/crates/rattanwinch_fleet/src/wire/reports.rs
+++ b/crates/rattanwinch_fleet/src/wire/reports.rs
@@ -153,11 +153,18 @@
     /// Further ends may follow.
     #[serde(default)]
     partial: bool,
+    /// The time until all leases have ended; stated by an agent that stops.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    leases_end_in_ms: Option<u64>,
     /// The least time until a draining target ends.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     leaves_in_ms: Option<u64>,
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn saved(checkpoint: Option<&Checkpoint>) -> Option<Arc<str>> {
     checkpoint.map(|checkpoint| Arc::from(checkpoint.as_str()))
 }
@@ -194,9 +201,8 @@
             running: running.collect(),
             ended: ended.collect(),
             partial: report.lists.extent == ListExtent::Partial,
-            leaves_in_ms: report
-                .leaves_in
-                .map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX)),
+            leases_end_in_ms: report.leases_end_in.map(millis),
+            leaves_in_ms: report.leaves_in.map(millis),
         }
     }
 }
@@ -228,6 +234,7 @@
                 labels: labels.map(|label| Label::from(&**label)).collect(),
                 draining: wire.draining,
             },
+            leases_end_in: wire.leases_end_in_ms.map(Duration::from_millis),
             leaves_in: wire.leaves_in_ms.map(Duration::from_millis),
             lists_clock_ms: wire.lists_clock_ms,
             lists: RunLists {
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -56,6 +56,7 @@
             target.last_report_at = now;
         }
         if let Some(target) = self.targets.get_mut(&instance.target) {
+            target.leases_end_at = report.leases_end_in.map(|time| now + time);
             target.leaves_at = report.leaves_in.map(|time| now + time);
         }
         let lists = &report.lists;
@@ -165,13 +166,17 @@
         self.lapse_runs(|instance| *instance == known.description.instance);
     }
 
-    /// Removes targets that were silent for so long that all their leases have expired.
+    /// Removes targets whose leases have all expired: those that were silent for so long, or whose
+    /// agents said so when they stopped.
     pub fn expire_silent_targets(&mut self, now: Timestamp) {
         let silence_timeout = self.limits.silence_timeout;
         let silent: Vec<_> = self
             .targets
             .iter()
-            .filter(|(_, target)| now.since(target.last_report_at) > silence_timeout)
+            .filter(|(_, target)| {
+                now.since(target.last_report_at) > silence_timeout
+                    || target.leases_end_at.is_some_and(|end| now > end)
+            })
             .map(|(name, _)| name.clone())
             .collect();
         for name in silent {
--- a/crates/rattanwinch_scheduling/src/target.rs
+++ b/crates/rattanwinch_scheduling/src/target.rs
@@ -116,6 +116,8 @@
         pub lists_clock_ms: u64,
         /// The runs on the target.
         pub lists: RunLists,
+        /// The time until all leases of the target have ended, if its agent stops and grants no more.
+        pub leases_end_in: Option<Duration>,
         /// The least time until a draining target ends; `None` if it isn't known.
         pub leaves_in: Option<Duration>,
     }
@@ -126,6 +128,8 @@
 pub(crate) struct Target {
     pub description: TargetDescription,
     pub last_report_at: Timestamp,
+    /// When all leases have ended, if the agent has stopped.
+    pub leases_end_at: Option<Timestamp>,
     /// When a draining target may end; `None` if it isn't known.
     pub leaves_at: Option<Timestamp>,
     /// The target's clock in the last lists, and when they were first reported.
@@ -155,6 +159,7 @@
         Self {
             description,
             last_report_at: now,
+            leases_end_at: None,
             leaves_at: None,
             lists: (0, now),
             acknowledged_sequence: 0,
--- a/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
@@ -143,6 +143,7 @@
             description,
             lists_clock_ms: self.now.as_millis(),
             lists: RunLists::empty(ListExtent::Complete),
+            leases_end_in: None,
             leaves_in: None,
         };
         self.scheduler.handle_report(&report, self.now);
--- a/crates/rattanwinch_scheduling/tests/decisions/silences.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/silences.rs
@@ -170,3 +170,35 @@
         );
     }
 }
+
+/// Guards against a wait of 16 s for leases that the agent of a removed VM has said to end sooner:
+/// the work of executors that were taken away with their VMs was lost at the end of a day.
+#[test]
+fn the_runs_of_an_agent_that_has_stopped_lapse_with_the_leases_that_it_stated() {
+    let mut site = Fixture::new(1);
+    let job = site.submit(1, "a", &[step(1, 1)]);
+    site.step();
+    site.report_mut(0).leases_end_in = Some(Duration::from_secs(6));
+    site.wait(0);
+    site.now = site.now + Duration::from_secs(6);
+    site.scheduler.expire_silent_targets(site.now);
+    assert!(is_placed(&site.scheduler, &job), "the lease may last");
+    site.now = site.now + Duration::from_millis(1);
+    site.scheduler.expire_silent_targets(site.now);
+    assert!(!is_placed(&site.scheduler, &job));
+}
+
+/// Guards against runs that are given up beside an agent that has started again and renews leases.
+#[test]
+fn a_report_of_the_next_agent_withdraws_the_stated_end_of_leases() {
+    let mut site = Fixture::new(1);
+    let job = site.submit(1, "a", &[step(1, 1)]);
+    site.step();
+    site.report_mut(0).leases_end_in = Some(Duration::from_secs(6));
+    site.wait(0);
+    site.report_mut(0).leases_end_in = None;
+    site.wait(4_000);
+    site.now = site.now + Duration::from_secs(10);
+    site.scheduler.expire_silent_targets(site.now);
+    assert!(is_placed(&site.scheduler, &job));
+}
--- a/crates/rattanwinch_scheduling/tests/world/model.rs
+++ b/crates/rattanwinch_scheduling/tests/world/model.rs
@@ -57,7 +57,7 @@
     Response(
         u64,
         Vec<(RunId, OrderOutcome)>,
-        Option<(Timestamp, TargetReport)>,
+        Option<(Timestamp, Box<TargetReport>)>,
     ),
 }
 
@@ -352,7 +352,7 @@
     fn handle_response(
         &mut self,
         outcomes: &[(RunId, OrderOutcome)],
-        report: Option<&(Timestamp, TargetReport)>,
+        report: Option<&(Timestamp, Box<TargetReport>)>,
     ) {
         if let Some((made_at, report)) = report {
             self.deliver_report(*made_at, report);
@@ -414,7 +414,7 @@
         }
         let report = self.targets[vm].report(self.now);
         let at = self.now + TIME_STEP;
-        let report = Some((self.now, report));
+        let report = Some((self.now, Box::new(report)));
         self.messages
             .push((at, Message::Response(epoch, outcomes, report)));
     }
--- a/crates/rattanwinch_scheduling/tests/world/target.rs
+++ b/crates/rattanwinch_scheduling/tests/world/target.rs
@@ -169,6 +169,7 @@
                 labels: smallvec!["a".into(), "r1".into()],
                 draining: false,
             },
+            leases_end_in: None,
             leaves_in: None,
             lists: RunLists {
                 running: running.collect(),
--- a/crates/rattanwinch_side/src/executor_watch.rs
+++ b/crates/rattanwinch_side/src/executor_watch.rs
@@ -78,16 +78,25 @@
 ) -> Result<(), ExecutorError> {
     let renew = state.may_renew_leases(state.clock.now());
     let now = state.clock.steady();
-    let req = state.update_view(client, |view| ListRequest {
-        lease_end_ms: (renew && view.may_renew_lease(now))
-            .then(|| view.grant_lease(state.lease_length(), now)),
-        epoch: state.epoch(),
-        acknowledged: view.acknowledged(),
-        wait,
+    let prepared = state.update_view(client, |view| {
+        let lease = (renew && view.may_renew_lease(now))
+            .then(|| view.grant_lease(state.lease_length(), now));
+        let req = ListRequest {
+            lease_end_ms: lease.map(|(end_ms, _)| end_ms),
+            epoch: state.epoch(),
+            acknowledged: view.acknowledged(),
+            wait,
+        };
+        (req, lease.map(|(_, grant)| grant))
     });
-    let req = req.ok_or(ExecutorError::OtherInstance)?;
+    let (req, grant) = prepared.ok_or(ExecutorError::OtherInstance)?;
     let limit = wait.unwrap_or_default() + POLL_GRACE;
-    let lists = client.fetch_lists(&req, limit).await?;
+    let answer = client.fetch_lists(&req, limit).await;
+    if let Some(grant) = grant {
+        let may_be_received = !matches!(answer, Err(ExecutorError::NotSent(_)));
+        state.update_view(client, |view| view.settle_lease(grant, may_be_received));
+    }
+    let lists = answer?;
     if lists.unreadable > 0 {
         warn!(state.log, "unreadable rows in the target's lists ignored";
             "rows" => lists.unreadable);
--- a/crates/rattanwinch_side/src/lib.rs
+++ b/crates/rattanwinch_side/src/lib.rs
@@ -16,6 +16,7 @@
 mod side_state;
 mod target_view;
 
+pub use lease_grants::Grant;
 pub use lease_grants::LeaseGrants;
 pub use side_daemon::SideDaemon;
 pub use side_settings::SideSettings;
--- a/crates/rattanwinch_side/src/orders.rs
+++ b/crates/rattanwinch_side/src/orders.rs
@@ -132,8 +132,8 @@
         // has expired, when the target may have been closed. Polls renew the lease soon after.
         let lease = valid_until.since(now).min(state.lease_length());
         let steady = state.clock.steady();
-        let Some(lease_end_ms) = state.update_view(client, |view| view.grant_lease(lease, steady))
-        else {
+        let granted = state.update_view(client, |view| view.grant_lease(lease, steady));
+        let Some((lease_end_ms, grant)) = granted else {
             break;
         };
         let req = StartRequest {
@@ -141,8 +141,11 @@
             lease_end_ms,
             epoch,
         };
-        sent = true;
-        match client.start(&req, EXECUTOR_CALL_TIMEOUT).await {
+        let answer = client.start(&req, EXECUTOR_CALL_TIMEOUT).await;
+        let may_be_received = !matches!(answer, Err(ExecutorError::NotSent(_)));
+        state.update_view(client, |view| view.settle_lease(grant, may_be_received));
+        sent |= may_be_received;
+        match answer {
             Ok(clock_ms) => {
                 let now = state.clock.steady();
                 state.update_view(client, |view| {
@@ -153,7 +156,9 @@
             Err(ExecutorError::Refused(refusal)) => return OrderOutcome::Refused(refusal),
             Err(ExecutorError::OtherInstance) => return OrderOutcome::Unknown,
             // A start can be repeated: a run that is present stays unchanged.
-            Err(ExecutorError::MayHaveRun(_)) => back_off(&mut backoff).await,
+            Err(ExecutorError::MayHaveRun(_) | ExecutorError::NotSent(_)) => {
+                back_off(&mut backoff).await;
+            }
         }
     }
     if sent {
@@ -176,7 +181,9 @@
             Ok(_) => return OrderOutcome::Stopped,
             Err(ExecutorError::Refused(refusal)) => return OrderOutcome::Refused(refusal),
             Err(ExecutorError::OtherInstance) => return OrderOutcome::Unknown,
-            Err(ExecutorError::MayHaveRun(_)) => back_off(&mut backoff).await,
+            Err(ExecutorError::MayHaveRun(_) | ExecutorError::NotSent(_)) => {
+                back_off(&mut backoff).await;
+            }
         }
     }
     OrderOutcome::Unknown
--- a/crates/rattanwinch_side/src/reporter.rs
+++ b/crates/rattanwinch_side/src/reporter.rs
@@ -16,6 +16,9 @@
 /// abandoned after it, so it bounds how fast an agent finds the next one.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Timeout of the last report of a stopping agent, which delays its end.
+const LAST_REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Delay between two searches for the leader.
 const SEARCH_BACKOFF: Duration = Duration::from_millis(150);
 
@@ -64,6 +67,18 @@
     let _ = tokio::time::timeout(SEARCH_BACKOFF, later_announcements.changed()).await;
 }
 
+/// Reports to the leader that the agent stops, and when the leases that it has granted end.
+pub(crate) async fn report_stop(state: &SideState) {
+    let Some(leader) = state.leader.load_full() else {
+        return;
+    };
+    let report = state.last_report();
+    let client = FrontClient::new(*leader);
+    if let Err(error) = client.report(&report, LAST_REPORT_TIMEOUT).await {
+        info!(state.log, "last report unanswered"; "address" => %leader, "error" => %error);
+    }
+}
+
 async fn report_until_lost(state: &SideState, leader: LeaderInfo) {
     let client = FrontClient::new(leader.address);
     loop {
@@ -78,6 +93,7 @@
                     return;
                 }
                 state.record_leader_contact(sent_at, state.clock.now());
+                state.leader.store(Some(Arc::new(leader.address)));
                 apply_answer(state, &report, &answer);
             }
             Err(error) => {
--- a/crates/rattanwinch_side/src/side_daemon.rs
+++ b/crates/rattanwinch_side/src/side_daemon.rs
@@ -17,6 +17,7 @@
 use crate::SideSettings;
 use crate::executor_watch::poll_executor;
 use crate::orders::OrderServer;
+use crate::reporter::report_stop;
 use crate::reporter::report_to_leader;
 use crate::side_state::SideState;
 
@@ -92,11 +93,12 @@
         }
     }
 
-    /// Stops at once. Runs on the target continue until their lease expires, unless the next
-    /// process of this daemon renews it.
+    /// Stops at once, after a last report. Runs on the target continue until their lease expires,
+    /// unless the next process of this daemon renews it.
     async fn stop(mut self) {
-        info!(self.state.log, "stopped"; "vm" => &*self.state.settings.vm.name);
         self.rpc.stop().await;
         self.tasks.shutdown().await;
+        report_stop(&self.state).await;
+        info!(self.state.log, "stopped"; "vm" => &*self.state.settings.vm.name);
     }
 }
--- a/crates/rattanwinch_side/src/side_state.rs
+++ b/crates/rattanwinch_side/src/side_state.rs
@@ -58,6 +58,8 @@
     /// When the last report that a confirmed leader answered was sent, in milliseconds.
     leader_contact_ms: AtomicU64,
     sequence: AtomicU64,
+    /// The leader that has answered the last report.
+    pub leader: ArcSwapOption<SocketAddr>,
     /// The last announcement of a leader.
     announcements: watch::Sender<Option<LeaderInfo>>,
     /// Fronts that can be asked for the leader.
@@ -84,6 +86,7 @@
             poll_needed: Notify::new(),
             leader_contact_ms: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
+            leader: ArcSwapOption::empty(),
             announcements: watch::Sender::new(None),
             fronts: ArcSwap::from_pointee(fronts),
             settings,
@@ -205,6 +208,19 @@
         }
     }
 
+    /// Builds the last report of a stopping agent, which grants no more leases.
+    pub(crate) fn last_report(&self) -> AgentReport {
+        let mut report = self.report();
+        let leases_end_in = self
+            .target()
+            .as_ref()
+            .map(|target| target.view.leases_end_in(self.clock.steady()));
+        if let Some(target) = &mut report.target {
+            target.leases_end_in = leases_end_in;
+        }
+        report
+    }
+
     /// Removes the target of `client`, for example after another instance has answered.
     pub(crate) fn remove_target(&self, client: &ExecutorClient, reason: &'static str) {
         let mut target = self.target();
--- a/crates/rattanwinch_side/src/target_view.rs
+++ b/crates/rattanwinch_side/src/target_view.rs
@@ -11,6 +11,7 @@
 use rattanwinch_site_executors::ExecutorLists;
 use rattanwinch_types::Timestamp;
 
+use crate::Grant;
 use crate::LeaseGrants;
 
 /// Two heartbeats whose sequence numbers differ by more than this are not of the same sequence: one
@@ -96,11 +97,17 @@
         clock_ms.saturating_add(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
     }
 
-    /// Grants a lease of `length` from `now`; returns its end on the executor's clock.
-    pub fn grant_lease(&mut self, length: Duration, now: Timestamp) -> u64 {
-        self.grants.record_grant(length, now);
-        self.clock_ms(now)
-            .saturating_add(u64::try_from(length.as_millis()).unwrap_or(u64::MAX))
+    /// Grants a lease of `length` from `now` with a request; returns its end on the executor's
+    /// clock, and the grant, which is settled once the fate of the request is known.
+    pub fn grant_lease(&mut self, length: Duration, now: Timestamp) -> (u64, Grant) {
+        let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
+        let end_ms = self.clock_ms(now).saturating_add(length_ms);
+        (end_ms, self.grants.begin(length, now))
+    }
+
+    /// Records whether the request with a lease may have been received.
+    pub fn settle_lease(&mut self, grant: Grant, may_be_received: bool) {
+        self.grants.settle(grant, may_be_received);
     }
 
     /// True if the executor has answered recently enough for a renewal of its lease.
@@ -113,7 +120,13 @@
     /// have ended.
     #[must_use]
     pub fn has_lapsed(&self, now: Timestamp) -> bool {
-        self.unresponsive && self.grants.have_ended(now)
+        self.unresponsive && now > self.grants.end()
+    }
+
+    /// Time until all leases of the instance have ended, if none is granted any more.
+    #[must_use]
+    pub fn leases_end_in(&self, now: Timestamp) -> Duration {
+        self.grants.end().since(now)
     }
 
     /// The instance of the executor.
@@ -212,6 +225,7 @@
             description,
             lists_clock_ms,
             lists,
+            leases_end_in: None,
             leaves_in: self.leaves_at.map(|leaves_at| leaves_at.since(now)),
         })
     }
--- a/crates/rattanwinch_side/tests/target_view.rs
+++ b/crates/rattanwinch_side/tests/target_view.rs
@@ -74,7 +74,8 @@
     let after = |millis| started + Duration::from_millis(millis);
     let mut view = TargetView::new(&heartbeat(4, "design"), LEASE, started);
     assert!(view.may_renew_lease(after(2_400)));
-    view.grant_lease(LEASE, after(2_400));
+    let (_, grant) = view.grant_lease(LEASE, after(2_400));
+    view.settle_lease(grant, true);
     assert!(
         !view.may_renew_lease(after(2_500)),
         "renewed without an end"
@@ -88,7 +89,8 @@
 }
 
 /// Guards against an executor that is given up though its runs go on: a former process of the agent
-/// has renewed the lease just before, and a start grants one as well.
+/// has renewed the lease just before, a start grants one as well, and the fate of a request may
+/// never be known.
 #[test]
 fn leases_of_a_former_agent_and_of_starts_count() {
     let now = Timestamp::from_millis(1_000_000);
@@ -100,3 +102,16 @@
     view.grant_lease(Duration::from_secs(1), later);
     assert!(!view.has_lapsed(later + Duration::from_secs(1)));
 }
+
+/// Guards against a wait for leases that nobody has received: connections to an executor that has
+/// crashed are refused.
+#[test]
+fn a_lease_in_a_request_that_was_never_sent_is_not_waited_for() {
+    let now = Timestamp::from_millis(1_000_000);
+    let mut view = TargetView::new(&heartbeat(4, "design"), LEASE, now);
+    view.set_responsive(false);
+    let later = now + Duration::from_secs(2);
+    let (_, grant) = view.grant_lease(LEASE, later);
+    view.settle_lease(grant, false);
+    assert!(view.has_lapsed(now + Duration::from_millis(6_130)));
+}
--- a/crates/rattanwinch_trials/src/passes.rs
+++ b/crates/rattanwinch_trials/src/passes.rs
@@ -250,6 +250,7 @@
             draining: false,
         },
         lists: RunLists::empty(ListExtent::Complete),
+        leases_end_in: None,
         leaves_in: None,
     }
 }
