Move runs off targets that are about to end

Cause: a draining target states the least time until it ends, and nothing used it.

Change: a placement pass stops such runs: those that save their state as late as the stop allows, the others at once if they fit into free room elsewhere. Gangs are moved as a whole, serving tasks as far as their step allows.

--- a/crates/rattanwinch_front/src/event_log.rs
+++ b/crates/rattanwinch_front/src/event_log.rs
@@ -53,6 +53,17 @@
             info!(log, "reservation lapsed"; "job" => %step.job, "step" => step.step,
                 "awaited" => full_names(awaited));
         }
+        Event::Moved {
+            runs,
+            target,
+            leaves_in_ms,
+            lost_core_ms,
+        } => {
+            count_decision("moved");
+            info!(log, #OUTCOME_TAG, "runs moved"; "runs" => full_names(runs),
+                "target" => %target, "leaves_in_ms" => leaves_in_ms,
+                "lost_core_ms" => lost_core_ms);
+        }
         Event::Started { run, after_ms } => {
             count_decision("started");
             record_stage("starting", *after_ms);
--- a/crates/rattanwinch_scheduling/src/event.rs
+++ b/crates/rattanwinch_scheduling/src/event.rs
@@ -61,6 +61,17 @@
             /// The runs that had to end.
             awaited: Vec<RunId>,
         },
+        /// Runs are stopped to be placed elsewhere, since their target ends before they can.
+        Moved {
+            /// The stopped runs: one, or the members of a gang.
+            runs: Vec<RunId>,
+            /// The target that ends.
+            target: TargetName,
+            /// The least time until the target ends, in milliseconds.
+            leaves_in_ms: u64,
+            /// The work that the runs lose, in core-milliseconds.
+            lost_core_ms: u64,
+        },
         /// A run has started on its target.
         Started {
             /// The run.
--- a/crates/rattanwinch_scheduling/src/placement_pass.rs
+++ b/crates/rattanwinch_scheduling/src/placement_pass.rs
@@ -71,6 +71,7 @@
                 self.make_room(&waiting, &demand, reclaim, &mut pass, now);
             }
         }
+        self.move_runs_off_ending_targets(&mut pass, now);
         self.reclaims = pass.kept;
     }
 
--- a/crates/rattanwinch_scheduling/src/preemption.rs
+++ b/crates/rattanwinch_scheduling/src/preemption.rs
@@ -36,7 +36,7 @@
 
 /// The time from the end of the last stopped run to the start of all tasks: a report, a commit to
 /// the store and the order, each well under 100 ms.
-const START_MARGIN: Duration = Duration::from_millis(300);
+pub(crate) const START_MARGIN: Duration = Duration::from_millis(300);
 
 /// The room of a run whose stop takes longer than this is no longer counted on. The slowest stop in
 /// the users' requirements takes 900 ms.
--- a/crates/rattanwinch_scheduling/src/run_set.rs
+++ b/crates/rattanwinch_scheduling/src/run_set.rs
@@ -20,7 +20,7 @@
 
 /// The work lost by stopping a checkpointing task. It saves its state at the stop, and restoring it
 /// takes up to 600 ms by the users' requirements.
-const RESTORE_TIME: Duration = Duration::from_millis(600);
+pub(crate) const RESTORE_TIME: Duration = Duration::from_millis(600);
 
 /// After this many preemptions a task is only stopped for a guarantee that nothing else keeps.
 pub(crate) const MAX_PREEMPTIONS: u32 = 2;
--- a/crates/rattanwinch_scheduling/tests/decisions/main.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod fixture;
 
 mod closures;
+mod drains;
 mod lateness;
 mod partial_lists;
 mod placing;
