Keep learned speeds while work is placed by them

Cause: each fit began with equal speeds. Once work is placed by speed, the tasks of a step run on similar targets, so their rates alone made all targets usual again, and the next urgent gang met slow ones. The rate of a run was its mean since its begin, so a run of minutes hid a target that turned slow; rates never aged; and a rate was taken from lists without new progress, which made a hung run a slow one.

Change: a fit begins with the last speeds, which decay by half in 3 minutes if no rate confirms them, and the last speed counts as one observation. Time in which a target made no lists is left out.

--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -100,8 +100,10 @@
         let silence = now.since(target.lists.1);
         target.lists = (clock_ms, now);
         if silence > self.limits.max_report_age {
-            self.active
-                .update_on(instance, |active| active.progressed_at = now);
+            self.active.update_on(instance, |active| {
+                active.progressed_at = now;
+                active.progress_base = None;
+            });
         }
     }
 
@@ -252,20 +254,17 @@
         active.presence = Presence::Running;
         active.percent = running.percent;
         let (_, first_percent) = *active.first_progress.get_or_insert((now, running.percent));
-        match active.progress_base {
+        let Some(base) = &mut active.progress_base else {
             // A run waits for the other members of its gang, and restores its checkpoint, before it
             // makes progress.
-            None if running.percent > first_percent => {
+            if running.percent > first_percent {
                 active.progress_base = ProgressBase::begin(lists_clock_ms, running.percent);
             }
-            None => {}
-            Some(base) => self.speeds.observe(
-                &instance.target,
-                &running.run,
-                base,
-                lists_clock_ms,
-                running.percent,
-            ),
+            return;
+        };
+        if let Some(rate) = base.advance(lists_clock_ms, running.percent) {
+            let target = &instance.target;
+            self.speeds.observe(target, &running.run, rate, now);
         }
     }
 
--- a/crates/rattanwinch_scheduling/src/target_speeds.rs
+++ b/crates/rattanwinch_scheduling/src/target_speeds.rs
@@ -3,7 +3,9 @@
 //! Answers uneven targets: no message states a speed, and a gang is as slow as its slowest target.
 //! The tasks of a step do similar work, so their rates of progress on different targets show how
 //! fast these are. The model fits one usual rate for each step and one speed for each target to all
-//! observed rates, by medians, so that single long tasks don't matter.
+//! observed rates, by medians, so that single long tasks don't matter. Each fit begins with the
+//! speeds of the last one: once work is placed by speed, the tasks of a step run on targets of
+//! similar speed, and their rates alone would make all of them usual again.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -23,6 +25,13 @@
 /// The number of rates kept for each target, the latest ones.
 const MAX_RATES_PER_TARGET: usize = 12;
 
+/// Older rates don't count: a target may have been slow only for a while.
+const MAX_RATE_AGE: Duration = Duration::from_secs(60);
+
+/// The time over which the rate of a run is computed, so that a run of minutes shows within seconds
+/// that its target has become slower.
+const RATE_WINDOW_MS: u64 = 5_000;
+
 /// The least number of runs of a step that are compared with each other.
 const MIN_RUNS_PER_STEP: usize = 3;
 
@@ -32,6 +41,10 @@
 /// The rounds of a fit: each step's usual rate from the speeds, then each speed from these rates.
 const FIT_ROUNDS: usize = 4;
 
+/// What a fit keeps of the last speed of a target. With two fits a second, half of a difference that
+/// no rate confirms is forgotten within 3 minutes.
+const SPEED_DECAY: f64 = 0.998;
+
 /// A target that differs by less counts as usual: the work of tasks of a step differs by as much.
 const MIN_DIFFERENCE_PERCENT: u32 = 15;
 
@@ -136,26 +149,44 @@
     }
 }
 
-/// The progress of a run on its target's clock.
+/// The progress of a run on its target's clock, from which its rate is computed.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ProgressBase {
     clock_ms: u64,
     percent: u32,
+    /// The progress in the latest lists.
+    last_percent: u32,
 }
 
 impl ProgressBase {
     /// Begins with the first list that shows the run at work.
     pub(crate) fn begin(clock_ms: u64, percent: u32) -> Option<Self> {
-        (percent > 0 && percent < 100).then_some(Self { clock_ms, percent })
+        (percent > 0 && percent < 100).then_some(Self {
+            clock_ms,
+            percent,
+            last_percent: percent,
+        })
     }
 
-    /// Returns the rate in per cent a millisecond; `None` if the run has gained too little, or may
-    /// have finished its own work and wait for the other members of its gang.
-    fn rate(self, clock_ms: u64, percent: u32) -> Option<f64> {
+    /// Returns the rate in per cent a millisecond if the run has gained enough since the base; after
+    /// the window, the base moves on.
+    ///
+    /// There is none while the progress stands still: the run may be hung, or have finished its own
+    /// work and wait for the other members of its gang.
+    pub(crate) fn advance(&mut self, clock_ms: u64, percent: u32) -> Option<f64> {
+        if percent <= std::mem::replace(&mut self.last_percent, percent) || percent >= 100 {
+            return None;
+        }
         let gained = percent.checked_sub(self.percent)?;
         let elapsed = clock_ms.checked_sub(self.clock_ms)?;
-        (gained >= MIN_GAIN_PERCENT && percent < 100 && elapsed > 0)
-            .then(|| f64::from(gained) / elapsed as f64)
+        if gained < MIN_GAIN_PERCENT || elapsed == 0 {
+            return None;
+        }
+        if elapsed >= RATE_WINDOW_MS {
+            self.clock_ms = clock_ms;
+            self.percent = percent;
+        }
+        Some(f64::from(gained) / elapsed as f64)
     }
 }
 
@@ -164,12 +195,15 @@
 struct ObservedRate {
     run: RunId,
     log_rate: f64,
+    at: Timestamp,
 }
 
 /// The speeds of all targets that differ from the usual one.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TargetSpeeds {
     rates: BTreeMap<TargetName, VecDeque<ObservedRate>>,
+    /// The logarithms of the fitted speeds, from which the next fit begins.
+    log_speeds: BTreeMap<TargetName, f64>,
     speeds: BTreeMap<TargetName, Speed>,
     has_new_rates: bool,
     next_fit_at: Timestamp,
@@ -186,23 +220,14 @@
         self.speeds.iter().map(|(target, speed)| (target, *speed))
     }
 
-    /// Observes the progress of a run in its target's lists.
-    pub(crate) fn observe(
-        &mut self,
-        target: &TargetName,
-        run: &RunId,
-        base: ProgressBase,
-        clock_ms: u64,
-        percent: u32,
-    ) {
-        let Some(rate) = base.rate(clock_ms, percent) else {
-            return;
-        };
+    /// Observes the rate of a run, in per cent a millisecond.
+    pub(crate) fn observe(&mut self, target: &TargetName, run: &RunId, rate: f64, now: Timestamp) {
         let log_rate = rate.ln();
         let rates = self.rates.entry(target.clone()).or_default();
         self.has_new_rates = true;
         if let Some(known) = rates.iter_mut().find(|known| known.run == *run) {
             known.log_rate = log_rate;
+            known.at = now;
             return;
         }
         if rates.len() >= MAX_RATES_PER_TARGET {
@@ -211,12 +236,14 @@
         rates.push_back(ObservedRate {
             run: run.clone(),
             log_rate,
+            at: now,
         });
     }
 
     /// Drops what is known of a target.
     pub(crate) fn forget_target(&mut self, target: &TargetName) {
         self.rates.remove(target);
+        self.log_speeds.remove(target);
         self.speeds.remove(target);
     }
 
@@ -225,12 +252,19 @@
         if self.has_new_rates && now >= self.next_fit_at {
             self.next_fit_at = now + FIT_INTERVAL;
             self.has_new_rates = false;
+            for rates in self.rates.values_mut() {
+                rates.retain(|observed| now.since(observed.at) <= MAX_RATE_AGE);
+            }
             self.fit();
         }
     }
 
     fn fit(&mut self) {
         let targets: Vec<&TargetName> = self.rates.keys().collect();
+        let earlier: Vec<f64> = targets
+            .iter()
+            .map(|&target| self.log_speeds.get(target).copied().unwrap_or(0.0) * SPEED_DECAY)
+            .collect();
         let mut by_step: BTreeMap<&StepId, Vec<(usize, f64)>> = BTreeMap::new();
         for (number, rates) in self.rates.values().enumerate() {
             for observed in rates {
@@ -239,44 +273,54 @@
             }
         }
         by_step.retain(|_, rates| rates.len() >= MIN_RUNS_PER_STEP);
-        let mut log_speeds = vec![0.0; targets.len()];
+        let mut log_speeds = earlier.clone();
         let mut differences: Vec<Vec<f64>> = vec![Vec::new(); targets.len()];
+        let mut values = Vec::new();
         for _ in 0..FIT_ROUNDS {
             for rates in by_step.values() {
-                let usual_rate = rates
+                values.clear();
+                let usual_rates = rates
                     .iter()
                     .map(|&(number, rate)| rate - log_speeds[number]);
-                let (lower, upper) = middle(usual_rate.collect());
+                values.extend(usual_rates);
+                let (lower, upper) = middle(&mut values);
                 let usual_rate = f64::midpoint(lower, upper);
                 for &(number, rate) in rates {
                     differences[number].push(rate - usual_rate);
                 }
             }
-            for (log_speed, differences) in log_speeds.iter_mut().zip(&mut differences) {
-                // One neutral observation more, so that a single one changes nothing.
-                differences.push(0.0);
-                let (lower, upper) = middle(std::mem::take(differences));
-                *log_speed = if lower.abs() < upper.abs() {
+            for (number, differences) in differences.iter_mut().enumerate() {
+                // The earlier speed counts as one observation, so that a single one changes nothing.
+                let earlier = earlier[number];
+                differences.push(earlier);
+                let (lower, upper) = middle(differences);
+                differences.clear();
+                log_speeds[number] = if (lower - earlier).abs() < (upper - earlier).abs() {
                     lower
                 } else {
                     upper
                 };
             }
-            let (lower, upper) = middle(log_speeds.clone());
+            values.clone_from(&log_speeds);
+            let (lower, upper) = middle(&mut values);
             let usual = f64::midpoint(lower, upper);
             for log_speed in &mut log_speeds {
                 *log_speed -= usual;
             }
         }
-        let speeds = targets.into_iter().cloned().zip(log_speeds);
-        let speeds = speeds.map(|(target, log_speed)| (target, Speed::from_log(log_speed)));
+        let log_speeds = targets.into_iter().cloned().zip(log_speeds);
+        self.log_speeds = log_speeds.collect();
+        let speeds = self.log_speeds.iter();
+        let speeds =
+            speeds.map(|(target, log_speed)| (target.clone(), Speed::from_log(*log_speed)));
         self.speeds = speeds.filter(|(_, speed)| *speed != Speed::USUAL).collect();
     }
 }
 
 /// Returns the two middle values, which are the same of an odd number; zero if there are none.
-fn middle(mut values: Vec<f64>) -> (f64, f64) {
-    values.sort_by(f64::total_cmp);
+/// Changes the order of the values.
+pub(crate) fn middle(values: &mut [f64]) -> (f64, f64) {
+    values.sort_unstable_by(f64::total_cmp);
     let value = |index: usize| values.get(index).copied().unwrap_or(0.0);
     (
         value(values.len().saturating_sub(1) / 2),
--- a/crates/rattanwinch_scheduling/tests/decisions/speeds.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/speeds.rs
@@ -151,3 +151,46 @@
     }
     assert_eq!(speed(&site, 0), 100);
 }
+
+/// Answers batch work that its slack sends to slow targets alone. Guards against speeds that are
+/// forgotten there, since the tasks on similar targets make equal progress.
+#[test]
+fn speeds_are_kept_while_each_kind_of_work_runs_on_similar_targets() {
+    let mut site = uneven_site(3);
+    learn_speeds(&mut site);
+    for _ in 0..3 {
+        let batch = site.submit(2, "a", &[step(20, 1)]);
+        site.step();
+        assert_eq!(targets_of(&site, &batch), [0, 1, 2].map(target).into());
+        for _ in 0..6 {
+            site.wait(400);
+            site.step();
+        }
+        site.end_job(&batch, RunOutcome::Done);
+        site.commit();
+    }
+    assert!(speed(&site, 0) < 80, "{}", speed(&site, 0));
+}
+
+/// Answers a target that turns slow for a while. Guards against a speed that follows only once runs
+/// of minutes have ended.
+#[test]
+fn a_target_that_turns_slow_is_found_while_its_runs_go_on() {
+    let mut site = Fixture::new(4);
+    site.submit(2, "batch", &[step(32, 1)]);
+    site.step();
+    let mut play = |of_first: u32, waits: usize| {
+        for number in 0..4 {
+            site.progress.insert(target(number), 4);
+        }
+        site.progress.insert(target(0), of_first);
+        for _ in 0..waits {
+            site.wait(2_000);
+            site.step();
+        }
+        speed(&site, 0)
+    };
+    assert_eq!(play(4, 11), 100);
+    let slow = play(2, 6);
+    assert!(slow < 70, "{slow}");
+}
