Learn run times and use them where estimates were taken at their word

Reservations, the order of the queue and the time after which a run counts as stalled took the estimate as it was.

It counts in the expected remaining time of runs, on their target, in the lateness that orders the queue, in the choice of fast or slow targets, in backfilling and in the stall timeout.

--- a/crates/rattanwinch_scheduling/src/job_description.rs
+++ b/crates/rattanwinch_scheduling/src/job_description.rs
@@ -100,12 +100,22 @@
     /// Returns the estimated run time of the critical path that starts with step `first`.
     #[must_use]
     pub fn critical_path_from(&self, first: u32) -> Duration {
+        self.critical_path_by(first, |_, step| step.estimated_run_time)
+    }
+
+    /// Returns the run time of the critical path that starts with step `first`, with the run time of
+    /// each step.
+    pub(crate) fn critical_path_by(
+        &self,
+        first: u32,
+        run_time: impl Fn(u32, &StepDescription) -> Duration,
+    ) -> Duration {
         let mut critical_paths = vec![Duration::ZERO; self.steps.len()];
         // Steps depend only on earlier ones, so in reverse order all dependents come first.
         for (number, step) in self.steps.iter().enumerate().rev() {
             let number = u32::try_from(number).unwrap_or(u32::MAX);
             let critical_path =
-                critical_paths[number as usize].saturating_add(step.estimated_run_time);
+                critical_paths[number as usize].saturating_add(run_time(number, step));
             critical_paths[number as usize] = critical_path;
             for &earlier in &step.depends_on {
                 if let Some(longest) = critical_paths.get_mut(earlier as usize) {
--- a/crates/rattanwinch_scheduling/src/lib.rs
+++ b/crates/rattanwinch_scheduling/src/lib.rs
@@ -35,6 +35,7 @@
 mod rules;
 mod run_lists;
 mod run_set;
+mod run_times;
 mod scheduler;
 mod silences;
 mod stalls;
--- a/crates/rattanwinch_scheduling/src/placement_pass.rs
+++ b/crates/rattanwinch_scheduling/src/placement_pass.rs
@@ -36,6 +36,8 @@
     pub fn place_tasks(&mut self, now: Timestamp, wall: Timestamp) {
         self.clear_placement_request();
         self.speeds.fit_if_due(now);
+        self.run_times
+            .fit_if_due(&self.speeds, &self.open_jobs, now);
         self.stop_stalled_runs(now);
         let guaranteed_jobs = self.guaranteed_jobs();
         let steps = self.waiting_steps(&guaranteed_jobs, now, wall);
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -263,8 +263,7 @@
             return;
         };
         if let Some(rate) = base.advance(lists_clock_ms, running.percent) {
-            let target = &instance.target;
-            self.speeds.observe(target, &running.run, rate, now);
+            self.learn_from_rate(&running.run, &instance.target, rate, now);
         }
     }
 
@@ -299,6 +298,9 @@
         }
         if self.is_placed_on(run, instance) {
             self.update_target_health(instance, ended, now);
+            if ended.outcome == RunOutcome::Done {
+                self.learn_from_end(run, now);
+            }
             self.end_run(run, ended.outcome);
         } else if !self.active.contains_key(run)
             && let Some(job) = self.jobs.get_mut(&job_id)
--- a/crates/rattanwinch_scheduling/src/reservations.rs
+++ b/crates/rattanwinch_scheduling/src/reservations.rs
@@ -173,7 +173,7 @@
 
     /// Returns true if a step may be placed in the room.
     pub(crate) fn admits(&self, waiting: &WaitingStep, now: Timestamp) -> bool {
-        let run_time = waiting.description.estimated_run_time;
+        let run_time = waiting.run_time;
         let is_over_in_time = !waiting.description.long_running
             && run_time > Duration::ZERO
             && now + run_time <= self.expected_at;
--- a/crates/rattanwinch_scheduling/src/run_set.rs
+++ b/crates/rattanwinch_scheduling/src/run_set.rs
@@ -11,7 +11,6 @@
 use crate::Resources;
 use crate::RunId;
 use crate::Scheduler;
-use crate::StepDescription;
 use crate::StepId;
 use crate::active_run::ActiveRun;
 use crate::active_run::DesiredState;
@@ -63,6 +62,7 @@
     pub(crate) fn run_sets(&self, awaited: &BTreeSet<RunId>, now: Timestamp) -> Vec<RunSet> {
         let mut sets: Vec<RunSet> = Vec::new();
         let mut last: Option<(&StepId, Option<u32>)> = None;
+        let mut run_time = Duration::ZERO;
         // Runs are ordered by task, so the runs of a set are adjacent.
         for (run, active) in self.active.iter() {
             let Some(job) = self.jobs.get(&run.task.step.job) else {
@@ -71,6 +71,9 @@
             let Some(step) = job.step(run.task.step.step) else {
                 continue;
             };
+            if last.is_none_or(|(last, _)| *last != run.task.step) {
+                run_time = self.expected_run_time(job, &run.task.step);
+            }
             let key = (&run.task.step, (!step.gang).then_some(run.task.index));
             if last != Some(key) {
                 last = Some(key);
@@ -103,7 +106,8 @@
                 (Some(set), Some(run)) if !step.long_running => Some(set.max(run)),
                 _ => None,
             };
-            let expected = expected_remaining(active, step, now);
+            let speed = self.speeds.speed(&active.target.target);
+            let expected = expected_remaining(active, speed.run_time(run_time), now);
             set.expected_remaining = set.expected_remaining.map(|set| set.max(expected));
             set.leaving &= active.desired == DesiredState::Stop || awaited.contains(run);
             set.available_runs += usize::from(active.is_available());
@@ -145,11 +149,11 @@
     Some(remaining.saturating_sub(now.since(active.progressed_at)))
 }
 
-/// Returns how long a run should still take, from its progress or the estimate of its step. Once a
-/// run has taken longer than estimated, it is expected to take as long again.
-fn expected_remaining(active: &ActiveRun, step: &StepDescription, now: Timestamp) -> Duration {
+/// Returns how long a run should still take, from its progress or the expected run time of its step
+/// on its target. Once a run has taken longer than expected, it is expected to take as long again.
+fn expected_remaining(active: &ActiveRun, run_time: Duration, now: Timestamp) -> Duration {
     let elapsed = now.since(active.started_at.unwrap_or(active.placed_at));
-    let estimated = step.estimated_run_time.saturating_sub(elapsed);
+    let estimated = run_time.saturating_sub(elapsed);
     remaining_time(active, now).unwrap_or(if estimated.is_zero() {
         elapsed
     } else {
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -33,6 +33,7 @@
 use crate::reclaim::Underway;
 use crate::reservations::Reservations;
 use crate::run_lists::Presence;
+use crate::run_times::RunTimes;
 use crate::silences::SilenceRecords;
 use crate::target::Target;
 use crate::target::Targets;
@@ -55,6 +56,7 @@
     pub(crate) targets: Targets,
     pub(crate) active: ActiveRuns,
     pub(crate) speeds: TargetSpeeds,
+    pub(crate) run_times: RunTimes,
     /// Room that is being made for waiting steps.
     pub(crate) reclaims: BTreeMap<TaskGroup, Reclaim<Underway>>,
     /// Room that is kept for blocked steps until runs have ended.
@@ -121,6 +123,7 @@
             targets: Targets::new(),
             active: ActiveRuns::default(),
             speeds: TargetSpeeds::default(),
+            run_times: RunTimes::default(),
             reclaims: BTreeMap::new(),
             reservations: Reservations::default(),
             advisor_tickets: TicketCache::default(),
--- a/crates/rattanwinch_scheduling/src/stalls.rs
+++ b/crates/rattanwinch_scheduling/src/stalls.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use rattanwinch_types::TargetName;
 use rattanwinch_types::Timestamp;
 
 use crate::Event;
@@ -25,7 +26,7 @@
                     && active.percent < 100
                     && self.observed_time(active, now) > self.limits.stall_timeout
                     && self
-                        .stall_timeout(run)
+                        .stall_timeout(run, &active.target.target)
                         .is_some_and(|timeout| self.observed_time(active, now) > timeout)
             })
             .map(|(run, active)| (run.clone(), active.target.target.clone()))
@@ -46,18 +47,18 @@
     }
 
     /// Returns how long a run may show no progress, which is listed in whole per cent; `None` for a
-    /// run that lasts. It doubles with each stop for it, so that a task that is slower than all
+    /// run that lasts. A run on a slow target, or of a step that is known to be long, has more. It doubles with each stop for it, so that a task that is slower than all
     /// that is known of it gets its time after a few.
-    fn stall_timeout(&self, run: &RunId) -> Option<Duration> {
+    fn stall_timeout(&self, run: &RunId, target: &TargetName) -> Option<Duration> {
         let job = self.jobs.get(&run.task.step.job)?;
         let step = job.step(run.task.step.step)?;
         if step.long_running {
             return None;
         }
-        let timeout = self
-            .limits
-            .stall_timeout
-            .max(step.estimated_run_time / ESTIMATE_DIVISOR);
+        let run_time = self.cautious_run_time(job, &run.task.step);
+        let run_time = self.speeds.speed(target).run_time(run_time);
+        let run_time = run_time.max(step.estimated_run_time);
+        let timeout = self.limits.stall_timeout.max(run_time / ESTIMATE_DIVISOR);
         let stalls = job.task(&run.task).map_or(0, |task| task.stalls);
         Some(timeout.saturating_mul(2_u32.saturating_pow(stalls)))
     }
--- a/crates/rattanwinch_scheduling/src/waiting.rs
+++ b/crates/rattanwinch_scheduling/src/waiting.rs
@@ -31,6 +31,8 @@
     pub accepted_at: Timestamp,
     pub organisation: Organisation,
     pub waited: Duration,
+    /// The expected run time of a task on a target of the usual speed.
+    pub run_time: Duration,
     /// The time until the latest start at which the job is still on time; zero if it is late, and
     /// unlimited without an objective.
     pub slack: Duration,
@@ -138,7 +140,7 @@
                 let since = *self.ready_since.entry(step.clone()).or_insert(now);
                 ready.insert(step.clone());
                 let organisation = &job.accepted.organisation;
-                let lateness = Lateness::of(job, &step, wall);
+                let lateness = Lateness::of(job, &step, &self.run_times, wall);
                 all.push(WaitingStep {
                     group,
                     guaranteed: guaranteed_jobs.contains(id),
@@ -153,6 +155,7 @@
                     accepted_at: job.accepted.accepted_at,
                     organisation: organisation.clone(),
                     waited: now.since(since),
+                    run_time: self.expected_run_time(job, &step),
                     step,
                 });
             }
@@ -182,7 +185,7 @@
             any_rack: waiting.waited >= locality_wait,
             speed: SpeedPreference::of(
                 (waiting.slack < Duration::MAX).then_some(waiting.slack),
-                waiting.description.estimated_run_time,
+                waiting.run_time,
             ),
         }
     }
--- a/crates/rattanwinch_scheduling/tests/decisions/main.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/main.rs
@@ -8,6 +8,7 @@
 mod placing;
 mod reclaiming;
 mod reserving;
+mod run_times;
 mod runs;
 mod silences;
 mod speeds;
