Export learned speeds and run time ratios

Cause: operators could not see which targets the scheduler takes for slow, nor how far the estimates of a queue are off.

--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -38,6 +38,7 @@
 use crate::event_log::log_event;
 use crate::event_log::record_stage;
 use crate::front_state::FrontState;
+use crate::learned_metrics::LearnedMetrics;
 use crate::local_leader::LocalLeader;
 use crate::published_jobs::PublishedJob;
 use crate::records::AgentAddresses;
@@ -93,6 +94,7 @@
     pending_publication: BTreeMap<JobId, PublishedJob>,
     /// Ended jobs, and when this leader learnt of their end.
     ended: BTreeMap<JobId, Timestamp>,
+    learned_metrics: LearnedMetrics,
 }
 
 impl Coordinator {
@@ -126,6 +128,7 @@
             current_commit_replies: BTreeMap::new(),
             pending_publication: BTreeMap::new(),
             ended,
+            learned_metrics: LearnedMetrics::default(),
         }
     }
 
@@ -438,6 +441,7 @@
         let now = self.state.clock.now();
         if is_tick {
             self.record_ages(now);
+            self.learned_metrics.record(&self.scheduler);
             self.scheduler.expire_silent_targets(now);
         }
         let may_start_tasks = self.local_leader.may_start_tasks(now);
--- a/crates/rattanwinch_front/src/lib.rs
+++ b/crates/rattanwinch_front/src/lib.rs
@@ -19,6 +19,7 @@
 mod front_settings;
 mod front_state;
 mod leadership;
+mod learned_metrics;
 mod local_leader;
 mod operator_watch;
 mod published_jobs;
