--- a/crates/rattanwinch_scheduling/src/lib.rs
+++ b/crates/rattanwinch_scheduling/src/lib.rs
@@ -36,6 +36,7 @@
 mod rules;
 mod run_lists;
 mod run_set;
+mod run_times;
 mod scheduler;
 mod silences;
 mod stalls;
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -101,8 +101,10 @@
         let silence = now.since(target.lists.1);
         target.lists = (clock_ms, now);
         if silence > self.limits.max_report_age {
-            self.active
-                .update_on(instance, |active| active.progressed_at = now);
+            self.active.update_on(instance, |active| {
+                active.progressed_at = now;
+                active.progress_base = None;
+            });
         }
     }
 
@@ -257,20 +259,16 @@
         active.presence = Presence::Running;
         active.percent = running.percent;
         let (_, first_percent) = *active.first_progress.get_or_insert((now, running.percent));
-        match active.progress_base {
+        let Some(base) = &mut active.progress_base else {
             // A run waits for the other members of its gang, and restores its checkpoint, before it
             // makes progress.
-            None if running.percent > first_percent => {
+            if running.percent > first_percent {
                 active.progress_base = ProgressBase::begin(lists_clock_ms, running.percent);
             }
-            None => {}
-            Some(base) => self.speeds.observe(
-                &instance.target,
-                &running.run,
-                base,
-                lists_clock_ms,
-                running.percent,
-            ),
+            return;
+        };
+        if let Some(rate) = base.advance(lists_clock_ms, running.percent) {
+            self.learn_from_rate(&running.run, &instance.target, rate, now);
         }
     }
 
@@ -305,6 +303,9 @@
         }
         if self.is_placed_on(run, instance) {
             self.update_target_health(instance, ended, now);
+            if ended.outcome == RunOutcome::Done {
+                self.learn_from_end(run, now);
+            }
             self.end_run(run, ended.outcome);
         } else if !self.active.contains_key(run)
             && let Some(job) = self.jobs.get_mut(&job_id)
