Carry a refusal for lack of room from the leader to the caller

Cause: a leader could not tell a caller that its job is not accepted: the one refusal with a time to return, NotRun, makes the relay try again.

--- a/crates/rattanwinch_fleet/src/caller_call.rs
+++ b/crates/rattanwinch_fleet/src/caller_call.rs
@@ -77,6 +77,11 @@
             /// Delay before the caller should retry.
             retry_after: Duration,
         },
+        /// The job is not accepted, since it could not end while it is of use to its caller.
+        NoRoom {
+            /// Delay before the caller should submit the job again.
+            retry_after: Duration,
+        },
         /// The call may have been carried out; it can be repeated with the same id.
         MayHaveRun,
     }
@@ -112,6 +117,9 @@
             Self::NotRun { .. } => {
                 f.write_str("not run: the scheduler could not be reached in time")
             }
+            Self::NoRoom { .. } => {
+                f.write_str("not run: there is too much work to end the job while it is of use")
+            }
             Self::MayHaveRun => f.write_str("may have run: the scheduler did not answer in time"),
         }
     }
--- a/crates/rattanwinch_fleet/src/wire/calls.rs
+++ b/crates/rattanwinch_fleet/src/wire/calls.rs
@@ -164,6 +164,8 @@
     UnknownJob,
     /// [`Refusal::NotRun`], with the wait in milliseconds.
     NotRun(u64),
+    /// [`Refusal::NoRoom`], with the wait in milliseconds.
+    NoRoom(u64),
     /// [`Refusal::MayHaveRun`].
     MayHaveRun,
 }
@@ -195,6 +197,7 @@
             Refusal::NotAllowed => Self::NotAllowed,
             Refusal::UnknownJob => Self::UnknownJob,
             Refusal::NotRun { retry_after } => Self::NotRun(millis(retry_after)),
+            Refusal::NoRoom { retry_after } => Self::NoRoom(millis(retry_after)),
             Refusal::MayHaveRun => Self::MayHaveRun,
         }
     }
@@ -221,6 +224,9 @@
             WireAnswer::NotRun(retry_ms) => Self::Refused(Refusal::NotRun {
                 retry_after: Duration::from_millis(retry_ms),
             }),
+            WireAnswer::NoRoom(retry_ms) => Self::Refused(Refusal::NoRoom {
+                retry_after: Duration::from_millis(retry_ms),
+            }),
             WireAnswer::MayHaveRun => Self::Refused(Refusal::MayHaveRun),
         }
     }
--- a/crates/rattanwinch_fleet/tests/caller_answers.rs
+++ b/crates/rattanwinch_fleet/tests/caller_answers.rs
@@ -21,6 +21,7 @@
         Refusal::NotAllowed,
         Refusal::UnknownJob,
         Refusal::NotRun { retry_after },
+        Refusal::NoRoom { retry_after },
         Refusal::MayHaveRun,
     ]
 }
