Refuse jobs that cannot end while they are of use

Cause: under overload every job was accepted, also those whose callers had given up long before their turn came.

Change: Scheduler::admit compares how long a job is of use, three times its objective, with the least time that the work ahead of it and its own work take if the capacity is used without gaps. Work ahead is that of guarantees and higher priorities, and of its own priority what the queue order puts first: jobs with no more work, or of organisations within their shares if its own is over. Guaranteed, recurring and long-running jobs, those without an objective or with room now are never refused, and a new leader refuses nothing for two report ages or before it knows half of its targets. The coordinator asks only while its lease is confirmed, and refuses an id again for a second, so that a delayed first attempt does not run after its caller was told that it never does. Work that no target can run counts neither as ahead nor in the queue order.

Not measured here: a site under load.

--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -1,3 +1,4 @@
+mod admission;
 mod calls;
 mod commits;
 
@@ -35,6 +36,7 @@
 use crate::agents::Agents;
 use crate::commands::Command;
 use crate::committer::Committer;
+use crate::coordinator::admission::RecentRefusals;
 use crate::event_log::log_event;
 use crate::event_log::record_stage;
 use crate::front_state::FrontState;
@@ -93,6 +95,7 @@
     pending_publication: BTreeMap<JobId, PublishedJob>,
     /// Ended jobs, and when this leader learnt of their end.
     ended: BTreeMap<JobId, Timestamp>,
+    refusals: RecentRefusals,
 }
 
 impl Coordinator {
@@ -126,6 +129,7 @@
             current_commit_replies: BTreeMap::new(),
             pending_publication: BTreeMap::new(),
             ended,
+            refusals: RecentRefusals::default(),
         }
     }
 
@@ -201,6 +205,9 @@
             return send_reply(reply, CallerAnswer::Refused(Refusal::OtherOrganisation));
         }
         if self.scheduler.job_state(&id).is_none() {
+            if let Some(refusal) = self.refusal(&job) {
+                return send_reply(reply, CallerAnswer::Refused(refusal));
+            }
             info!(self.state.log, "job taken"; "job" => %id, "queue" => %job.queue,
                 "organisation" => %job.organisation, "priority" => job.rules.priority,
                 "steps" => job.description.steps.len(), "tasks" => job.description.task_count());
@@ -438,6 +445,7 @@
         let now = self.state.clock.now();
         if is_tick {
             self.record_ages(now);
+            self.record_load(now);
             self.scheduler.expire_silent_targets(now);
         }
         let may_start_tasks = self.local_leader.may_start_tasks(now);
--- a/crates/rattanwinch_front/src/event_log.rs
+++ b/crates/rattanwinch_front/src/event_log.rs
@@ -129,6 +129,22 @@
             count_decision("quarantined");
             warn!(log, "target quarantined"; "target" => %target, "for_ms" => for_ms);
         }
+        Event::NotAdmitted {
+            job,
+            queue,
+            organisation,
+            reason,
+            wait_ms,
+            useful_ms,
+            retry_after_ms,
+        } => {
+            count_decision("not_admitted");
+            let reason = reason.as_str();
+            metrics::counter!("rattanwinch_refusals_total", "reason" => reason).increment(1);
+            info!(log, #OUTCOME_TAG, "job refused"; "job" => %job, "queue" => %queue,
+                "organisation" => %organisation, "reason" => reason, "wait_ms" => wait_ms,
+                "useful_ms" => useful_ms, "retry_after_ms" => retry_after_ms);
+        }
         Event::Finished { job, state } => {
             count_decision("finished");
             info!(log, #OUTCOME_TAG, "job ended"; "job" => %job, "state" => ?state);
--- a/crates/rattanwinch_scheduling/src/event.rs
+++ b/crates/rattanwinch_scheduling/src/event.rs
@@ -1,9 +1,12 @@
+use rattanwinch_types::Organisation;
 use rattanwinch_types::TargetName;
 use rattanwinch_types::value;
 
 use crate::JobId;
 use crate::JobState;
+use crate::QueueName;
 use crate::ReclaimEnd;
+use crate::RefusalReason;
 use crate::RunId;
 use crate::RunOutcome;
 use crate::StartRefusal;
@@ -138,6 +141,23 @@
             /// The target.
             target: TargetName,
         },
+        /// A job is refused at its submission, since it could not end while it is of use.
+        NotAdmitted {
+            /// The job.
+            job: JobId,
+            /// The queue of the job.
+            queue: QueueName,
+            /// The organisation of the job.
+            organisation: Organisation,
+            /// Why the job is refused.
+            reason: RefusalReason,
+            /// The least time that the work ahead of the job takes, in milliseconds.
+            wait_ms: u64,
+            /// How long after its submission the job is of use, in milliseconds.
+            useful_ms: u64,
+            /// When the job may be submitted again, in milliseconds.
+            retry_after_ms: u64,
+        },
         /// A job has reached a final state.
         Finished {
             /// The job.
--- a/crates/rattanwinch_scheduling/src/lateness.rs
+++ b/crates/rattanwinch_scheduling/src/lateness.rs
@@ -2,6 +2,7 @@
 
 use rattanwinch_types::Timestamp;
 
+use crate::AcceptedJob;
 use crate::StepId;
 use crate::job::Job;
 
@@ -66,6 +67,13 @@
     Some(objective.limit(job.accepted.description.critical_path()))
 }
 
+/// Returns how long after its submission a job is of use to its caller; `None` without an objective.
+pub(crate) fn useful_time(job: &AcceptedJob) -> Option<Duration> {
+    let objective = job.rules.objective?;
+    let limit = objective.limit(job.description.critical_path());
+    Some(limit.saturating_mul(USEFUL_OBJECTIVE_MULTIPLE))
+}
+
 /// Returns how long after its submission the step must start to keep the limit.
 fn slack(job: &Job, step: &StepId, limit: Duration) -> Duration {
     limit.saturating_sub(job.accepted.description.critical_path_from(step.step))
--- a/crates/rattanwinch_scheduling/src/lib.rs
+++ b/crates/rattanwinch_scheduling/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod active_run;
 mod active_runs;
+mod admission;
 mod advisor_tickets;
 mod closure;
 mod event;
@@ -46,6 +47,8 @@
 mod upkeep_wave;
 mod waiting;
 
+pub use admission::Admission;
+pub use admission::RefusalReason;
 pub use advisor_tickets::AdvisorQuery;
 pub use advisor_tickets::AdvisorResponse;
 pub use closure::TargetClosure;
--- a/crates/rattanwinch_scheduling/src/placement_pass.rs
+++ b/crates/rattanwinch_scheduling/src/placement_pass.rs
@@ -42,6 +42,7 @@
         let room = self.room(now);
         self.reservations.retain(&steps);
         let mut pass = self.begin_reclaim_pass(&steps, guaranteed_jobs, room, now);
+        self.backlog.clear();
         let mut blocked = 0;
         for mut waiting in steps {
             let mut reclaim = pass.underway.remove(&waiting.group);
@@ -55,6 +56,7 @@
             if demand.count == 0 {
                 continue;
             }
+            self.record_blocked(&waiting, &demand);
             let mut is_held = false;
             if let Some(reclaim) = &mut reclaim {
                 reclaim.drop_used_holds(&chosen, demand.count);
@@ -72,6 +74,7 @@
             }
         }
         self.reclaims = pass.kept;
+        self.backlog.set_room(pass.room);
     }
 
     /// Places as many tasks of a step as have room now, and removes them from the step and its
--- a/crates/rattanwinch_scheduling/src/queue_order.rs
+++ b/crates/rattanwinch_scheduling/src/queue_order.rs
@@ -281,6 +281,9 @@
                 continue;
             };
             plan.enter(step.class());
+            if !self.competes_for_capacity(job, &step.description) {
+                continue;
+            }
             let resources = waiting_resources(step);
             let run_time = Self::expected_run_time(&job.accepted, &step.description);
             let load = Load::new(resources, run_time);
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -26,6 +26,7 @@
 use crate::active_run::ActiveRun;
 use crate::active_run::DesiredState;
 use crate::active_runs::ActiveRuns;
+use crate::admission::Backlog;
 use crate::advisor_tickets::TicketCache;
 use crate::job::Job;
 use crate::reclaim::Reclaim;
@@ -55,6 +56,7 @@
     pub(crate) targets: Targets,
     pub(crate) active: ActiveRuns,
     pub(crate) speeds: TargetSpeeds,
+    pub(crate) backlog: Backlog,
     /// Room that is being made for waiting steps.
     pub(crate) reclaims: BTreeMap<TaskGroup, Reclaim<Underway>>,
     /// Room that is kept for blocked steps until runs have ended.
@@ -121,6 +123,7 @@
             targets: Targets::new(),
             active: ActiveRuns::default(),
             speeds: TargetSpeeds::default(),
+            backlog: Backlog::default(),
             reclaims: BTreeMap::new(),
             reservations: Reservations::default(),
             advisor_tickets: TicketCache::default(),
@@ -140,6 +143,7 @@
         for (accepted, progress) in jobs {
             scheduler.restore_job(&accepted, progress, now);
         }
+        scheduler.backlog.inherited_instances = scheduler.unreported_instances.len();
         scheduler.set_rules(rules);
         scheduler
     }
--- a/crates/rattanwinch_scheduling/src/shares.rs
+++ b/crates/rattanwinch_scheduling/src/shares.rs
@@ -13,6 +13,7 @@
 use crate::Scheduler;
 use crate::ServiceName;
 use crate::StepDescription;
+use crate::job::Job;
 use crate::scheduler::occupied_resources;
 
 /// An organisation may be over its share if it demands this part of what the average organisation
@@ -139,6 +140,12 @@
             .max(part(taken.accelerators, self.capacity.accelerators))
     }
 
+    /// Returns the share that each organisation demands, in thousandths of the capacity.
+    pub(crate) fn all(&self) -> impl Iterator<Item = (&Organisation, u64)> {
+        let demands = self.demands.iter();
+        demands.map(|(organisation, demand)| (organisation, self.dominant(demand.total)))
+    }
+
     /// Returns the organisations that demand considerably more than the average and are granted no
     /// less, the one that demands most first.
     pub(crate) fn over_share(&self) -> SmallVec<[Organisation; 4]> {
@@ -173,6 +180,19 @@
         step.estimated_run_time
     }
 
+    /// Returns the expected run time of the job's critical path.
+    pub(crate) fn expected_path(job: &AcceptedJob) -> Duration {
+        let steps = &job.description.steps;
+        let mut ends: SmallVec<[Duration; 4]> = SmallVec::new();
+        for step in steps.iter() {
+            let before = step.depends_on.iter();
+            let before = before.filter_map(|&earlier| ends.get(earlier as usize).copied());
+            let start = before.max().unwrap_or_default();
+            ends.push(start.saturating_add(Self::expected_run_time(job, step)));
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
     /// Returns the load of the job's steps from number `first` on.
     pub(crate) fn job_load(job: &AcceptedJob, first: u32) -> Load {
         let steps = job.description.steps.iter().skip(first as usize);
@@ -183,6 +203,22 @@
         loads.fold(Load::NONE, Load::plus)
     }
 
+    /// Returns true if a waiting step waits for capacity: some target can run its tasks, and neither
+    /// the advisor nor a limit of its own holds it back.
+    pub(crate) fn competes_for_capacity(&self, job: &Job, step: &StepDescription) -> bool {
+        let required = occupied_resources(step);
+        let label = step.required_label.as_ref();
+        job.rules.advisor.is_none()
+            && !step.long_running
+            && step.max_per_target.is_none()
+            && self.targets.values().any(|target| {
+                let description = &target.description;
+                description.service == job.rules.service
+                    && label.is_none_or(|label| target.has_label(label))
+                    && description.capacity.fits(required)
+            })
+    }
+
     /// Returns the capacity of a service's targets that may get new tasks, without that of tasks
     /// that run until they are cancelled.
     pub(crate) fn service_capacity(&self, service: &ServiceName) -> Resources {
--- a/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/fixture.rs
@@ -179,19 +179,30 @@
         organisation: &str,
         description: JobDescription,
     ) -> JobId {
+        let job = self.new_job(priority, organisation, description);
+        let id = job.id.clone();
+        self.scheduler.submit(Arc::new(job));
+        id
+    }
+
+    pub fn new_job(
+        &mut self,
+        priority: u32,
+        organisation: &str,
+        description: JobDescription,
+    ) -> AcceptedJob {
         self.jobs += 1;
         let id = JobId::from(format!("job{}", self.jobs).as_str());
         let queue = QueueName::from(format!("q{priority}").as_str());
-        self.scheduler.submit(Arc::new(AcceptedJob {
-            id: id.clone(),
+        AcceptedJob {
+            id,
             queue: queue.clone(),
             rules: self.rules.queues[&queue].clone(),
             organisation: Organisation::new(organisation).expect("a name"),
             // A millisecond apart, so that the order of arrival is unambiguous.
             accepted_at: self.now + Duration::from_millis(self.jobs),
             description,
-        }));
-        id
+        }
     }
 
     pub fn wait(&mut self, millis: u64) {
--- a/crates/rattanwinch_scheduling/tests/decisions/main.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod fixture;
 
+mod admission;
 mod closures;
 mod lateness;
 mod partial_lists;
