Sum up the active runs once a pass, and only when work may be delayed

Cause: the queue order looked up the job of every active run up to three times a pass.

Change: what runs use is summed up by step, once, and only if the waiting work may take longer than the least time that one of its steps may wait.

--- a/crates/rattanwinch_scheduling/src/admission.rs
+++ b/crates/rattanwinch_scheduling/src/admission.rs
@@ -14,6 +14,7 @@
 use crate::AcceptedJob;
 use crate::Event;
 use crate::JobId;
+use crate::Resources;
 use crate::Scheduler;
 use crate::ServiceName;
 use crate::StepDescription;
@@ -23,7 +24,9 @@
 use crate::scheduler::occupied_resources;
 use crate::shares::Load;
 use crate::shares::Shares;
+use crate::shares::StepUsage;
 use crate::shares::total_resources;
+use crate::shares::used_shares;
 use crate::waiting::WaitingStep;
 
 /// The least time after which a refused job may be submitted again; the header that states it is in
@@ -85,7 +88,7 @@
     guaranteed: bool,
     can_be_of_use: bool,
     load: Load,
-    resources: crate::Resources,
+    resources: Resources,
     /// The load of what is left of the job.
     job_load: Load,
 }
@@ -158,8 +161,9 @@
             return Admission::Accepted;
         }
         let service = &job.rules.service;
-        let capacity = self.service_capacity(service);
-        let shares = self.demanded_shares(service, &guaranteed_jobs);
+        let usage = self.step_usage();
+        let capacity = self.service_capacity(service, &usage);
+        let shares = self.demanded_shares(service, capacity, &usage, &guaranteed_jobs);
         let over_share = shares.over_share();
         let own_load = Self::job_load(job, 0);
         let is_over = over_share.contains(&job.organisation);
@@ -249,8 +253,14 @@
     }
 
     /// Returns what organisations use and wait for in a service beyond their guarantees.
-    fn demanded_shares(&self, service: &ServiceName, guaranteed_jobs: &BTreeSet<JobId>) -> Shares {
-        let mut shares = self.shares(service, self.service_capacity(service), guaranteed_jobs);
+    fn demanded_shares(
+        &self,
+        service: &ServiceName,
+        capacity: Resources,
+        usage: &[StepUsage<'_>],
+        guaranteed_jobs: &BTreeSet<JobId>,
+    ) -> Shares {
+        let mut shares = used_shares(service, capacity, usage, guaranteed_jobs);
         let blocked = self.backlog.blocked.iter();
         for blocked in blocked.filter(|blocked| blocked.service == *service && !blocked.guaranteed)
         {
@@ -269,8 +279,9 @@
             .values()
             .map(|queue| (queue.priority, Duration::ZERO))
             .collect();
+        let usage = self.step_usage();
         for service in self.services() {
-            let capacity = self.service_capacity(service);
+            let capacity = self.service_capacity(service, &usage);
             for (&priority, wait) in &mut waits {
                 let ahead = self.backlog.blocked.iter().filter(|blocked| {
                     blocked.service == *service
@@ -290,8 +301,10 @@
     pub fn organisation_shares(&self) -> BTreeMap<Organisation, u64> {
         let guaranteed_jobs = self.guaranteed_jobs();
         let mut largest: BTreeMap<Organisation, u64> = BTreeMap::new();
+        let usage = self.step_usage();
         for service in self.services() {
-            let shares = self.demanded_shares(service, &guaranteed_jobs);
+            let capacity = self.service_capacity(service, &usage);
+            let shares = self.demanded_shares(service, capacity, &usage, &guaranteed_jobs);
             for (organisation, share) in shares.all() {
                 let largest = largest.entry(organisation.clone()).or_default();
                 *largest = (*largest).max(share);
--- a/crates/rattanwinch_scheduling/src/queue_order.rs
+++ b/crates/rattanwinch_scheduling/src/queue_order.rs
@@ -23,7 +23,9 @@
 use crate::scheduler::occupied_resources;
 use crate::shares::Load;
 use crate::shares::Shares;
+use crate::shares::StepUsage;
 use crate::shares::total_resources;
+use crate::shares::used_shares;
 use crate::waiting::WaitingStep;
 
 /// The part of a service's capacity on which large jobs that have waited for their whole objective
@@ -234,11 +236,12 @@
     ) {
         sort(steps);
         // Without an objective nothing is late, and steps keep the order of their arrival.
-        if steps.iter().any(|step| step.slack < Duration::MAX)
-            && self.delay_excess(steps, guaranteed_jobs, wall)
-        {
-            self.protect_longest_waiting(steps, guaranteed_jobs, wall);
-            sort(steps);
+        if self.may_have_excess(steps, wall) {
+            let usage = self.step_usage();
+            if self.delay_excess(steps, &usage, guaranteed_jobs, wall) {
+                self.protect_longest_waiting(steps, &usage, guaranteed_jobs, wall);
+                sort(steps);
+            }
         }
     }
 
@@ -260,10 +263,48 @@
         }
     }
 
+    /// Returns false if no step can be delayed, by a check that costs less than the plan: without
+    /// tasks that last, the capacity takes all waiting work before the first latest start.
+    fn may_have_excess(&self, steps: &[WaitingStep], wall: Timestamp) -> bool {
+        let mut services: BTreeMap<&ServiceName, (Load, Duration)> = BTreeMap::new();
+        for step in steps {
+            let Some(job) = self.jobs.get(&step.step.job) else {
+                continue;
+            };
+            let run_time = Self::expected_run_time(&job.accepted, &step.description);
+            let load = Load::new(waiting_resources(step), run_time);
+            let first = (Load::NONE, Duration::MAX);
+            let (total, least_wait) = services.entry(&job.rules.service).or_insert(first);
+            *total = total.plus(load);
+            if let Some(wait) = self.tolerable_wait(step, wall) {
+                *least_wait = (*least_wait).min(wait);
+            }
+        }
+        services.retain(|_, (_, least_wait)| *least_wait < Duration::MAX);
+        if services.is_empty() {
+            return false;
+        }
+        let jobs = self.open_jobs.iter().filter_map(|id| self.jobs.get(id));
+        let mut jobs = jobs.filter(|job| services.contains_key(&job.rules.service));
+        if jobs.any(|job| {
+            job.accepted
+                .description
+                .steps
+                .iter()
+                .any(|s| s.long_running)
+        }) {
+            return true;
+        }
+        services.into_iter().any(|(service, (total, least_wait))| {
+            total.time_on(self.service_capacity(service, &[])) > least_wait
+        })
+    }
+
     /// Marks the steps that are delayed; returns true if there are any.
     fn delay_excess(
         &self,
         steps: &mut [WaitingStep],
+        usage: &[StepUsage<'_>],
         guaranteed_jobs: &BTreeSet<JobId>,
         wall: Timestamp,
     ) -> bool {
@@ -274,7 +315,7 @@
             };
             let service = &job.rules.service;
             if !plans.contains_key(service) {
-                let plan = self.service_plan(service, steps, guaranteed_jobs);
+                let plan = self.service_plan(service, steps, usage, guaranteed_jobs);
                 plans.insert(service.clone(), plan);
             }
             let Some(plan) = plans.get_mut(service) else {
@@ -315,10 +356,11 @@
         &self,
         service: &ServiceName,
         steps: &[WaitingStep],
+        usage: &[StepUsage<'_>],
         guaranteed_jobs: &BTreeSet<JobId>,
     ) -> ServicePlan {
-        let capacity = self.service_capacity(service);
-        let mut shares = self.shares(service, capacity, guaranteed_jobs);
+        let capacity = self.service_capacity(service, usage);
+        let mut shares = used_shares(service, capacity, usage, guaranteed_jobs);
         for step in steps.iter().filter(|step| !step.guaranteed) {
             let job = self.jobs.get(&step.step.job);
             if job.is_some_and(|job| job.rules.service == *service) {
@@ -332,6 +374,7 @@
     fn protect_longest_waiting(
         &self,
         steps: &mut [WaitingStep],
+        usage: &[StepUsage<'_>],
         guaranteed_jobs: &BTreeSet<JobId>,
         wall: Timestamp,
     ) {
@@ -355,7 +398,7 @@
             }
             let service = &job.rules.service;
             if !left.contains_key(service) {
-                let part = self.protected_capacity(service, guaranteed_jobs, wall);
+                let part = self.protected_capacity(service, usage, guaranteed_jobs, wall);
                 left.insert(service.clone(), part);
             }
             let Some(left) = left.get_mut(service) else {
@@ -394,25 +437,23 @@
     fn protected_capacity(
         &self,
         service: &ServiceName,
+        usage: &[StepUsage<'_>],
         guaranteed_jobs: &BTreeSet<JobId>,
         wall: Timestamp,
     ) -> Resources {
-        let capacity = self.service_capacity(service);
+        let capacity = self.service_capacity(service, usage);
         let part = Resources {
             cpu_millis: capacity.cpu_millis / PROTECTED_DIVISOR,
             memory_mb: capacity.memory_mb / PROTECTED_DIVISOR,
             accelerators: capacity.accelerators / PROTECTED_DIVISOR,
         };
-        let protected = self.active.iter().filter(|(run, _)| {
-            let step = &run.task.step;
-            let job = self.jobs.get(&step.job);
-            job.is_some_and(|job| {
-                job.rules.service == *service
-                    && !guaranteed_jobs.contains(&step.job)
-                    && is_protected(job, Lateness::of(job, step, wall), wall)
-            })
+        let protected = usage.iter().filter(|used| {
+            let job = used.job;
+            job.rules.service == *service
+                && !guaranteed_jobs.contains(job.id())
+                && is_protected(job, Lateness::of(job, used.step, wall), wall)
         });
-        protected.fold(part, |left, (_, active)| left.minus(active.resources))
+        protected.fold(part, |left, used| left.minus(used.resources))
     }
 }
 
--- a/crates/rattanwinch_scheduling/src/shares.rs
+++ b/crates/rattanwinch_scheduling/src/shares.rs
@@ -13,6 +13,7 @@
 use crate::Scheduler;
 use crate::ServiceName;
 use crate::StepDescription;
+use crate::StepId;
 use crate::job::Job;
 use crate::scheduler::occupied_resources;
 
@@ -174,6 +175,13 @@
     }
 }
 
+/// What the active runs of a step use.
+pub(crate) struct StepUsage<'s> {
+    pub step: &'s StepId,
+    pub job: &'s Job,
+    pub resources: Resources,
+}
+
 impl Scheduler {
     /// Returns the expected run time of a task of the job's step.
     pub(crate) fn expected_run_time(_job: &AcceptedJob, step: &StepDescription) -> Duration {
@@ -219,9 +227,38 @@
             })
     }
 
+    /// Returns what the active runs of each step use.
+    pub(crate) fn step_usage(&self) -> Vec<StepUsage<'_>> {
+        let mut usage: Vec<StepUsage<'_>> = Vec::new();
+        let mut last: Option<&StepId> = None;
+        // Runs are ordered by task, so those of a step are adjacent.
+        for (run, active) in self.active.iter() {
+            let step = &run.task.step;
+            if last == Some(step) {
+                if let Some(usage) = usage.last_mut() {
+                    usage.resources = usage.resources.plus(active.resources);
+                }
+                continue;
+            }
+            if let Some(job) = self.jobs.get(&step.job) {
+                last = Some(step);
+                usage.push(StepUsage {
+                    step,
+                    job,
+                    resources: active.resources,
+                });
+            }
+        }
+        usage
+    }
+
     /// Returns the capacity of a service's targets that may get new tasks, without that of tasks
     /// that run until they are cancelled.
-    pub(crate) fn service_capacity(&self, service: &ServiceName) -> Resources {
+    pub(crate) fn service_capacity(
+        &self,
+        service: &ServiceName,
+        usage: &[StepUsage<'_>],
+    ) -> Resources {
         let targets = self.targets.values();
         let usable = targets.filter(|target| {
             let description = &target.description;
@@ -232,35 +269,27 @@
         let capacity = usable
             .map(|target| target.description.capacity)
             .fold(Resources::NONE, Resources::plus);
-        let lasting = self.active.iter().filter(|(run, _)| {
-            let job = self.jobs.get(&run.task.step.job);
-            job.is_some_and(|job| {
-                job.rules.service == *service
-                    && job
-                        .step(run.task.step.step)
-                        .is_some_and(|step| step.long_running)
-            })
+        let lasting = usage.iter().filter(|used| {
+            let step = used.job.step(used.step.step);
+            used.job.rules.service == *service && step.is_some_and(|step| step.long_running)
         });
-        lasting.fold(capacity, |left, (_, active)| left.minus(active.resources))
+        lasting.fold(capacity, |left, used| left.minus(used.resources))
     }
+}
 
-    /// Returns what organisations use of a service beyond their guarantees.
-    pub(crate) fn shares(
-        &self,
-        service: &ServiceName,
-        capacity: Resources,
-        guaranteed_jobs: &BTreeSet<JobId>,
-    ) -> Shares {
-        let mut shares = Shares::new(capacity);
-        for (run, active) in self.active.iter() {
-            let id = &run.task.step.job;
-            if let Some(job) = self.jobs.get(id)
-                && job.rules.service == *service
-                && !guaranteed_jobs.contains(id)
-            {
-                shares.add(&job.accepted.organisation, active.resources);
-            }
-        }
-        shares
+/// Returns what organisations use of a service beyond their guarantees.
+pub(crate) fn used_shares(
+    service: &ServiceName,
+    capacity: Resources,
+    usage: &[StepUsage<'_>],
+    guaranteed_jobs: &BTreeSet<JobId>,
+) -> Shares {
+    let mut shares = Shares::new(capacity);
+    let of_service = usage
+        .iter()
+        .filter(|used| used.job.rules.service == *service);
+    for used in of_service.filter(|used| !guaranteed_jobs.contains(used.job.id())) {
+        shares.add(&used.job.accepted.organisation, used.resources);
     }
+    shares
 }
