--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -1,3 +1,4 @@
+mod admission;
 mod calls;
 mod commits;
 
@@ -35,6 +36,7 @@
 use crate::agents::Agents;
 use crate::commands::Command;
 use crate::committer::Committer;
+use crate::coordinator::admission::RecentRefusals;
 use crate::event_log::log_event;
 use crate::event_log::record_stage;
 use crate::front_state::FrontState;
@@ -95,6 +97,7 @@
     /// Ended jobs, and when this leader learnt of their end.
     ended: BTreeMap<JobId, Timestamp>,
     learned_metrics: LearnedMetrics,
+    refusals: RecentRefusals,
 }
 
 impl Coordinator {
@@ -129,6 +132,7 @@
             pending_publication: BTreeMap::new(),
             ended,
             learned_metrics: LearnedMetrics::default(),
+            refusals: RecentRefusals::default(),
         }
     }
 
@@ -204,6 +208,9 @@
             return send_reply(reply, CallerAnswer::Refused(Refusal::OtherOrganisation));
         }
         if self.scheduler.job_state(&id).is_none() {
+            if let Some(refusal) = self.refusal(&job) {
+                return send_reply(reply, CallerAnswer::Refused(refusal));
+            }
             info!(self.state.log, "job taken"; "job" => %id, "queue" => %job.queue,
                 "organisation" => %job.organisation, "priority" => job.rules.priority,
                 "steps" => job.description.steps.len(), "tasks" => job.description.task_count());
@@ -442,6 +449,7 @@
         if is_tick {
             self.record_ages(now);
             self.learned_metrics.record(&self.scheduler);
+            self.record_load(now);
             self.scheduler.expire_silent_targets(now);
         }
         let may_start_tasks = self.local_leader.may_start_tasks(now);
--- a/crates/rattanwinch_scheduling/src/lateness.rs
+++ b/crates/rattanwinch_scheduling/src/lateness.rs
@@ -3,6 +3,7 @@
 use rattanwinch_types::Timestamp;
 use smallvec::SmallVec;
 
+use crate::AcceptedJob;
 use crate::StepId;
 use crate::job::Job;
 use crate::run_times::RunTimes;
@@ -86,3 +87,10 @@
     });
     run_times.collect()
 }
+
+/// Returns how long after its submission a job is of use to its caller; `None` without an objective.
+pub(crate) fn useful_time(job: &AcceptedJob) -> Option<Duration> {
+    let objective = job.rules.objective?;
+    let limit = objective.limit(job.description.critical_path());
+    Some(limit.saturating_mul(USEFUL_OBJECTIVE_MULTIPLE))
+}
--- a/crates/rattanwinch_scheduling/src/lib.rs
+++ b/crates/rattanwinch_scheduling/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod active_run;
 mod active_runs;
+mod admission;
 mod advisor_tickets;
 mod closure;
 mod drains;
@@ -28,6 +29,7 @@
 mod placement;
 mod placement_pass;
 mod preemption;
+mod queue_order;
 mod reclaim;
 mod reports;
 mod reservations;
@@ -38,6 +40,7 @@
 mod run_set;
 mod run_times;
 mod scheduler;
+mod shares;
 mod silences;
 mod stalls;
 mod target;
@@ -46,6 +49,8 @@
 mod upkeep_wave;
 mod waiting;
 
+pub use admission::Admission;
+pub use admission::RefusalReason;
 pub use advisor_tickets::AdvisorQuery;
 pub use advisor_tickets::AdvisorResponse;
 pub use closure::TargetClosure;
--- a/crates/rattanwinch_scheduling/tests/decisions/main.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod fixture;
 
+mod admission;
 mod closures;
 mod drains;
 mod lateness;
@@ -11,6 +12,7 @@
 mod reserving;
 mod run_times;
 mod runs;
+mod sharing;
 mod silences;
 mod speeds;
 mod stalls;
