Stop runs beyond a guarantee only where callers gain by it

Cause: urgent steps beyond a guarantee stopped runs even when they were late anyway, when the runs would have ended before the latest start, and without regard to jobs that became late by the stop.

Change: such a step stops nothing unless it is on time after the longest stop. It awaits runs that end before its latest start, or as soon as a stop would. Jobs that become late, or of no use, count as a loss by priority; among victims the least such cost comes before the least lost work. Jobs without an objective are not affected.

--- a/crates/rattanwinch_scheduling/src/drains.rs
+++ b/crates/rattanwinch_scheduling/src/drains.rs
@@ -50,7 +50,7 @@
         let sets = pass
             .sets
             .take()
-            .unwrap_or_else(|| self.run_sets(&pass.awaited, now));
+            .unwrap_or_else(|| self.run_sets(&pass.awaited, now, pass.wall));
         let mut departures: Vec<Departure<'_>> = sets
             .iter()
             .filter_map(|set| self.departure(set, &ending))
--- a/crates/rattanwinch_scheduling/src/lateness.rs
+++ b/crates/rattanwinch_scheduling/src/lateness.rs
@@ -7,7 +7,7 @@
 
 /// A job is of no use to its caller after this multiple of its latency objective, by the users'
 /// requirements. A late job that ends before has some use.
-const USEFUL_OBJECTIVE_MULTIPLE: u32 = 3;
+pub(crate) const USEFUL_OBJECTIVE_MULTIPLE: u32 = 3;
 
 /// The lateness of a waiting step against its job's latency objective; orders the queue.
 ///
@@ -54,14 +54,14 @@
 }
 
 /// Returns when the job was submitted, or when the occurrence was due if that is later.
-fn submitted_at(job: &Job, step: &StepId) -> Timestamp {
+pub(crate) fn submitted_at(job: &Job, step: &StepId) -> Timestamp {
     let accepted = &job.accepted;
     let due = accepted.description.due(step.occurrence);
     due.map_or(accepted.accepted_at, |due| due.max(accepted.accepted_at))
 }
 
 /// Returns the time limit of the job's latency objective.
-fn limit(job: &Job) -> Option<Duration> {
+pub(crate) fn limit(job: &Job) -> Option<Duration> {
     let objective = job.rules.objective?;
     Some(objective.limit(job.accepted.description.critical_path()))
 }
--- a/crates/rattanwinch_scheduling/src/lib.rs
+++ b/crates/rattanwinch_scheduling/src/lib.rs
@@ -14,6 +14,7 @@
 mod active_runs;
 mod advisor_tickets;
 mod closure;
+mod delay_cost;
 mod drains;
 mod event;
 mod evictions;
--- a/crates/rattanwinch_scheduling/src/placement.rs
+++ b/crates/rattanwinch_scheduling/src/placement.rs
@@ -166,11 +166,13 @@
 
 value! { copy
     /// What is lost by stopping runs. The fewest tasks that were stopped too often come first, then
-    /// the least work.
+    /// the least cost of jobs that become late, then the least work.
     #[derive(Default)]
     pub(crate) struct Loss {
         /// The number of tasks that have been stopped for others too often already.
         pub worn_out: u32,
+        /// The cost to callers of jobs that become late, shared out over their tasks.
+        pub lateness: u64,
         /// The lost work, and that lost by earlier stops of the same tasks.
         pub core_millis: u64,
     }
@@ -180,6 +182,7 @@
     pub(crate) const fn plus(self, other: Self) -> Self {
         Self {
             worn_out: self.worn_out.saturating_add(other.worn_out),
+            lateness: self.lateness.saturating_add(other.lateness),
             core_millis: self.core_millis.saturating_add(other.core_millis),
         }
     }
--- a/crates/rattanwinch_scheduling/src/placement_pass.rs
+++ b/crates/rattanwinch_scheduling/src/placement_pass.rs
@@ -41,7 +41,7 @@
         let steps = self.waiting_steps(&guaranteed_jobs, now, wall);
         let room = self.room(now);
         self.reservations.retain(&steps);
-        let mut pass = self.begin_reclaim_pass(&steps, guaranteed_jobs, room, now);
+        let mut pass = self.begin_reclaim_pass(&steps, guaranteed_jobs, room, now, wall);
         let mut blocked = 0;
         for mut waiting in steps {
             let mut reclaim = pass.underway.remove(&waiting.group);
--- a/crates/rattanwinch_scheduling/src/preemption.rs
+++ b/crates/rattanwinch_scheduling/src/preemption.rs
@@ -15,7 +15,7 @@
 use crate::Scheduler;
 use crate::StepId;
 use crate::active_run::DesiredState;
-use crate::lateness::Lateness;
+use crate::delay_cost::cost_of_lateness;
 use crate::placement::Demand;
 use crate::placement::Loss;
 use crate::placement::PreemptionPlan;
@@ -58,6 +58,8 @@
     pub reserved: Vec<ReservedRoom>,
     /// No target with such room had more free resources of any kind than these.
     pub reserved_free: Resources,
+    /// The wall-clock time of the pass.
+    pub wall: Timestamp,
 }
 
 impl Scheduler {
@@ -69,6 +71,7 @@
         guaranteed_jobs: BTreeSet<JobId>,
         mut room: Room,
         now: Timestamp,
+        wall: Timestamp,
     ) -> ReclaimPass {
         let groups: BTreeSet<&TaskGroup> = waiting.iter().map(|step| &step.group).collect();
         let mut underway = BTreeMap::new();
@@ -109,6 +112,7 @@
             sets: None,
             reserved: Vec::new(),
             reserved_free: Resources::NONE,
+            wall,
         }
     }
 
@@ -230,12 +234,18 @@
         let mut rest = demand.clone();
         rest.count = demand.count.saturating_sub(holds.len());
         let may_reclaim = self.may_reclaim(waiting);
-        let lost = reclaim.map_or(0, |reclaim| reclaim.lost_core_millis);
-        let max_loss = self.max_loss(waiting, demand).saturating_sub(lost);
+        let lost = reclaim.map_or(Loss::default(), |reclaim| reclaim.loss);
+        let max_lost_work = self.max_lost_work(waiting, demand);
+        let max_lost_work = max_lost_work.saturating_sub(lost.core_millis);
+        let max_lateness = max_lateness(waiting).saturating_sub(lost.lateness);
         let sets = pass
             .sets
-            .get_or_insert_with(|| self.run_sets(&pass.awaited, now));
+            .get_or_insert_with(|| self.run_sets(&pass.awaited, now, pass.wall));
         let wait = self.max_wait_for_ends(waiting);
+        // The stopped tasks wait about as long as the step runs.
+        let restart = self
+            .stop_time()
+            .saturating_add(waiting.description.estimated_run_time);
         let mut kept_sets = BTreeSet::new();
         loop {
             let occupants = occupants(sets, |number, set| {
@@ -245,12 +255,24 @@
                 let loss = if set.ends_within(wait) {
                     Loss::default()
                 } else {
-                    set.loss
+                    set.loss_after(restart)
                 };
                 displaceable.then_some(loss)
             });
-            let plan = plan_preemption(&rest, &candidates, &occupants, max_loss)?;
-            let excess = self.excess_evictions(sets, &plan);
+            let mut plan = plan_preemption(&rest, &candidates, &occupants, max_lost_work)?;
+            let mut excess = self.excess_evictions(sets, &plan);
+            let late = plan
+                .sets
+                .iter()
+                .filter_map(|&number| Some((number, sets.get(number)?)));
+            let late = late.filter(|(_, set)| !set.ends_within(wait) && set.becomes_late(restart));
+            let (late_sets, late_jobs): (Vec<usize>, BTreeMap<&JobId, u64>) = late
+                .map(|(number, set)| (number, (&set.job, cost_of_lateness(set.priority))))
+                .unzip();
+            plan.loss.lateness = late_jobs.values().sum();
+            if plan.loss.lateness > max_lateness {
+                excess.extend(late_sets);
+            }
             if excess.is_empty() {
                 return Some(plan);
             }
@@ -277,15 +299,20 @@
         excess.map(|(number, _)| number).collect()
     }
 
-    /// Returns true if runs may be stopped for the step: it is urgent, and of use to its caller.
+    /// Returns the longest time from the decision to stop runs to the start of a step in their room.
+    fn stop_time(&self) -> Duration {
+        self.limits.max_stop_time + START_MARGIN
+    }
+
+    /// Returns true if runs may be stopped for the step: it is urgent, and within a guarantee or
+    /// still on time after the stop.
     fn may_reclaim(&self, waiting: &WaitingStep) -> bool {
-        let overdue = matches!(waiting.lateness, Lateness::Overdue(_));
-        waiting.guaranteed || (waiting.priority == 0 && !overdue)
+        waiting.guaranteed || (waiting.priority == 0 && waiting.slack >= self.stop_time())
     }
 
     /// Returns the work that may be lost for an urgent step. Beyond a guarantee it is at most the
     /// step's own work, so that the callers of the stopped runs lose less than its caller gains.
-    fn max_loss(&self, waiting: &WaitingStep, demand: &Demand) -> u64 {
+    fn max_lost_work(&self, waiting: &WaitingStep, demand: &Demand) -> u64 {
         if waiting.guaranteed {
             return u64::MAX;
         }
@@ -293,12 +320,18 @@
         work.saturating_mul(demand.count as u64)
     }
 
-    /// Returns how long a step may wait for runs to end by themselves before they are stopped: it
-    /// must still be on time, and a guarantee is kept within its reclaim time.
+    /// Returns how long a step may wait for runs to end by themselves before they are stopped: a
+    /// guarantee is kept within its reclaim time, and any other step must still be on time.
     fn max_wait_for_ends(&self, waiting: &WaitingStep) -> Duration {
-        let stop = self.limits.max_stop_time + START_MARGIN;
-        let until_reclaimed = self.limits.max_reclaim_time.saturating_sub(waiting.waited);
-        until_reclaimed.min(waiting.slack).saturating_sub(stop)
+        if waiting.guaranteed || waiting.slack == Duration::MAX {
+            let until_reclaimed = self.limits.max_reclaim_time.saturating_sub(waiting.waited);
+            return until_reclaimed
+                .min(waiting.slack)
+                .saturating_sub(self.stop_time());
+        }
+        let wait = waiting.slack.saturating_sub(self.stop_time());
+        // A stop does not make room sooner than a run that ends within its time.
+        wait.max(self.limits.max_stop_time)
     }
 
     /// Releases the room of all reclaims beyond guarantees; returns true if there were any.
@@ -345,8 +378,8 @@
             }
         }
         let holds = plan.targets.clone();
-        let lost = plan.loss.core_millis;
-        let reclaim = Reclaim::new(holds, demand.resources, waiting.guaranteed, lost, planned);
+        let loss = plan.loss;
+        let reclaim = Reclaim::new(holds, demand.resources, waiting.guaranteed, loss, planned);
         let (reclaim, victims) = reclaim.begin(now + wait);
         self.preempt_for(&waiting.step, victims, waiting.guaranteed, now);
         reclaim
@@ -392,6 +425,16 @@
     }
 }
 
+/// Returns the highest cost of jobs that become late by stopping runs for the step. Beyond a
+/// guarantee it is what its own caller loses if it is late.
+fn max_lateness(waiting: &WaitingStep) -> u64 {
+    if waiting.guaranteed {
+        u64::MAX
+    } else {
+        cost_of_lateness(waiting.priority)
+    }
+}
+
 /// Returns true if the run set may be stopped for the waiting step.
 ///
 /// A step within a guarantee displaces all runs that are not covered by one. Otherwise, an urgent
--- a/crates/rattanwinch_scheduling/src/reclaim.rs
+++ b/crates/rattanwinch_scheduling/src/reclaim.rs
@@ -11,6 +11,7 @@
 use crate::Resources;
 use crate::RunId;
 use crate::StepId;
+use crate::placement::Loss;
 use crate::room::Room;
 
 value! {
@@ -82,8 +83,8 @@
     resources: Resources,
     /// The step is covered by a guarantee.
     pub guaranteed: bool,
-    /// The work that the stopped runs lose, in core-milliseconds.
-    pub lost_core_millis: u64,
+    /// What is lost by stopping the runs.
+    pub loss: Loss,
     state: S,
 }
 
@@ -92,14 +93,14 @@
         holds: Vec<TargetName>,
         resources: Resources,
         guaranteed: bool,
-        lost_core_millis: u64,
+        loss: Loss,
         state: Planned,
     ) -> Self {
         Self {
             holds,
             resources,
             guaranteed,
-            lost_core_millis,
+            loss,
             state,
         }
     }
@@ -111,7 +112,7 @@
             holds: self.holds,
             resources: self.resources,
             guaranteed: self.guaranteed,
-            lost_core_millis: self.lost_core_millis,
+            loss: self.loss,
             state: Underway {
                 awaited: awaited.map(|run| (run, stop_awaited_at)).collect(),
                 unusable_since: BTreeMap::new(),
@@ -195,9 +196,7 @@
     /// Adds the room and the runs of a further reclaim for the same step.
     pub(crate) fn extend(&mut self, further: Self) {
         self.holds.extend(further.holds);
-        self.lost_core_millis = self
-            .lost_core_millis
-            .saturating_add(further.lost_core_millis);
+        self.loss = self.loss.plus(further.loss);
         self.state.awaited.extend(further.state.awaited);
         self.guaranteed = further.guaranteed;
     }
--- a/crates/rattanwinch_scheduling/src/reservations.rs
+++ b/crates/rattanwinch_scheduling/src/reservations.rs
@@ -365,12 +365,13 @@
         let candidates = self.candidates(waiting, demand, &pass.room, Availability::Eventual, now);
         let sets = pass
             .sets
-            .get_or_insert_with(|| self.run_sets(&pass.awaited, now));
+            .get_or_insert_with(|| self.run_sets(&pass.awaited, now, pass.wall));
         // The loss is the time to wait here.
         let occupants = occupants(sets, |_, set| {
             let remaining = set.expected_remaining?.as_millis();
             Some(Loss {
                 worn_out: 0,
+                lateness: 0,
                 core_millis: u64::try_from(remaining).unwrap_or(u64::MAX),
             })
         });
--- a/crates/rattanwinch_scheduling/src/run_set.rs
+++ b/crates/rattanwinch_scheduling/src/run_set.rs
@@ -15,6 +15,8 @@
 use crate::StepId;
 use crate::active_run::ActiveRun;
 use crate::active_run::DesiredState;
+use crate::delay_cost::EndLimits;
+use crate::delay_cost::cost_of_lateness;
 use crate::placement::Loss;
 use crate::placement::Occupant;
 
@@ -46,6 +48,12 @@
     remaining_time: Option<Duration>,
     /// The time after which the runs should have ended by themselves; `None` if they last.
     pub expected_remaining: Option<Duration>,
+    /// When the runs must have ended; `None` if their job has no objective.
+    end_limits: Option<EndLimits>,
+    /// The work that is repeated, or the restore, as a run time.
+    repeated_time: Duration,
+    /// The number of tasks of the step.
+    step_tasks: u32,
     /// The runs are stopped, or awaited by a reclaim.
     pub leaving: bool,
 }
@@ -56,11 +64,34 @@
         self.remaining_time
             .is_some_and(|remaining| remaining < wait)
     }
+
+    /// Returns true if the job of the runs becomes late, or of no use, by stopping them. They start
+    /// again after `wait`.
+    pub(crate) fn becomes_late(&self, wait: Duration) -> bool {
+        let delay = wait.saturating_add(self.repeated_time);
+        let limits = self.end_limits.zip(self.expected_remaining);
+        limits.is_some_and(|(limits, remaining)| limits.are_missed_by(remaining, delay))
+    }
+
+    /// Returns what is lost by stopping the runs, which start again after `wait`.
+    pub(crate) fn loss_after(&self, wait: Duration) -> Loss {
+        let mut loss = self.loss;
+        if self.becomes_late(wait) {
+            let share = cost_of_lateness(self.priority).saturating_mul(self.runs.len() as u64);
+            loss.lateness = share / u64::from(self.step_tasks.max(1));
+        }
+        loss
+    }
 }
 
 impl Scheduler {
     /// Groups the active runs into the sets that can only be stopped together.
-    pub(crate) fn run_sets(&self, awaited: &BTreeSet<RunId>, now: Timestamp) -> Vec<RunSet> {
+    pub(crate) fn run_sets(
+        &self,
+        awaited: &BTreeSet<RunId>,
+        now: Timestamp,
+        wall: Timestamp,
+    ) -> Vec<RunSet> {
         let mut sets: Vec<RunSet> = Vec::new();
         let mut last: Option<(&StepId, Option<u32>)> = None;
         // Runs are ordered by task, so the runs of a set are adjacent.
@@ -86,6 +117,9 @@
                     preemptions: 0,
                     remaining_time: Some(Duration::ZERO),
                     expected_remaining: (!step.long_running).then_some(Duration::ZERO),
+                    end_limits: EndLimits::of(job, &run.task.step, wall),
+                    repeated_time: Duration::ZERO,
+                    step_tasks: step.count,
                     leaving: true,
                 });
             }
@@ -96,8 +130,11 @@
             let lost = lost_work(active, step.checkpointing, now).saturating_add(lost_before);
             set.loss = set.loss.plus(Loss {
                 worn_out: u32::from(preemptions >= MAX_PREEMPTIONS),
+                lateness: 0,
                 core_millis: lost,
             });
+            let repeated_time = repeated_time(active, step.checkpointing, now);
+            set.repeated_time = set.repeated_time.max(repeated_time);
             set.preemptions = set.preemptions.max(preemptions);
             set.remaining_time = match (set.remaining_time, remaining_time(active, now)) {
                 (Some(set), Some(run)) if !step.long_running => Some(set.max(run)),
@@ -126,11 +163,17 @@
 
 /// Returns the work that stopping a run loses, in core-milliseconds.
 pub(crate) fn lost_work(active: &ActiveRun, checkpointing: bool, now: Timestamp) -> u64 {
-    let mut worked = now.since(active.started_at.unwrap_or(active.placed_at));
+    core_millis(active.resources, repeated_time(active, checkpointing, now))
+}
+
+/// Returns the run time that stopping a run loses: its work, or the restore if it saves its state.
+fn repeated_time(active: &ActiveRun, checkpointing: bool, now: Timestamp) -> Duration {
+    let worked = now.since(active.started_at.unwrap_or(active.placed_at));
     if checkpointing {
-        worked = worked.min(RESTORE_TIME);
+        worked.min(RESTORE_TIME)
+    } else {
+        worked
     }
-    core_millis(active.resources, worked)
 }
 
 /// Estimates the remaining time of a run from the progress that this scheduler has seen.
--- a/crates/rattanwinch_scheduling/tests/decisions/main.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/main.rs
@@ -15,3 +15,4 @@
 mod stalls;
 mod states;
 mod upkeep;
+mod victims;
