--- a/crates/rattanwinch_scheduling/src/lib.rs
+++ b/crates/rattanwinch_scheduling/src/lib.rs
@@ -15,6 +15,7 @@
 mod admission;
 mod advisor_tickets;
 mod closure;
+mod delay_cost;
 mod drains;
 mod event;
 mod evictions;
--- a/crates/rattanwinch_scheduling/src/queue_order.rs
+++ b/crates/rattanwinch_scheduling/src/queue_order.rs
@@ -451,7 +451,11 @@
             let job = used.job;
             job.rules.service == *service
                 && !guaranteed_jobs.contains(job.id())
-                && is_protected(job, Lateness::of(job, used.step, wall), wall)
+                && is_protected(
+                    job,
+                    Lateness::of(job, used.step, &self.run_times, wall),
+                    wall,
+                )
         });
         protected.fold(part, |left, used| left.minus(used.resources))
     }
--- a/crates/rattanwinch_scheduling/tests/decisions/main.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/main.rs
@@ -18,3 +18,4 @@
 mod stalls;
 mod states;
 mod upkeep;
+mod victims;
