Learn nothing from runs of closed jobs, and test gangs that show no rate

Cause: the members of a gang are listed for a moment after the first is done, and would have counted once more for their queue.

Change: runs of closed jobs are not observed. A test covers gangs that end before they show a rate, whose time is that of their slowest target.

--- a/crates/rattanwinch_scheduling/src/run_times.rs
+++ b/crates/rattanwinch_scheduling/src/run_times.rs
@@ -176,7 +176,9 @@
         let Some(step) = job.step(run.task.step.step) else {
             return;
         };
-        if job.rules.objective.is_none() || step.long_running || time.is_zero() {
+        let is_observed = job.rules.objective.is_some() && !step.long_running;
+        // The members of a gang go on for a while after the first of them is done.
+        if !is_observed || job.state().is_final() || time.is_zero() {
             return;
         }
         let times = self.steps.entry(run.task.step.clone());
--- a/crates/rattanwinch_scheduling/tests/decisions/run_times.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/run_times.rs
@@ -123,6 +123,40 @@
     assert!((3.5..4.5).contains(&learned), "{learned}");
 }
 
+/// Answers short gangs on uneven targets, which end before they show a rate. Guards against run
+/// times that stay unknown, or that are those of a slow target.
+#[test]
+fn gangs_too_short_for_a_rate_count_by_their_end_on_their_slowest_target() {
+    let mut site = site_with_objectives(9);
+    for number in 0..9 {
+        site.progress
+            .insert(target(number), [13, USUAL, 5][number / 3]);
+    }
+    let fill = site.submit(2, "a", &[estimated(72, 1, RUN_TIME_MS)]);
+    site.step();
+    play(&mut site, 5);
+    end_running(&mut site, &fill);
+    site.is_hung = true;
+    for _ in 0..6 {
+        // Of nine targets it takes all, three of which are slow.
+        let gang = StepDescription {
+            gang: true,
+            ..estimated(9, 8, 800)
+        };
+        let gang = site.submit(2, "a", &[gang]);
+        site.step();
+        assert_eq!(site.running(&gang).len(), 9);
+        // 1.6 times a run time that is twice the estimate.
+        site.wait(2_560);
+        end_running(&mut site, &gang);
+        site.step();
+    }
+    site.wait(600);
+    site.step();
+    let learned = ratio(&site).expect("a ratio");
+    assert!((1.7..2.3).contains(&learned), "{learned}");
+}
+
 /// Answers stragglers: a task of each step takes 7 times as long. Guards against a mean that it
 /// shifts.
 #[test]
