--- a/crates/rattanwinch_scheduling/tests/decisions/run_times.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/run_times.rs
@@ -1,5 +1,6 @@
 //! Inaccurate estimates: how run times are learned, and which decisions use them.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rattanwinch_scheduling::Event;
@@ -122,6 +123,40 @@
     assert!((3.5..4.5).contains(&learned), "{learned}");
 }
 
+/// Answers short gangs on uneven targets, which end before they show a rate. Guards against run
+/// times that stay unknown, or that are those of a slow target.
+#[test]
+fn gangs_too_short_for_a_rate_count_by_their_end_on_their_slowest_target() {
+    let mut site = site_with_objectives(9);
+    for number in 0..9 {
+        site.progress
+            .insert(target(number), [13, USUAL, 5][number / 3]);
+    }
+    let fill = site.submit(2, "a", &[estimated(72, 1, RUN_TIME_MS)]);
+    site.step();
+    play(&mut site, 5);
+    end_running(&mut site, &fill);
+    site.is_hung = true;
+    for _ in 0..6 {
+        // Of nine targets it takes all, three of which are slow.
+        let gang = StepDescription {
+            gang: true,
+            ..estimated(9, 8, 800)
+        };
+        let gang = site.submit(2, "a", &[gang]);
+        site.step();
+        assert_eq!(site.running(&gang).len(), 9);
+        // 1.6 times a run time that is twice the estimate.
+        site.wait(2_560);
+        end_running(&mut site, &gang);
+        site.step();
+    }
+    site.wait(600);
+    site.step();
+    let learned = ratio(&site).expect("a ratio");
+    assert!((1.7..2.3).contains(&learned), "{learned}");
+}
+
 /// Answers stragglers: a task of each step takes 7 times as long. Guards against a mean that it
 /// shifts.
 #[test]
@@ -185,6 +220,26 @@
     assert!(site.running(&second).is_empty());
 }
 
+/// Answers estimates that are off by 0.9 on uneven targets. Guards against batch tasks that take
+/// fast targets though their job has time to spare.
+#[test]
+fn the_other_tasks_of_a_step_with_a_poor_estimate_leave_fast_targets_free() {
+    for estimate_ms in [RUN_TIME_MS / 10, RUN_TIME_MS * 19 / 10] {
+        let mut site = site_with_objectives(9);
+        for number in 0..9 {
+            site.progress
+                .insert(target(number), [5, USUAL, 13][number / 3]);
+        }
+        let batch = site.submit(2, "a", &[estimated(80, 1, estimate_ms)]);
+        site.step();
+        play(&mut site, 5);
+        end_running(&mut site, &batch);
+        site.step();
+        let others: BTreeSet<_> = site.running(&batch).into_iter().collect();
+        assert_eq!(others, [target(0)].into(), "{estimate_ms} ms");
+    }
+}
+
 /// Plays a target on which each of the runs makes a per cent of progress in `percent_ms`; returns
 /// how often one was stopped because it stood still.
 fn count_stalls(site: &mut Fixture, percent_ms: u64, millis: u64) -> usize {
