Test what the queue order leaves as it was

Cause: with each rule of the two parts removed in turn, two of twelve removals failed no test: that work which no target can run takes no capacity in the plan, and that guaranteed steps are never delayed.

Change: a test of guaranteed jobs, and impossible work in the test where all can be on time.

--- a/crates/rattanwinch_scheduling/tests/decisions/sharing.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/sharing.rs
@@ -81,17 +81,38 @@
 #[test]
 fn a_large_job_is_delayed_if_it_would_make_small_ones_late() {
     let mut site = overloaded_site(1);
-    let running = site.submit(1, "a", &[tasks(1, 8, 60_000)]);
+    assert_eq!(
+        starts_of_one_large_and_four_small(&mut site),
+        [1, 2, 3, 4, 0]
+    );
+}
+
+/// Load: a third of the capacity lost, within a guarantee. Guards against a guaranteed job that is
+/// delayed for others, though each has a promised time to start.
+#[test]
+fn jobs_within_a_guarantee_keep_the_order_of_their_latest_starts() {
+    let mut site = overloaded_site(1);
+    site.guarantee("a", 64);
+    assert_eq!(
+        starts_of_one_large_and_four_small(&mut site),
+        [0, 1, 2, 3, 4]
+    );
+}
+
+/// Lets one large job, the first, and four small ones wait for a target, of which the large one has
+/// the earliest latest start; returns the order of their starts.
+fn starts_of_one_large_and_four_small(site: &mut Fixture) -> Vec<usize> {
+    let running = site.submit(0, "a", &[tasks(1, 8, 60_000)]);
     site.step();
-    let large = site.submit(1, "a", &[tasks(1, 8, 4_000)]);
+    let large = site.submit(0, "a", &[tasks(1, 8, 4_000)]);
     // The large job must start within 9 s, a small one within 2 s.
     site.play(8_000);
     let mut jobs = vec![(large, 4_000)];
     for _ in 0..4 {
-        jobs.push((site.submit(1, "a", &[tasks(1, 8, 500)]), 500));
+        jobs.push((site.submit(0, "a", &[tasks(1, 8, 500)]), 500));
     }
     site.end_job(&running, RunOutcome::Done);
-    assert_eq!(order_of_starts(&mut site, &jobs), [1, 2, 3, 4, 0]);
+    order_of_starts(site, &jobs)
 }
 
 /// Load: a little more than one target takes, all of which can be on time. Guards against an order
@@ -101,6 +122,10 @@
     let mut site = overloaded_site(1);
     let running = site.submit(1, "a", &[tasks(1, 8, 60_000)]);
     site.step();
+    // Work that no target can run takes no capacity.
+    let mut impossible = tasks(20, 8, 60_000);
+    impossible.required_label = Some("absent".into());
+    site.submit(0, "a", &[impossible]);
     let large = site.submit(1, "a", &[tasks(1, 8, 1_500)]);
     // The large job must start within 4 s, a small one within 2 s.
     site.play(3_000);
