Protect large jobs only after one and a half times their objective

Cause: large jobs that went first from the end of their objective on made more small ones late than they gained.

Change: they are not bypassed from one and a half times their objective on, which is half of the time that they are of use.

--- a/crates/rattanwinch_scheduling/src/queue_order.rs
+++ b/crates/rattanwinch_scheduling/src/queue_order.rs
@@ -28,15 +28,15 @@
 use crate::shares::used_shares;
 use crate::waiting::WaitingStep;
 
-/// The part of a service's capacity on which large jobs that have waited for their whole objective
-/// are not bypassed. The largest third of the jobs of a kind makes up half of its work; at half of the
+/// The part of a service's capacity on which large jobs that have waited for long enough are not
+/// bypassed. The largest third of the jobs of a kind makes up half of its work; at half of the
 /// capacity that all jobs need, a quarter serves half of that third.
 const PROTECTED_DIVISOR: u64 = 4;
 
 /// The turn of a step among those of its priority.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Turn {
-    /// The job is large for its queue, has waited for its whole objective and is not bypassed again.
+    /// The job is large for its queue, has waited for long enough and is not bypassed again.
     Protected,
     /// The job can be on time.
     OnTime,
@@ -216,14 +216,15 @@
     loads.fold(0, u64::saturating_add)
 }
 
-/// Returns true if the job has waited for its whole objective and can still be of use.
+/// Returns true if the job has waited for half as long again as its objective and can still be of
+/// use. Protecting jobs from the end of their objective on made more small ones late than it gained.
 fn is_protected(job: &Job, lateness: Lateness, wall: Timestamp) -> bool {
     let Some(objective) = job.rules.objective else {
         return false;
     };
     let limit = objective.limit(job.accepted.description.critical_path());
-    // Useful until three times the objective, so the objective has passed if two thirds are left.
-    matches!(lateness, Lateness::Late(until) if until.since(wall) < limit * 2)
+    // Useful until three times the objective, of which half is left then.
+    matches!(lateness, Lateness::Late(until) if until.since(wall) < limit * 3 / 2)
 }
 
 impl Scheduler {
