Count the work that stopped runs lose by cause

Change: rattanwinch_lost_core_seconds_total with the causes reclaim, guarantee and drain. Stalls, failures and lapses are not counted yet.

No test reads the metric.

--- a/crates/rattanwinch_front/src/event_log.rs
+++ b/crates/rattanwinch_front/src/event_log.rs
@@ -28,6 +28,8 @@
             guaranteed,
         } => {
             count_decision("reclaimed");
+            let cause = if *guaranteed { "guarantee" } else { "reclaim" };
+            count_lost_work(cause, *lost_core_ms);
             info!(log, #OUTCOME_TAG, "guarantee reclaimed"; "job" => %step.job, "step" => step.step,
                 "victims" => full_names(victims),
                 "lost_core_ms" => lost_core_ms, "guaranteed" => guaranteed);
@@ -60,6 +62,7 @@
             lost_core_ms,
         } => {
             count_decision("moved");
+            count_lost_work("drain", *lost_core_ms);
             info!(log, #OUTCOME_TAG, "runs moved"; "runs" => full_names(runs),
                 "target" => %target, "leaves_in_ms" => leaves_in_ms,
                 "lost_core_ms" => lost_core_ms);
@@ -151,6 +154,13 @@
     metrics::counter!("rattanwinch_decisions_total", "decision" => decision).increment(1);
 }
 
+/// Counts work that stopped runs lose. The counter holds whole numbers, so a fraction of a second
+/// is rounded.
+fn count_lost_work(cause: &'static str, lost_core_ms: u64) {
+    let seconds = lost_core_ms.saturating_add(500) / 1000;
+    metrics::counter!("rattanwinch_lost_core_seconds_total", "cause" => cause).increment(seconds);
+}
+
 /// Records the duration of a stage of a job in the metrics.
 pub(crate) fn record_stage(stage: &'static str, millis: u64) {
     let seconds = std::time::Duration::from_millis(millis).as_secs_f64();
