Limit the memory, connections and time of incomplete requests

Cause: poem's and jsonrpsee's servers read heads of up to 400 KB, bodies of any number at once, have no time limits, and accept connections until no descriptors are left.

Change: the package rattanwinch_http_server binds and serves every port of rattanwinch-front, -side, -entry and -agent. The memory of a port is divided in advance; a body is read after its memory has been reserved, and a request is passed on once it has arrived completely. Stalled connections are shed while others wait, and time limits hold for heads, bodies and idle connections. The limits are settings; memory for less than one request is an error at the start.

Tests: settings of the process tests now lower the memory for requests to 16 MB and, for silent connections, the connections to 100. A new one puts 1,200 clients of each kind and of all kinds on a front with the defaults.

Not run in full yet: the other tests of the daemons; latency of an ordinary call.

--- a/crates/rattanwinch_agent/src/agent_daemon.rs
+++ b/crates/rattanwinch_agent/src/agent_daemon.rs
@@ -87,7 +87,12 @@
         calls
             .merge(GangRpcHandler(Arc::clone(&self.state)).into_rpc())
             .wrap_err("failed to merge the RPC methods: duplicate method name")?;
-        let server = RpcServer::start(listen, max_connections, calls)
+        let server = RpcServer::builder()
+            .address(listen)
+            .max_connections(max_connections)
+            .limits(&self.state.settings.http)
+            .log(self.state.logger.clone())
+            .start(calls)
             .await
             .wrap_err_with(|| format!("failed to listen on {listen}"))?;
         let shutdown = Shutdown::new();
--- a/crates/rattanwinch_agent/src/agent_settings.rs
+++ b/crates/rattanwinch_agent/src/agent_settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bon::Builder;
+use rattanwinch_http_server::HttpLimits;
 use rattanwinch_runtime::SettingsErrors;
 use rattanwinch_runtime::SettingsFile;
 use rattanwinch_types::RackName;
@@ -51,6 +52,9 @@
     /// How long a planned shutdown waits for plain requests to end.
     #[builder(default = Duration::from_secs(60))]
     pub drain_limit: Duration,
+    /// Limits of the requests that this process receives.
+    #[builder(default)]
+    pub http: HttpLimits,
 }
 
 impl AgentSettings {
@@ -99,6 +103,7 @@
         let heartbeat_interval =
             file.millis("agent", "heartbeat_interval_ms", Duration::from_millis(500));
         let drain_limit = file.millis("agent", "drain_limit_ms", Duration::from_secs(60));
+        let http = HttpLimits::from_file(&mut file);
         let settings = (|| {
             Some(Self {
                 target: target?,
@@ -113,6 +118,7 @@
                 accelerators: accelerators?,
                 heartbeat_interval: heartbeat_interval?,
                 drain_limit: drain_limit?,
+                http: http?,
             })
         })();
         file.finish(settings)
--- a/crates/rattanwinch_agent/tests/gang/support.rs
+++ b/crates/rattanwinch_agent/tests/gang/support.rs
@@ -89,7 +89,11 @@
             count: 0,
         };
         let entry = Self(Arc::new(Mutex::new(state)));
-        let server = RpcServer::start(ANY_PORT, 16, entry.clone().into_rpc()).await;
+        let server = RpcServer::builder()
+            .address(ANY_PORT)
+            .max_connections(16)
+            .start(entry.clone().into_rpc())
+            .await;
         (entry, server.expect("loopback can be bound"))
     }
 
--- a/crates/rattanwinch_cli/tests/cli/queue.rs
+++ b/crates/rattanwinch_cli/tests/cli/queue.rs
@@ -10,6 +10,7 @@
 
 use rattanwinch_front::FrontDaemon;
 use rattanwinch_front::FrontSettings;
+use rattanwinch_http_server::HttpLimits;
 use rattanwinch_runtime::LogLevel;
 use rattanwinch_runtime::SiteDaemon as _;
 use rattanwinch_runtime::VmSettings;
@@ -75,10 +76,12 @@
         cpu_share: 1.0,
         reclaim_time: Duration::from_millis(2700),
         stop_time: Duration::from_millis(900),
+        http: HttpLimits::default(),
     };
     let side = SideSettings {
         vm: vm("side", side_ip, front_ip, store_endpoint.address()),
         executor_listen: SocketAddr::new(side_ip, 8002),
+        http: HttpLimits::default(),
     };
     let executor = ExecutorOptions {
         id: "i-1".to_owned(),
--- a/crates/rattanwinch_entry/src/entry_daemon.rs
+++ b/crates/rattanwinch_entry/src/entry_daemon.rs
@@ -5,10 +5,8 @@
 
 use eyre::WrapErr as _;
 use jsonrpsee::Methods;
-use poem::Server;
-use poem::listener::Acceptor as _;
-use poem::listener::Listener as _;
-use poem::listener::TcpListener;
+use rattanwinch_http_server::HttpServer;
+use rattanwinch_http_server::poem_handler;
 use rattanwinch_peers::EntryRpcServer as _;
 use rattanwinch_peers::JobRpcServer as _;
 use rattanwinch_peers::PeerRpcServer as _;
@@ -19,9 +17,9 @@
 use rattanwinch_types::ZoneName;
 use rattanwinch_types::ZoneSummary;
 use slog::Logger;
-use slog::error;
 use slog::info;
 use slog::warn;
+use tokio_util::sync::CancellationToken;
 
 use crate::EntrySettings;
 use crate::burn;
@@ -202,7 +200,12 @@
     let mut calls = Methods::from(EntryRpcHandler(Arc::clone(state)).into_rpc());
     calls.merge(PeerRpcHandler(Arc::clone(state)).into_rpc())?;
     calls.merge(JobRpcHandler(Arc::clone(state)).into_rpc())?;
-    let rpc = RpcServer::start(listen, MAX_RPC_CONNECTIONS, calls)
+    let rpc = RpcServer::builder()
+        .address(listen)
+        .max_connections(MAX_RPC_CONNECTIONS)
+        .limits(&state.settings.http)
+        .log(state.logger.clone())
+        .start(calls)
         .await
         .wrap_err_with(|| format!("failed to listen on {listen}"))?;
     let configured = state.settings.rpc_advertise;
@@ -222,28 +225,22 @@
     shutdown: &Shutdown,
 ) -> Result<SocketAddr> {
     let listen = state.settings.http_listen;
-    let acceptor = TcpListener::bind(listen)
-        .into_acceptor()
+    let server = HttpServer::bind(listen)
         .await
         .wrap_err_with(|| format!("failed to listen on {listen}"))?;
-    let local = acceptor.local_addr();
-    let address = local
-        .iter()
-        .find_map(|local| local.as_socket_addr().copied());
-    let address = address.ok_or_else(|| eyre::eyre!("listener on {listen} has no TCP address"))?;
-    let app = http::routes(state, metrics);
-    let (logger, stop) = (state.logger.clone(), shutdown.clone());
+    let address = server.address();
+    let handler = poem_handler(http::routes(state, metrics));
+    let limits = state.settings.http.caller_port();
+    let server = server.with_handler("http", limits, handler, state.logger.clone());
+    let closing = CancellationToken::new();
+    let (stop, closed) = (shutdown.clone(), closing.clone().drop_guard());
     let limit = state.settings.drain_limit;
     shutdown.spawn(async move {
-        let server = Server::new_with_acceptor(acceptor);
-        let served = server.run_with_graceful_shutdown(
-            app,
-            async move { stop.requested().await },
-            Some(limit),
-        );
-        if let Err(error) = served.await {
-            error!(logger, "HTTP server stopped with an error"; "error" => %error);
-        }
+        let stopped = async {
+            stop.requested().await;
+            drop(closed);
+        };
+        tokio::join!(server.run(closing, limit), stopped);
     });
     Ok(address)
 }
--- a/crates/rattanwinch_entry/src/entry_settings.rs
+++ b/crates/rattanwinch_entry/src/entry_settings.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use bon::Builder;
+use rattanwinch_callers::MAX_BODY_BYTES;
+use rattanwinch_http_server::HttpLimits;
 use rattanwinch_platform::StoreSettings;
 use rattanwinch_runtime::SettingsErrors;
 use rattanwinch_runtime::SettingsFile;
@@ -14,6 +16,9 @@
 /// Placeholder for the address that the listener is bound to.
 const SAME_AS_LISTEN_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
+/// As much as an entry of the largest planned region takes besides, 117 MB.
+const DEFAULT_REQUEST_MEMORY: usize = 117 * 1024 * 1024;
+
 /// The result of reading the settings.
 pub type Result<T> = std::result::Result<T, SettingsErrors>;
 
@@ -41,6 +46,9 @@
     /// How long a planned shutdown waits for requests to end.
     #[builder(default = Duration::from_secs(60))]
     pub drain_limit: Duration,
+    /// Limits of the requests that this process receives.
+    #[builder(default = default_http_limits())]
+    pub http: HttpLimits,
 }
 
 impl EntrySettings {
@@ -69,6 +77,7 @@
         let store = StoreSettings::from_file(&mut file);
         let drain_wait = file.millis("entry", "drain_wait_ms", Duration::from_secs(5));
         let drain_limit = file.millis("entry", "drain_limit_ms", Duration::from_secs(60));
+        let http = default_http_limits().read(&mut file);
         let settings = (|| {
             Some(Self {
                 entry: entry?,
@@ -79,8 +88,18 @@
                 store: store?,
                 drain_wait: drain_wait?,
                 drain_limit: drain_limit?,
+                http: http?,
             })
         })();
         file.finish(settings)
     }
 }
+
+/// Callers of an entry may send bodies of a megabyte.
+fn default_http_limits() -> HttpLimits {
+    HttpLimits {
+        request_memory: DEFAULT_REQUEST_MEMORY,
+        max_body_bytes: MAX_BODY_BYTES,
+        ..HttpLimits::default()
+    }
+}
--- a/crates/rattanwinch_front/src/front_daemon.rs
+++ b/crates/rattanwinch_front/src/front_daemon.rs
@@ -3,16 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use poem::Endpoint;
-use poem::IntoEndpoint;
 use poem::Route;
-use poem::Server;
 use poem::endpoint::make_sync;
 use poem::get;
-use poem::listener::Listener as _;
-use poem::listener::TcpListener;
 use rattanwinch_fleet::FrontRpcServer as _;
 use rattanwinch_fleet::MAX_PEER_CONNECTIONS;
+use rattanwinch_http_server::Handler;
+use rattanwinch_http_server::HttpServer;
+use rattanwinch_http_server::PortLimits;
+use rattanwinch_http_server::poem_handler;
 use rattanwinch_peers::RpcServer;
 use rattanwinch_runtime::MetricsText;
 use rattanwinch_runtime::SiteDaemon;
@@ -72,7 +71,13 @@
         let peers = PeerServer {
             state: Arc::clone(&state),
         };
-        let rpc = RpcServer::start(state.address, MAX_PEER_CONNECTIONS, peers.into_rpc()).await?;
+        let rpc = RpcServer::builder()
+            .address(state.address)
+            .max_connections(MAX_PEER_CONNECTIONS)
+            .limits(&state.settings.http)
+            .log(state.log.clone())
+            .start(peers.into_rpc())
+            .await?;
         let mut daemon = Self {
             servers: JoinSet::new(),
             leadership: JoinSet::new(),
@@ -82,19 +87,24 @@
         };
         let state = Arc::clone(&daemon.state);
         let callers = state.settings.caller_listen;
+        let limits = &state.settings.http;
+        let handler = poem_handler(caller_endpoint(&state));
         daemon
-            .serve("callers", callers, caller_endpoint(&state))
+            .serve("callers", callers, limits.caller_port(), handler)
             .await?;
         let ready = state.settings.ready_listen;
+        let handler = poem_handler(readiness_endpoint(&state));
         daemon
-            .serve("readiness", ready, readiness_endpoint(&state))
+            .serve("readiness", ready, limits.service_port(), handler)
             .await?;
         let metrics = SocketAddr::new(
             state.address.ip(),
             state.address.port() + METRICS_PORT_OFFSET,
         );
-        let route = metrics_route(install_metrics());
-        daemon.serve("metrics", metrics, route).await?;
+        let handler = poem_handler(metrics_route(install_metrics()));
+        daemon
+            .serve("metrics", metrics, limits.service_port(), handler)
+            .await?;
         let elected = Arc::clone(&state);
         daemon
             .leadership
@@ -151,25 +161,17 @@
 impl FrontDaemon {
     /// Binds the address before returning, so that callers can connect and a bind error fails the
     /// start.
-    async fn serve<E>(&mut self, what: &'static str, address: SocketAddr, endpoint: E) -> Result<()>
-    where
-        E: IntoEndpoint + Send + 'static,
-        E::Endpoint: Endpoint + 'static,
-    {
-        let closing = self.closing.clone();
-        let log = self.state.log.clone();
-        let grace = self.state.settings.grace;
-        let acceptor = TcpListener::bind(address).into_acceptor().await?;
-        self.servers.spawn(async move {
-            let server = Server::new_with_acceptor(acceptor);
-            let closed = closing.cancelled_owned();
-            let ended = server.run_with_graceful_shutdown(endpoint, closed, Some(grace));
-            if let Err(error) = ended.await {
-                slog::error!(log, "server ended with an error";
-                    "what" => what, "address" => %address,
-                    "error" => %error);
-            }
-        });
+    async fn serve(
+        &mut self,
+        what: &'static str,
+        address: SocketAddr,
+        limits: PortLimits,
+        handler: impl Handler,
+    ) -> Result<()> {
+        let server = HttpServer::bind(address).await?;
+        let server = server.with_handler(what, limits, handler, self.state.log.clone());
+        self.servers
+            .spawn(server.run(self.closing.clone(), self.state.settings.grace));
         Ok(())
     }
 }
--- a/crates/rattanwinch_front/src/front_settings.rs
+++ b/crates/rattanwinch_front/src/front_settings.rs
@@ -2,6 +2,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use rattanwinch_http_server::HttpLimits;
 use rattanwinch_runtime::SettingsErrors;
 use rattanwinch_runtime::SettingsFile;
 use rattanwinch_runtime::VmSettings;
@@ -38,6 +39,8 @@
     pub reclaim_time: Duration,
     /// Longest time that a target takes to stop a run.
     pub stop_time: Duration,
+    /// Limits of the requests that this process receives.
+    pub http: HttpLimits,
 }
 
 impl FrontSettings {
@@ -58,6 +61,7 @@
         let grace = file.required("limits", "grace_s", "seconds");
         let reclaim_ms = file.optional("limits", "reclaim_ms", DEFAULT_RECLAIM_MS, "milliseconds");
         let stop_ms = file.optional("limits", "stop_ms", DEFAULT_STOP_MS, "milliseconds");
+        let http = HttpLimits::from_file(&mut file);
         let settings = (|| {
             Some(Self {
                 vm: vm?,
@@ -70,6 +74,7 @@
                 grace: Duration::from_secs(grace?),
                 reclaim_time: Duration::from_millis(reclaim_ms?),
                 stop_time: Duration::from_millis(stop_ms?),
+                http: http?,
             })
         })();
         file.finish(settings)
--- a/crates/rattanwinch_front/tests/site/harness.rs
+++ b/crates/rattanwinch_front/tests/site/harness.rs
@@ -17,6 +17,7 @@
 
 use rattanwinch_front::FrontDaemon;
 use rattanwinch_front::FrontSettings;
+use rattanwinch_http_server::HttpLimits;
 use rattanwinch_runtime::SiteDaemon as _;
 use rattanwinch_side::SideDaemon;
 use rattanwinch_side::SideSettings;
@@ -206,6 +207,7 @@
             },
             reclaim_time: Duration::from_millis(2700),
             stop_time: Duration::from_millis(900),
+            http: HttpLimits::default(),
         };
         let daemon = FrontDaemon::start(settings, self.logger("rattanwinch-front", ip))
             .await
@@ -222,6 +224,7 @@
         let settings = SideSettings {
             vm: vm_settings(format!("side-{ip}"), ip, seeds, &store_endpoint),
             executor_listen: SocketAddr::new(ip, EXECUTOR_PORT),
+            http: HttpLimits::default(),
         };
         let options = ExecutorOptions {
             id: format!("i-{ip}"),
--- a/crates/rattanwinch_front/tests/uncontrolled_clients/entry.rs
+++ b/crates/rattanwinch_front/tests/uncontrolled_clients/entry.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::CROWD;
+use crate::REQUEST_MEMORY_KB;
 use crate::crowd::Misuse;
 use crate::crowd::misuse;
 use crate::crowd::send;
@@ -25,7 +26,8 @@
 async fn start_entry() -> Process {
     let settings = format!(
         "[entry]\nentry = e-1\nzone = a\nhttp_listen = {HTTP}\nrpc_listen = {RPC}\n\
-         [store]\nendpoints = 127.18.0.9:9\n",
+         [store]\nendpoints = 127.18.0.9:9\n\
+         [limits]\nrequest_memory_kb = {REQUEST_MEMORY_KB}\n",
     );
     Process::start("rattanwinch-entry", "entry", &settings, address(HTTP)).await
 }
--- a/crates/rattanwinch_front/tests/uncontrolled_clients/front.rs
+++ b/crates/rattanwinch_front/tests/uncontrolled_clients/front.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::CROWD;
+use crate::REQUEST_MEMORY_KB;
 use crate::crowd::Misuse;
 use crate::crowd::misuse;
 use crate::crowd::send;
@@ -20,6 +21,12 @@
 
 const PATH: &str = "/checks/large";
 
+/// Connections of the large crowd on the smallest machine.
+const LARGE_CROWD: usize = 1200;
+
+/// Peak memory on the smallest machine, which has 120 MB, in KiB.
+const SMALLEST_MACHINE_BOUND_KB: u64 = 110 * 1000;
+
 /// Ports of the front, on an address of its own.
 const CALLERS: &str = "127.18.0.1:8000";
 const READINESS: &str = "127.18.0.1:8001";
@@ -32,8 +39,20 @@
 }
 
 impl Front {
-    /// Starts a front that schedules, without targets.
+    /// Starts a front that schedules, without targets, with little memory for requests.
     async fn start(limits: &str) -> Self {
+        Self::start_with(&format!(
+            "request_memory_kb = {REQUEST_MEMORY_KB}\n{limits}"
+        ))
+        .await
+    }
+
+    /// Starts a front with the default limits.
+    async fn start_on_smallest_machine() -> Self {
+        Self::start_with("").await
+    }
+
+    async fn start_with(limits: &str) -> Self {
         let store = SiteStore::new();
         let config = json!({
             "version": 1,
@@ -92,6 +111,24 @@
     format!("GET {path} HTTP/1.1\r\nHost: jobs.example\r\n\r\n").into_bytes()
 }
 
+/// Guards against the smallest machine of the users' sites, of 120 MB, running out of memory under
+/// the default limits.
+#[tokio::test]
+async fn the_smallest_machine_survives_a_large_crowd() {
+    let _alone = run_alone().await;
+    let each = Misuse::ALL.map(|kind| vec![kind]);
+    for kinds in each.into_iter().chain([Misuse::ALL.to_vec()]) {
+        eprintln!("{kinds:?}");
+        let mut front = Front::start_on_smallest_machine().await;
+        let callers = address(CALLERS);
+        let _crowd = misuse(callers, LARGE_CROWD, &kinds, PATH, LARGE_BODY).await;
+        front.process.assert_memory_under(SMALLEST_MACHINE_BOUND_KB);
+        let status = send(callers, &submission("last")).await;
+        assert_eq!(status, Some(200), "an ordinary caller is answered");
+        front.process.assert_memory_under(SMALLEST_MACHINE_BOUND_KB);
+    }
+}
+
 /// Misuses a port of a front, which then has to be within its memory and answer a caller.
 async fn assert_survives(port: &str, kinds: &[Misuse]) {
     let mut front = Front::start("").await;
@@ -161,7 +198,7 @@
 #[tokio::test]
 async fn silent_connections_leave_descriptors_to_the_process() {
     let _alone = run_alone().await;
-    let mut front = Front::start("").await;
+    let mut front = Front::start("max_connections = 100\n").await;
     let _crowd = misuse(address(CALLERS), CROWD, &[Misuse::Silence], PATH, 0).await;
     front.process.assert_within_descriptors();
     assert_eq!(
--- a/crates/rattanwinch_front/tests/uncontrolled_clients/main.rs
+++ b/crates/rattanwinch_front/tests/uncontrolled_clients/main.rs
@@ -20,6 +20,9 @@
 /// Peak memory of a process under a crowd, in KiB. At rest, an unoptimised front has 20 MB.
 const MEMORY_BOUND_KB: u64 = 64 * 1024;
 
+/// Memory for incomplete requests in the processes' settings, below the default.
+const REQUEST_MEMORY_KB: usize = 16 * 1024;
+
 /// Open descriptors of a process whose settings limit a port to 100 connections.
 const DESCRIPTOR_BOUND: usize = 200;
 
--- a/crates/rattanwinch_front/tests/uncontrolled_clients/process.rs
+++ b/crates/rattanwinch_front/tests/uncontrolled_clients/process.rs
@@ -38,7 +38,11 @@
 
     /// Fails if the process has ended, or has had more memory than the bound.
     pub fn assert_within_memory(&mut self) {
-        let bound = MEMORY_BOUND_KB;
+        self.assert_memory_under(MEMORY_BOUND_KB);
+    }
+
+    /// Fails if the process has ended, or has had more memory than `bound`, in KiB.
+    pub fn assert_memory_under(&mut self, bound: u64) {
         self.assert_alive();
         let path = format!("/proc/{}/status", self.0.id());
         let status = std::fs::read_to_string(path).expect("a running process");
--- a/crates/rattanwinch_front/tests/uncontrolled_clients/side.rs
+++ b/crates/rattanwinch_front/tests/uncontrolled_clients/side.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::CROWD;
+use crate::REQUEST_MEMORY_KB;
 use crate::crowd::Misuse;
 use crate::crowd::misuse;
 use crate::crowd::send;
@@ -31,7 +32,7 @@
         "[vm]\nname = side\nip = 127.18.0.2\npeer_port = 7000\n\
          [listen]\nexecutor = {EXECUTOR}\n\
          [store]\naddress = 127.18.0.9:9\n\
-         [limits]\nlongest_lease_ms = 6000\n",
+         [limits]\nlongest_lease_ms = 6000\nrequest_memory_kb = {REQUEST_MEMORY_KB}\n",
     );
     Process::start("rattanwinch-side", "side", &settings, address(EXECUTOR)).await
 }
@@ -39,7 +40,8 @@
 async fn start_agent() -> Process {
     let settings = format!(
         "[agent]\ntarget = t-1\nzone = a\nrack = r\nlisten = {AGENT}\n\
-         executor = 127.18.0.9:9\nentries = 127.18.0.9:9\n",
+         executor = 127.18.0.9:9\nentries = 127.18.0.9:9\n\
+         [limits]\nrequest_memory_kb = {REQUEST_MEMORY_KB}\n",
     );
     Process::start("rattanwinch-agent", "agent", &settings, address(AGENT)).await
 }
--- a/crates/rattanwinch_peers/tests/agent_connection.rs
+++ b/crates/rattanwinch_peers/tests/agent_connection.rs
@@ -116,7 +116,11 @@
             std::future::pending::<Result<u64, ErrorObjectOwned>>().await
         })
         .expect("the name is new");
-    let server = RpcServer::start(ANY_PORT, 16, methods).await;
+    let server = RpcServer::builder()
+        .address(ANY_PORT)
+        .max_connections(16)
+        .start(methods)
+        .await;
     (server.expect("a port is free"), pings)
 }
 
--- a/crates/rattanwinch_side/src/side_daemon.rs
+++ b/crates/rattanwinch_side/src/side_daemon.rs
@@ -1,18 +1,20 @@
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
-use poem::Server;
-use poem::listener::Listener as _;
-use poem::listener::TcpListener;
 use rattanwinch_fleet::AgentRpcServer as _;
 use rattanwinch_fleet::MAX_PEER_CONNECTIONS;
+use rattanwinch_http_server::HttpServer;
+use rattanwinch_http_server::poem_handler;
 use rattanwinch_peers::RpcServer;
 use rattanwinch_runtime::SiteDaemon;
 use rattanwinch_runtime::supervise;
+use rattanwinch_site_executors::MAX_MESSAGE_BYTES;
 use rattanwinch_site_executors::executor_endpoint;
 use slog::Logger;
 use slog::info;
 use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
 
 use crate::SideSettings;
 use crate::executor_watch::poll_executor;
@@ -50,19 +52,21 @@
         let server = OrderServer {
             state: Arc::clone(&state),
         };
-        let rpc = RpcServer::start(address, MAX_PEER_CONNECTIONS, server.into_rpc()).await?;
+        let rpc = RpcServer::builder()
+            .address(address)
+            .max_connections(MAX_PEER_CONNECTIONS)
+            .limits(&state.settings.http)
+            .log(state.log.clone())
+            .start(server.into_rpc())
+            .await?;
         let mut tasks = JoinSet::new();
         // Binds the address before spawning tasks, so that a bind error fails the start.
-        let listener = TcpListener::bind(state.settings.executor_listen);
-        let executor = Server::new_with_acceptor(listener.into_acceptor().await?);
-        let endpoint = executor_endpoint(&state);
-        let log = state.log.clone();
-        tasks.spawn(async move {
-            if let Err(error) = executor.run(endpoint).await {
-                slog::error!(log, "executor heartbeat server ended with an error";
-                    "error" => %error);
-            }
-        });
+        let executor = HttpServer::bind(state.settings.executor_listen).await?;
+        let limits = state.settings.http.local_port(MAX_MESSAGE_BYTES);
+        let handler = poem_handler(executor_endpoint(&state));
+        let executor = executor.with_handler("executor", limits, handler, state.log.clone());
+        // The server runs until its task is stopped with the daemon.
+        tasks.spawn(executor.run(CancellationToken::new(), Duration::ZERO));
         let polled = Arc::clone(&state);
         tasks.spawn(supervise(state.log.clone(), "executor polls", move || {
             poll_executor(Arc::clone(&polled))
--- a/crates/rattanwinch_side/src/side_settings.rs
+++ b/crates/rattanwinch_side/src/side_settings.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use rattanwinch_http_server::HttpLimits;
 use rattanwinch_runtime::SettingsErrors;
 use rattanwinch_runtime::SettingsFile;
 use rattanwinch_runtime::VmSettings;
@@ -15,6 +16,8 @@
     pub vm: VmSettings,
     /// Address that receives the executor's heartbeats.
     pub executor_listen: SocketAddr,
+    /// Limits of the requests that this process receives.
+    pub http: HttpLimits,
 }
 
 impl SideSettings {
@@ -27,10 +30,12 @@
         let mut file = SettingsFile::open(path)?;
         let vm = VmSettings::from_file(&mut file, path);
         let executor_listen = file.required("listen", "executor", "IP:PORT");
+        let http = HttpLimits::from_file(&mut file);
         let settings = (|| {
             Some(Self {
                 vm: vm?,
                 executor_listen: executor_listen?,
+                http: http?,
             })
         })();
         file.finish(settings)
