--- a/crates/rattanwinch_http_server/src/arriving.rs
+++ b/crates/rattanwinch_http_server/src/arriving.rs
@@ -82,8 +82,7 @@
                 }
             };
             let Some(frame) = frame else { break };
-            // The client closed the connection or sent no valid chunk.
-            let frame = frame.map_err(|_| Refusal::Body)?;
+            let frame = frame.map_err(|_| Refusal::Malformed)?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
--- a/crates/rattanwinch_http_server/src/refusal.rs
+++ b/crates/rattanwinch_http_server/src/refusal.rs
@@ -22,16 +22,19 @@
     Shed,
     /// No memory became free in time.
     NoMemory,
+    /// The body broke off or is no valid HTTP.
+    Malformed,
 }
 
 impl Refusal {
-    pub(crate) const ALL: [Self; 6] = [
+    pub(crate) const ALL: [Self; 7] = [
         Self::Head,
         Self::HeadTimeout,
         Self::Body,
         Self::BodyTimeout,
         Self::Shed,
         Self::NoMemory,
+        Self::Malformed,
     ];
 
     pub(crate) fn from_code(code: u8) -> Option<Self> {
@@ -47,6 +50,7 @@
             Self::BodyTimeout => "body_timeout",
             Self::Shed => "shed",
             Self::NoMemory => "no_memory",
+            Self::Malformed => "malformed",
         }
     }
 
@@ -57,6 +61,7 @@
             Self::HeadTimeout | Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::Body => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Shed | Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Malformed => StatusCode::BAD_REQUEST,
         }
     }
 
@@ -65,6 +70,7 @@
             Self::Head => "the request's head is too large",
             Self::HeadTimeout => "the request's head did not arrive in time",
             Self::Body => "the request is too large",
+            Self::Malformed => "the request body could not be read",
             Self::BodyTimeout => "the request's body did not arrive in time",
             Self::Shed | Self::NoMemory => {
                 "the request has not run: too many others are incomplete"
--- a/crates/rattanwinch_http_server/tests/refusals.rs
+++ b/crates/rattanwinch_http_server/tests/refusals.rs
@@ -60,6 +60,8 @@
     assert_eq!(too_large, "HTTP/1.1 413");
     let stalled = send(address, &post(100_000, 99_999)).await;
     assert_eq!(stalled, "HTTP/1.1 408");
+    let chunk = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nno chunk\r\n";
+    assert_eq!(send(address, chunk.as_bytes()).await, "HTTP/1.1 400");
     let head = format!(
         "GET / HTTP/1.1\r\nX: {}",
         "h".repeat(limits.max_header_bytes)
