Answer refused requests of an entry with their verdict

Change: a handler states the body of refusals; an entry answers with kind and verdict, as for all its errors.

--- a/crates/rattanwinch_entry/src/entry_daemon.rs
+++ b/crates/rattanwinch_entry/src/entry_daemon.rs
@@ -6,7 +6,7 @@
 use eyre::WrapErr as _;
 use jsonrpsee::Methods;
 use rattanwinch_http_server::HttpServer;
-use rattanwinch_http_server::poem_handler;
+use rattanwinch_http_server::poem_handler_with_refusals;
 use rattanwinch_peers::EntryRpcServer as _;
 use rattanwinch_peers::JobRpcServer as _;
 use rattanwinch_peers::PeerRpcServer as _;
@@ -229,7 +229,7 @@
         .await
         .wrap_err_with(|| format!("failed to listen on {listen}"))?;
     let address = server.address();
-    let handler = poem_handler(http::routes(state, metrics));
+    let handler = poem_handler_with_refusals(http::routes(state, metrics), http::refusal_body);
     let limits = state.settings.http.caller_port();
     let server = server.with_handler("http", limits, handler, state.logger.clone());
     let closing = CancellationToken::new();
--- a/crates/rattanwinch_entry/src/http.rs
+++ b/crates/rattanwinch_entry/src/http.rs
@@ -8,17 +8,32 @@
 use poem::http::StatusCode;
 use rattanwinch_callers::job_routes;
 use rattanwinch_callers::plain_routes;
+use rattanwinch_http_errors::WireErrorBody;
+use rattanwinch_http_server::Refusal;
 use rattanwinch_operators::ConfigChanges;
 use rattanwinch_operators::OperatorsApi;
 use rattanwinch_operators::operator_routes;
 use rattanwinch_platform::Store;
 use rattanwinch_runtime::MetricsText;
+use rattanwinch_types::ErrorKind;
+use rattanwinch_types::RequestError;
 
 use crate::entry_state::EntryState;
 use crate::fleet_report::EntryReporter;
 use crate::plain_requests::EntryPlainBackend;
 use crate::zones::EntryJobBackend;
 
+/// Returns the body of the answer to a request that was refused before it reached a route.
+pub(crate) fn refusal_body(refusal: Refusal) -> String {
+    let kind = match refusal {
+        Refusal::Head | Refusal::Body | Refusal::Malformed => ErrorKind::Invalid,
+        Refusal::HeadTimeout | Refusal::BodyTimeout => ErrorKind::Deadline,
+        Refusal::Shed | Refusal::NoMemory => ErrorKind::Unavailable,
+    };
+    let error = RequestError::not_run(kind, refusal.text());
+    serde_json::json!(WireErrorBody::from(error)).to_string()
+}
+
 /// Builds the HTTP routes of an entry.
 pub(crate) fn routes<S: Store>(state: &Arc<EntryState<S>>, metrics: MetricsText) -> Route {
     let ready_state = Arc::clone(state);
--- a/crates/rattanwinch_http_server/src/lib.rs
+++ b/crates/rattanwinch_http_server/src/lib.rs
@@ -23,6 +23,7 @@
 
 pub use limits::HttpLimits;
 pub use poem_handler::poem_handler;
+pub use poem_handler::poem_handler_with_refusals;
 pub use port_limits::PortLimits;
 pub use refusal::Refusal;
 pub use server::Bound;
--- a/crates/rattanwinch_http_server/src/poem_handler.rs
+++ b/crates/rattanwinch_http_server/src/poem_handler.rs
@@ -10,10 +10,15 @@
 use poem::Response;
 
 use crate::Handler;
+use crate::Refusal;
 use crate::server::RequestBody;
+use crate::server::default_refusal_body;
 
 /// Handles requests by a poem endpoint.
-struct PoemHandler<E>(Arc<E>);
+struct PoemHandler<E> {
+    endpoint: Arc<E>,
+    refusal_body: Option<fn(Refusal) -> String>,
+}
 
 /// A handler that passes requests to a poem endpoint.
 pub fn poem_handler<E>(endpoint: E) -> impl Handler
@@ -21,7 +26,25 @@
     E: IntoEndpoint,
     E::Endpoint: 'static,
 {
-    PoemHandler(Arc::new(endpoint.into_endpoint().map_to_response()))
+    PoemHandler {
+        endpoint: Arc::new(endpoint.into_endpoint().map_to_response()),
+        refusal_body: None,
+    }
+}
+
+/// A handler that passes requests to a poem endpoint, with its own body of refusals.
+pub fn poem_handler_with_refusals<E>(
+    endpoint: E,
+    refusal_body: fn(Refusal) -> String,
+) -> impl Handler
+where
+    E: IntoEndpoint,
+    E::Endpoint: 'static,
+{
+    PoemHandler {
+        endpoint: Arc::new(endpoint.into_endpoint().map_to_response()),
+        refusal_body: Some(refusal_body),
+    }
 }
 
 impl<E: Endpoint<Output = Response> + 'static> Handler for PoemHandler<E> {
@@ -38,6 +61,13 @@
                 |never| match never {},
             ))));
         *req.headers_mut() = head.headers;
-        self.0.get_response(req).await.into()
+        self.endpoint.get_response(req).await.into()
+    }
+
+    fn refusal_body(&self, kind: Refusal) -> String {
+        match self.refusal_body {
+            Some(body) => body(kind),
+            None => default_refusal_body(kind),
+        }
     }
 }
--- a/crates/rattanwinch_http_server/src/refusal.rs
+++ b/crates/rattanwinch_http_server/src/refusal.rs
@@ -65,7 +65,9 @@
         }
     }
 
-    pub(crate) const fn text(self) -> &'static str {
+    /// The reason in a sentence.
+    #[must_use]
+    pub const fn text(self) -> &'static str {
         match self {
             Self::Head => "the request's head is too large",
             Self::HeadTimeout => "the request's head did not arrive in time",
--- a/crates/rattanwinch_http_server/src/server.rs
+++ b/crates/rattanwinch_http_server/src/server.rs
@@ -51,6 +51,17 @@
         &self,
         req: hyper::Request<RequestBody>,
     ) -> impl Future<Output = hyper::Response<Self::Body>> + Send;
+
+    /// Returns the body of the answer to a request that is refused before it is handled, in the form
+    /// of the interface's other errors.
+    fn refusal_body(&self, kind: Refusal) -> String {
+        default_refusal_body(kind)
+    }
+}
+
+/// The body of refusals on interfaces that state none of their own.
+pub(crate) fn default_refusal_body(kind: Refusal) -> String {
+    format!("{{\"error\":\"{}\"}}", kind.text())
 }
 
 /// A port that has been bound and accepts connections into the system's queue.
@@ -232,7 +243,8 @@
         Err(kind) => {
             port.refusals.record(kind, port.now());
             connection.begin(Phase::Refused, port.now());
-            return refusal_response(kind).map(Either::Right);
+            let body = handler.refusal_body(kind);
+            return refusal_response(kind, body).map(Either::Right);
         }
     };
     let response = handler.handle(req).await;
@@ -247,9 +259,8 @@
 }
 
 /// The answer to a request that was not passed on; the connection closes after it.
-fn refusal_response(kind: Refusal) -> hyper::Response<Full<Bytes>> {
-    let text = format!("{{\"error\":\"{}\"}}", kind.text());
-    let mut response = hyper::Response::new(Full::new(Bytes::from(text)));
+fn refusal_response(kind: Refusal, body: String) -> hyper::Response<Full<Bytes>> {
+    let mut response = hyper::Response::new(Full::new(Bytes::from(body)));
     *response.status_mut() = kind.status();
     let headers = response.headers_mut();
     headers.insert(
