--- a/crates/rattanwinch_scheduling/src/stalls.rs
+++ b/crates/rattanwinch_scheduling/src/stalls.rs
@@ -47,8 +47,9 @@
     }
 
     /// Returns how long a run may show no progress, which is listed in whole per cent; `None` for a
-    /// run that lasts. A run on a slow target, or of a step that is known to be long, has more. It doubles with each stop for it, so that a task that is slower than all
-    /// that is known of it gets its time after a few.
+    /// run that lasts. A run on a slow target, or of a step that is known to be long, has more. The
+    /// time doubles with each stop for it, so that a task that is slower than all that is known of
+    /// it gets its time after a few.
     fn stall_timeout(&self, run: &RunId, target: &TargetName) -> Option<Duration> {
         let job = self.jobs.get(&run.task.step.job)?;
         let step = job.step(run.task.step.step)?;
