Measure what jobs of many steps cost the scheduler

Cause: rattanwinch-trials measured passes on a full fleet of jobs of one step, so the cost of a job's steps showed nowhere.

Change: rattanwinch-trials large-jobs plays jobs of seven shapes (independent steps, chain, fan, lattice, gangs, repeats, one wide step) to their end on 11 targets, and prints the longest admission, placement pass and other part of a cycle.

--- a/crates/rattanwinch_trials/src/bin/rattanwinch-trials.rs
+++ b/crates/rattanwinch_trials/src/bin/rattanwinch-trials.rs
@@ -1,10 +1,15 @@
 //! Compares the scheduling policy with baselines, and measures the speed of its decisions.
 
+use std::time::Duration;
+
 use clap::Parser;
 use clap::Subcommand;
+use clap::ValueEnum;
+use rattanwinch_trials::JobShape;
 use rattanwinch_trials::Profile;
 use rattanwinch_trials::Workload;
 use rattanwinch_trials::compare;
+use rattanwinch_trials::measure_large_jobs;
 use rattanwinch_trials::measure_passes;
 use rattanwinch_trials::measure_speed;
 use rattanwinch_trials::trace_waits;
@@ -68,6 +73,24 @@
         #[arg(long)]
         json: bool,
     },
+    /// Measures the cost of jobs of many steps to the scheduler of a site.
+    LargeJobs {
+        /// How the steps depend on each other; repeatable, by default all.
+        #[arg(long, value_enum, value_delimiter = ',')]
+        shape: Vec<JobShape>,
+        /// Steps or tasks of each job; repeatable.
+        #[arg(long, value_delimiter = ',', default_values_t = [10, 1000, 8000])]
+        size: Vec<u32>,
+        /// Jobs that are queued at once.
+        #[arg(long, default_value_t = 1)]
+        jobs: u32,
+        /// Seconds after which a row is stopped; a placement pass is always finished.
+        #[arg(long, default_value_t = 20)]
+        max_seconds: u64,
+        /// Prints JSON instead of a table.
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 fn print(report: &(impl Serialize + std::fmt::Display), json: bool) -> serde_json::Result<()> {
@@ -106,5 +129,17 @@
             rounds,
             json,
         } => print(&measure_passes(&targets, rounds), json),
+        Command::LargeJobs {
+            shape,
+            size,
+            jobs,
+            max_seconds,
+            json,
+        } => {
+            let all = JobShape::value_variants();
+            let shapes = if shape.is_empty() { all } else { &shape };
+            let max_time = Duration::from_secs(max_seconds);
+            print(&measure_large_jobs(shapes, &size, jobs, max_time), json)
+        }
     }
 }
--- a/crates/rattanwinch_trials/src/passes.rs
+++ b/crates/rattanwinch_trials/src/passes.rs
@@ -39,12 +39,12 @@
 const WAITING_GANGS: u64 = 3;
 
 /// How long leases of 6 s can last after the last report.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(16_120);
-const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+pub(crate) const SILENCE_TIMEOUT: Duration = Duration::from_millis(16_120);
+pub(crate) const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The reclaim time and the longest stop of the measured site.
-const RECLAIM_TIME: Duration = Duration::from_millis(2700);
-const STOP_TIME: Duration = Duration::from_millis(900);
+pub(crate) const RECLAIM_TIME: Duration = Duration::from_millis(2700);
+pub(crate) const STOP_TIME: Duration = Duration::from_millis(900);
 
 /// The cost of a placement pass of a site's scheduler, at one number of targets.
 #[derive(Clone, Debug, Serialize)]
@@ -227,7 +227,7 @@
     }
 }
 
-fn empty_target(number: u32) -> TargetReport {
+pub(crate) fn empty_target(number: u32) -> TargetReport {
     let instance = TargetInstance {
         vm: Arc::from(format!("side-{number}")),
         target: TargetName::new(format!("i-{number:010x}")).expect("a name"),
@@ -256,11 +256,11 @@
     }
 }
 
-fn queue(priority: u32) -> QueueName {
+pub(crate) fn queue(priority: u32) -> QueueName {
     QueueName::from(format!("queue-{priority}").as_str())
 }
 
-fn queue_rules(priority: u32) -> QueueRules {
+pub(crate) fn queue_rules(priority: u32) -> QueueRules {
     QueueRules {
         service: ServiceName::from("design"),
         priority,
@@ -273,7 +273,7 @@
     }
 }
 
-fn rules() -> SchedulingRules {
+pub(crate) fn rules() -> SchedulingRules {
     let queues = (0..2).map(|priority| (queue(priority), queue_rules(priority)));
     SchedulingRules {
         queues: queues.collect::<BTreeMap<_, _>>(),
