Find the runs of a step, a job or a target without going over all runs

A job of 8,000 tasks pays for each of its ends with each of its runs.

Change: ActiveRuns keeps the runs that may need an order, and finds those of a step, a job, a target or an instance by their order. A gang is stopped once. A run is stopped through ActiveRuns alone, so that the list is complete.

--- a/crates/rattanwinch_scheduling/src/active_run.rs
+++ b/crates/rattanwinch_scheduling/src/active_runs/active_run.rs
@@ -22,7 +22,7 @@
 pub(crate) struct ActiveRun {
     pub target: TargetInstance,
     pub resources: Resources,
-    pub desired: DesiredState,
+    desired: DesiredState,
     /// Since when the run should stop, as seen by placement passes.
     pub stopping_since: Option<Timestamp>,
     /// The placement is durable; orders are sent only then.
@@ -54,10 +54,67 @@
 }
 
 impl ActiveRun {
+    /// Creates a run that was placed just now.
+    pub(crate) const fn placed(
+        target: TargetInstance,
+        resources: Resources,
+        ticket: Option<Ticket>,
+        now: Timestamp,
+    ) -> Self {
+        Self {
+            target,
+            resources,
+            desired: DesiredState::Run,
+            stopping_since: None,
+            durable: false,
+            in_flight: false,
+            maybe_sent: false,
+            started: false,
+            started_at: None,
+            presence: Presence::Unknown,
+            missing_since: None,
+            placed_at: now,
+            retry_at: now,
+            percent: 0,
+            first_progress: None,
+            progress_base: None,
+            progressed_at: now,
+            ticket,
+        }
+    }
+
+    /// Creates a run that a previous scheduler has placed.
+    pub(crate) fn inherited(
+        target: TargetInstance,
+        resources: Resources,
+        desired: DesiredState,
+        now: Timestamp,
+    ) -> Self {
+        Self {
+            desired,
+            durable: true,
+            maybe_sent: true,
+            ..Self::placed(target, resources, None, now)
+        }
+    }
+
+    pub(crate) const fn desired(&self) -> DesiredState {
+        self.desired
+    }
+
+    pub(super) const fn stop(&mut self) {
+        self.desired = DesiredState::Stop;
+    }
+
+    /// Returns true if the run is not known to have started, or should stop.
+    pub(super) fn is_unsettled(&self) -> bool {
+        self.desired() == DesiredState::Stop || !self.started
+    }
+
     /// Returns true if the run makes its task available: a serving task is once its progress is
     /// 100%.
     pub(crate) fn is_available(&self) -> bool {
-        self.desired == DesiredState::Run
+        self.desired() == DesiredState::Run
             && self.presence == Presence::Running
             && self.percent >= 100
     }
--- a/crates/rattanwinch_scheduling/src/drains.rs
+++ b/crates/rattanwinch_scheduling/src/drains.rs
@@ -9,7 +9,7 @@
 use crate::Event;
 use crate::Scheduler;
 use crate::StepDescription;
-use crate::active_run::DesiredState;
+use crate::active_runs::DesiredState;
 use crate::placement::Candidate;
 use crate::placement::Demand;
 use crate::placement::choose_targets;
@@ -87,7 +87,7 @@
         let (leaves_at, target) = leaving.min()?;
         let is_running = set.runs.iter().any(|run| {
             let active = self.active.get(run);
-            active.is_some_and(|active| active.desired == DesiredState::Run)
+            active.is_some_and(|active| active.desired() == DesiredState::Run)
         });
         Some(Departure {
             set,
@@ -201,11 +201,11 @@
         let checkpointing = self.step(&set.step).is_some_and(|step| step.checkpointing);
         let mut lost_core_ms = 0_u64;
         for run in &set.runs {
-            if let Some(active) = self.active.get_mut(run)
-                && active.desired == DesiredState::Run
+            if let Some(active) = self.active.get(run)
+                && active.desired() == DesiredState::Run
             {
-                active.desired = DesiredState::Stop;
                 lost_core_ms = lost_core_ms.saturating_add(lost_work(active, checkpointing, now));
+                self.active.stop(run);
             }
         }
         let leaves_in = departure.leaves_at.since(now);
--- a/crates/rattanwinch_scheduling/src/evictions.rs
+++ b/crates/rattanwinch_scheduling/src/evictions.rs
@@ -8,19 +8,16 @@
 use crate::Scheduler;
 use crate::StepId;
 use crate::TaskId;
-use crate::active_run::ActiveRun;
+use crate::active_runs::ActiveRun;
 
 impl Scheduler {
     /// Stops the runs on the target, except where a step allows no more unavailable tasks.
     pub fn evict_target(&mut self, target: &TargetName) {
-        let here = self
-            .active
-            .iter()
-            .filter(|(_, active)| active.target.target == *target);
+        let here = self.active.on_target(target);
         let runs: Vec<RunId> = here.map(|(run, _)| run.clone()).collect();
         for run in runs {
             if self.may_evict(&run) {
-                self.stop_runs(|other| *other == run);
+                self.active.stop(&run);
             }
         }
     }
@@ -38,10 +35,8 @@
     pub(crate) fn allowed_evictions(&self, step: &StepId) -> Option<usize> {
         let job = self.jobs.get(&step.job)?;
         let max_unavailable = job.step(step.step)?.max_unavailable?;
-        let runs = self
-            .active
-            .iter()
-            .filter(|(run, active)| run.task.step == *step && active.is_available());
+        let runs = self.active.of_step(step);
+        let runs = runs.filter(|(_, active)| active.is_available());
         let available: BTreeSet<&TaskId> = runs.map(|(run, _)| &run.task).collect();
         let unavailable = job.step_tasks(step).count().saturating_sub(available.len());
         Some((max_unavailable as usize).saturating_sub(unavailable))
--- a/crates/rattanwinch_scheduling/src/lib.rs
+++ b/crates/rattanwinch_scheduling/src/lib.rs
@@ -10,7 +10,6 @@
 //!
 //! Gang jobs on buddy blocks are scheduled by `rattanwinch_decisions` instead.
 
-mod active_run;
 mod active_runs;
 mod admission;
 mod advisor_tickets;
--- a/crates/rattanwinch_scheduling/src/orders.rs
+++ b/crates/rattanwinch_scheduling/src/orders.rs
@@ -13,8 +13,8 @@
 use crate::StartRefusal;
 use crate::TargetInstance;
 use crate::TargetOrders;
-use crate::active_run::ActiveRun;
-use crate::active_run::DesiredState;
+use crate::active_runs::ActiveRun;
+use crate::active_runs::DesiredState;
 use crate::run_lists::Presence;
 
 fn millis(time: Duration) -> u64 {
@@ -29,11 +29,12 @@
         self.withdraw_starts(now);
         self.abandon_unsent();
         let mut orders: BTreeMap<TargetInstance, TargetOrders> = BTreeMap::new();
+        self.active.settle();
         let due: Vec<_> = self
             .active
-            .iter()
+            .unsettled()
             .filter(|(_, active)| self.is_due(active, now))
-            .map(|(run, active)| (run.clone(), active.desired))
+            .map(|(run, active)| (run.clone(), active.desired()))
             .collect();
         for (run, desired) in due {
             let start = (desired == DesiredState::Run)
@@ -63,7 +64,7 @@
 
     fn is_due(&self, active: &ActiveRun, now: Timestamp) -> bool {
         // Checked first, since most active runs are running and need no order.
-        let needs_order = active.desired == DesiredState::Stop || !active.started;
+        let needs_order = active.desired() == DesiredState::Stop || !active.started;
         if !needs_order || !active.durable || active.in_flight || now < active.retry_at {
             return false;
         }
@@ -72,7 +73,7 @@
         else {
             return false;
         };
-        match active.desired {
+        match active.desired() {
             // A start grants a lease, and silence is measured from the last report: a start sent
             // long after a report could grant a lease that outlasts the silence timeout.
             DesiredState::Run => {
@@ -124,10 +125,9 @@
         if self.rules.closed_zones.is_empty() && self.cordoned.is_empty() {
             return;
         }
-        let due = self
-            .active
-            .iter()
-            .filter(|(_, active)| active.desired == DesiredState::Run && self.is_due(active, now));
+        let due = self.active.unsettled().filter(|(_, active)| {
+            active.desired() == DesiredState::Run && self.is_due(active, now)
+        });
         let withdrawn: Vec<_> = due
             .filter_map(|(run, active)| {
                 let target = active.target.target.clone();
@@ -149,17 +149,19 @@
     pub(crate) fn stop_with_gang(&mut self, run: &RunId) {
         let step = &run.task.step;
         let gang = self.step(step).is_some_and(|description| description.gang);
-        self.stop_runs(|other| {
-            other == run || (gang && other.task.step == *step && other.number == run.number)
-        });
+        if gang {
+            self.active.stop_gang(step, run.number);
+        } else {
+            self.active.stop(run);
+        }
     }
 
     /// Abandons runs that were cancelled before any order for them was sent.
     fn abandon_unsent(&mut self) {
         let unsent: Vec<_> = self
             .active
-            .iter()
-            .filter(|(_, active)| active.desired == DesiredState::Stop && !active.maybe_sent)
+            .unsettled()
+            .filter(|(_, active)| active.desired() == DesiredState::Stop && !active.maybe_sent)
             .map(|(run, _)| run.clone())
             .collect();
         for run in unsent {
--- a/crates/rattanwinch_scheduling/src/placement_pass.rs
+++ b/crates/rattanwinch_scheduling/src/placement_pass.rs
@@ -9,8 +9,7 @@
 use crate::RunId;
 use crate::Scheduler;
 use crate::TaskId;
-use crate::active_run::ActiveRun;
-use crate::active_run::DesiredState;
+use crate::active_runs::ActiveRun;
 use crate::placement::Candidate;
 use crate::placement::Demand;
 use crate::placement::choose_targets;
@@ -18,7 +17,6 @@
 use crate::reservations::ReservedRoom;
 use crate::room::Availability;
 use crate::room::Room;
-use crate::run_lists::Presence;
 use crate::scheduler::occupied_resources;
 use crate::waiting::WaitingStep;
 
@@ -266,9 +264,7 @@
     fn tasks_by_target(&self, waiting: &WaitingStep) -> BTreeMap<TargetName, usize> {
         let mut counts = BTreeMap::new();
         if waiting.description().max_per_target.is_some() {
-            let of_step = self.active.iter();
-            let of_step = of_step.filter(|(run, _)| run.task.step == waiting.step);
-            for (_, active) in of_step {
+            for (_, active) in self.active.of_step(&waiting.step) {
                 *counts.entry(active.target.target.clone()).or_default() += 1;
             }
         }
@@ -298,26 +294,8 @@
             let ticket = needs_ticket
                 .then(|| self.advisor_tickets.ticket(&waiting.step, target, now))
                 .flatten();
-            let active = ActiveRun {
-                target: instance.clone(),
-                resources: occupied_resources(waiting.description()),
-                desired: DesiredState::Run,
-                stopping_since: None,
-                durable: false,
-                in_flight: false,
-                maybe_sent: false,
-                started: false,
-                started_at: None,
-                presence: Presence::Unknown,
-                missing_since: None,
-                placed_at: now,
-                retry_at: now,
-                percent: 0,
-                first_progress: None,
-                progress_base: None,
-                progressed_at: now,
-                ticket,
-            };
+            let resources = occupied_resources(waiting.description());
+            let active = ActiveRun::placed(instance.clone(), resources, ticket, now);
             self.active.insert(RunId { task, number }, active);
         }
         self.mark_changed(&waiting.step.job);
--- a/crates/rattanwinch_scheduling/src/preemption.rs
+++ b/crates/rattanwinch_scheduling/src/preemption.rs
@@ -14,7 +14,7 @@
 use crate::RunId;
 use crate::Scheduler;
 use crate::StepId;
-use crate::active_run::DesiredState;
+use crate::active_runs::DesiredState;
 use crate::delay_cost::cost_of_lateness;
 use crate::placement::Demand;
 use crate::placement::Loss;
@@ -90,13 +90,21 @@
             .values()
             .flat_map(|reclaim| reclaim.awaited(now).cloned())
             .collect();
-        for (run, active) in self.active.iter_mut() {
-            if active.desired == DesiredState::Stop {
+        let stopping = self.active.unsettled();
+        let stopping = stopping.filter(|(_, active)| active.desired() == DesiredState::Stop);
+        let stopping: Vec<RunId> = stopping.map(|(run, _)| run.clone()).collect();
+        for run in stopping {
+            if let Some(active) = self.active.get_mut(&run) {
                 let since = *active.stopping_since.get_or_insert(now);
                 if now.since(since) <= STOP_TIMEOUT {
                     room.mark_leaving(&active.target.target, active.resources);
                 }
-            } else if awaited.contains(run) {
+            }
+        }
+        for run in &awaited {
+            if let Some(active) = self.active.get(run)
+                && active.desired() == DesiredState::Run
+            {
                 room.mark_leaving(&active.target.target, active.resources);
             }
         }
@@ -398,10 +406,10 @@
         }
         let mut lost_core_ms = 0_u64;
         for run in &victims {
+            self.active.stop(run);
             let Some(active) = self.active.get_mut(run) else {
                 continue;
             };
-            active.desired = DesiredState::Stop;
             active.stopping_since.get_or_insert(now);
             let Some(job) = self.jobs.get_mut(&run.task.step.job) else {
                 continue;
--- a/crates/rattanwinch_scheduling/src/reports.rs
+++ b/crates/rattanwinch_scheduling/src/reports.rs
@@ -6,6 +6,7 @@
 
 use crate::EndedTask;
 use crate::Event;
+use crate::ListExtent;
 use crate::RemovalCause;
 use crate::RunId;
 use crate::RunOutcome;
@@ -13,7 +14,6 @@
 use crate::Scheduler;
 use crate::TargetInstance;
 use crate::TargetReport;
-use crate::active_run::DesiredState;
 use crate::run_lists::Presence;
 use crate::target::Target;
 use crate::target_speeds::ProgressBase;
@@ -72,19 +72,19 @@
         }
         self.update_missing_runs(instance, now);
         let listed = lists.running.iter().map(|running| &running.run);
-        let mut unknown_runs: Vec<_> = listed
+        let mut unknown_runs: BTreeSet<_> = listed
             .filter(|run| !self.is_placed_on(run, instance))
             .cloned()
             .collect();
         // An unknown run whose end may be unlisted still counts: if it is done, its task must not
         // run again.
         if let Some(target) = self.targets.get(&instance.target) {
+            let ends_of = lists.ended_runs();
             let vanished = target
                 .unknown_runs
                 .iter()
-                .filter(|run| lists.may_hide_end_of(run) && !unknown_runs.contains(run));
-            let vanished: Vec<_> = vanished.cloned().collect();
-            unknown_runs.extend(vanished);
+                .filter(|run| lists.extent == ListExtent::Partial && !ends_of.contains(run));
+            unknown_runs.extend(vanished.cloned());
         }
         self.update_unknown_runs(&instance.target, unknown_runs, now);
     }
@@ -116,7 +116,7 @@
     fn update_unknown_runs(
         &mut self,
         target: &TargetName,
-        unknown_runs: Vec<RunId>,
+        unknown_runs: BTreeSet<RunId>,
         now: Timestamp,
     ) {
         let Some(known) = self.targets.get_mut(target) else {
@@ -219,12 +219,13 @@
     fn lapse_runs(&mut self, affected: impl Fn(&TargetInstance) -> bool) {
         self.unreported_instances
             .retain(|instance| !affected(instance));
-        let lapsed: Vec<_> = self
+        let instances = self
             .active
-            .iter()
-            .filter(|(_, active)| affected(&active.target))
-            .map(|(run, _)| run.clone())
-            .collect();
+            .instances()
+            .filter(|instance| affected(instance));
+        let lapsed = instances.flat_map(|instance| self.active.on_instance(instance));
+        let mut lapsed: Vec<_> = lapsed.map(|(run, _)| run.clone()).collect();
+        lapsed.sort_unstable();
         for run in lapsed {
             self.end_run(&run, RunOutcome::Lapsed);
         }
@@ -278,11 +279,16 @@
                 active.missing_since = None;
                 return;
             }
-            let since = *active.missing_since.get_or_insert(now);
-            if now.since(since) > MISSING_RUN_TIMEOUT {
-                active.desired = DesiredState::Stop;
-            }
+            active.missing_since.get_or_insert(now);
+        });
+        let missing = self.active.on_instance(instance).filter(|(_, active)| {
+            let since = active.missing_since;
+            since.is_some_and(|since| now.since(since) > MISSING_RUN_TIMEOUT)
         });
+        let missing: Vec<RunId> = missing.map(|(run, _)| run.clone()).collect();
+        for run in missing {
+            self.active.stop(&run);
+        }
     }
 
     fn handle_ended_task(&mut self, instance: &TargetInstance, ended: &EndedTask, now: Timestamp) {
@@ -437,11 +443,7 @@
         }
         if gang && outcome != RunOutcome::Done {
             // The remaining members of a gang cannot work without the ended one.
-            for (other, active) in self.active.iter_mut() {
-                if other.task.step == step && other.number == run.number {
-                    active.desired = DesiredState::Stop;
-                }
-            }
+            self.active.stop_gang(&step, run.number);
         }
     }
 }
--- a/crates/rattanwinch_scheduling/src/reservations.rs
+++ b/crates/rattanwinch_scheduling/src/reservations.rs
@@ -16,7 +16,7 @@
 use crate::Resources;
 use crate::RunId;
 use crate::Scheduler;
-use crate::active_run::DesiredState;
+use crate::active_runs::DesiredState;
 use crate::placement::Demand;
 use crate::placement::Loss;
 use crate::placement::plan_preemption;
@@ -341,7 +341,7 @@
         let mut ending: BTreeMap<&TargetName, Resources> = BTreeMap::new();
         for (run, active) in awaited {
             // The room counts as leaving already.
-            if active.desired == DesiredState::Run && !pass.awaited.contains(run) {
+            if active.desired() == DesiredState::Run && !pass.awaited.contains(run) {
                 let ending = ending
                     .entry(&active.target.target)
                     .or_insert(Resources::NONE);
--- a/crates/rattanwinch_scheduling/src/run_lists.rs
+++ b/crates/rattanwinch_scheduling/src/run_lists.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use rattanwinch_types::value;
 
 use crate::EndedTask;
@@ -61,8 +63,8 @@
         }
     }
 
-    /// Returns true if a run that was listed as running may have vanished without a listed end.
-    pub(crate) fn may_hide_end_of(&self, run: &RunId) -> bool {
-        self.extent == ListExtent::Partial && !self.ended.iter().any(|ended| ended.run == *run)
+    /// Returns the runs whose ends are listed.
+    pub(crate) fn ended_runs(&self) -> BTreeSet<&RunId> {
+        self.ended.iter().map(|ended| &ended.run).collect()
     }
 }
--- a/crates/rattanwinch_scheduling/src/run_set.rs
+++ b/crates/rattanwinch_scheduling/src/run_set.rs
@@ -12,8 +12,8 @@
 use crate::RunId;
 use crate::Scheduler;
 use crate::StepId;
-use crate::active_run::ActiveRun;
-use crate::active_run::DesiredState;
+use crate::active_runs::ActiveRun;
+use crate::active_runs::DesiredState;
 use crate::delay_cost::EndLimits;
 use crate::delay_cost::cost_of_lateness;
 use crate::placement::Loss;
@@ -146,7 +146,7 @@
             let speed = self.speeds.speed(&active.target.target);
             let expected = expected_remaining(active, speed.run_time(run_time), now);
             set.expected_remaining = set.expected_remaining.map(|set| set.max(expected));
-            set.leaving &= active.desired == DesiredState::Stop || awaited.contains(run);
+            set.leaving &= active.desired() == DesiredState::Stop || awaited.contains(run);
             set.available_runs += usize::from(active.is_available());
             set.runs.push(run.clone());
             let target = &active.target.target;
@@ -184,7 +184,7 @@
 fn remaining_time(active: &ActiveRun, now: Timestamp) -> Option<Duration> {
     let (first_at, first_percent) = active.first_progress?;
     let gained = active.percent.saturating_sub(first_percent);
-    if gained < MIN_ESTIMATE_PERCENT || active.desired == DesiredState::Stop {
+    if gained < MIN_ESTIMATE_PERCENT || active.desired() == DesiredState::Stop {
         return None;
     }
     let left = 100_u32.saturating_sub(active.percent);
--- a/crates/rattanwinch_scheduling/src/run_times.rs
+++ b/crates/rattanwinch_scheduling/src/run_times.rs
@@ -18,7 +18,7 @@
 use crate::RunId;
 use crate::Scheduler;
 use crate::StepId;
-use crate::active_run::ActiveRun;
+use crate::active_runs::ActiveRun;
 use crate::job::Job;
 use crate::target_speeds::TargetSpeeds;
 use crate::target_speeds::middle;
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -23,9 +23,9 @@
 use crate::StepDescription;
 use crate::StepId;
 use crate::TargetInstance;
-use crate::active_run::ActiveRun;
-use crate::active_run::DesiredState;
+use crate::active_runs::ActiveRun;
 use crate::active_runs::ActiveRuns;
+use crate::active_runs::DesiredState;
 use crate::admission::Backlog;
 use crate::advisor_tickets::TicketCache;
 use crate::job::Job;
@@ -33,7 +33,6 @@
 use crate::reclaim::TaskGroup;
 use crate::reclaim::Underway;
 use crate::reservations::Reservations;
-use crate::run_lists::Presence;
 use crate::run_times::RunTimes;
 use crate::silences::SilenceRecords;
 use crate::target::Target;
@@ -167,30 +166,13 @@
                 continue;
             };
             self.unreported_instances.insert(instance.clone());
-            let inherited = ActiveRun {
-                target: instance,
-                resources: occupied_resources(step),
-                desired: if is_final {
-                    DesiredState::Stop
-                } else {
-                    DesiredState::Run
-                },
-                stopping_since: None,
-                durable: true,
-                in_flight: false,
-                maybe_sent: true,
-                started: false,
-                started_at: None,
-                presence: Presence::Unknown,
-                missing_since: None,
-                placed_at: now,
-                retry_at: now,
-                percent: 0,
-                first_progress: None,
-                progress_base: None,
-                progressed_at: now,
-                ticket: None,
+            let desired = if is_final {
+                DesiredState::Stop
+            } else {
+                DesiredState::Run
             };
+            let resources = occupied_resources(step);
+            let inherited = ActiveRun::inherited(instance, resources, desired, now);
             self.active.insert(run, inherited);
         }
         if !is_final {
@@ -252,7 +234,7 @@
     /// Removes a finished job; returns false if it is not finished or may have active runs.
     pub fn remove_finished_job(&mut self, id: &JobId) -> bool {
         let is_final = self.jobs.get(id).is_none_or(|job| job.state().is_final());
-        let idle = !self.active.keys().any(|run| run.task.step.job == *id);
+        let idle = !self.active.has_runs_of(id);
         if is_final && idle {
             self.jobs.remove(id);
         }
@@ -305,7 +287,8 @@
             self.changed_jobs.append(&mut self.unsaved_progress);
         }
         let silent_instances = self.take_silence_changes(now);
-        let runs = self.active.iter().filter(|(_, active)| !active.durable);
+        let runs = self.active.unsettled();
+        let runs = runs.filter(|(_, active)| !active.durable);
         Changes {
             silent_instances,
             runs: runs.map(|(run, _)| run.clone()).collect(),
@@ -409,21 +392,15 @@
     /// Returns true if no run is or may become active on the target.
     #[must_use]
     pub fn is_target_idle(&self, target: &TargetName) -> bool {
-        !self
-            .active
-            .values()
-            .any(|active| active.target.target == *target)
+        self.active.on_target(target).next().is_none()
     }
 
     /// Returns the resources in use on the target, in thousandths of a core with accelerators
     /// counted as cores.
     #[must_use]
     pub fn target_load(&self, target: &TargetName) -> u64 {
-        let here = self
-            .active
-            .values()
-            .filter(|active| active.target.target == *target);
-        here.map(|active| active.resources.weighted_cpu_millis())
+        let here = self.active.on_target(target);
+        here.map(|(_, active)| active.resources.weighted_cpu_millis())
             .fold(0, u64::saturating_add)
     }
 
@@ -466,15 +443,7 @@
         });
         // The remaining gang members of a completed job end by themselves.
         if state != JobState::Completed {
-            self.stop_runs(|run| run.task.step.job == *id);
-        }
-    }
-
-    pub(crate) fn stop_runs(&mut self, affected: impl Fn(&RunId) -> bool) {
-        for (run, active) in self.active.iter_mut() {
-            if affected(run) {
-                active.desired = DesiredState::Stop;
-            }
+            self.active.stop_job(id);
         }
     }
 
--- a/crates/rattanwinch_scheduling/src/silences.rs
+++ b/crates/rattanwinch_scheduling/src/silences.rs
@@ -107,12 +107,7 @@
         for (instance, silence) in silent {
             let listed = self.silence_records.durable.contains_key(instance);
             let is_evident = tracked_for >= interval || listed;
-            if is_evident
-                && self
-                    .active
-                    .values()
-                    .any(|active| active.target == *instance)
-            {
+            if is_evident && self.active.on_instance(instance).next().is_some() {
                 let intervals = silence.as_millis() / interval.as_millis().max(1);
                 let intervals = u32::try_from(intervals).unwrap_or(u32::MAX);
                 list.insert(instance.clone(), interval * intervals);
--- a/crates/rattanwinch_scheduling/src/stalls.rs
+++ b/crates/rattanwinch_scheduling/src/stalls.rs
@@ -6,8 +6,8 @@
 use crate::Event;
 use crate::RunId;
 use crate::Scheduler;
-use crate::active_run::ActiveRun;
-use crate::active_run::DesiredState;
+use crate::active_runs::ActiveRun;
+use crate::active_runs::DesiredState;
 use crate::run_lists::Presence;
 
 /// The part of its estimated run time in which a run makes a per cent of progress at least. By the
@@ -22,7 +22,7 @@
             .iter()
             .filter(|(run, active)| {
                 active.presence == Presence::Running
-                    && active.desired == DesiredState::Run
+                    && active.desired() == DesiredState::Run
                     && active.percent < 100
                     && self.observed_time(active, now) > self.limits.stall_timeout
                     && self
--- a/crates/rattanwinch_scheduling/src/target.rs
+++ b/crates/rattanwinch_scheduling/src/target.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -139,7 +140,7 @@
     /// Ended runs up to this sequence are processed, durably or not.
     pub processed_sequence: u64,
     /// Runs on the target that the scheduler has not placed; their resources are unknown.
-    pub unknown_runs: Vec<RunId>,
+    pub unknown_runs: BTreeSet<RunId>,
     /// When stops of the unknown runs are sent, or sent again.
     pub unknown_runs_retry_at: Timestamp,
     /// The number of consecutive failures that count against the target.
@@ -164,7 +165,7 @@
             lists: (0, now),
             acknowledged_sequence: 0,
             processed_sequence: 0,
-            unknown_runs: Vec::new(),
+            unknown_runs: BTreeSet::new(),
             unknown_runs_retry_at: now,
             consecutive_failures: 0,
             failing_since: None,
--- a/crates/rattanwinch_scheduling/tests/decisions/large_jobs.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/large_jobs.rs
@@ -127,3 +127,48 @@
     let visits = step_visits() - begun;
     assert!(visits <= MAX_VISITS_PER_PASS, "{visits} visits");
 }
+
+/// A gang of `size` tasks that fit onto the targets of a site.
+fn gang(size: u32) -> StepDescription {
+    StepDescription::builder()
+        .count(size)
+        .gang(true)
+        .resources(Resources {
+            cpu_millis: 10,
+            memory_mb: 1,
+            accelerators: 0,
+        })
+        .estimated_run_time(Duration::from_secs(1))
+        .build()
+}
+
+/// Guards against work for each end of a member that goes over all members of its gang, or over all
+/// runs of the site.
+#[test]
+fn the_ends_of_a_gang_cost_no_more_than_its_members() {
+    for outcome in [RunOutcome::Done, RunOutcome::Broken] {
+        for size in [10, 100, 400] {
+            let mut fixture = site(true);
+            let job = fixture.submit(1, "letrafa", &[gang(size)]);
+            assert_eq!(fixture.step().len(), size as usize);
+            let begun = step_visits();
+            fixture.end_job(&job, outcome);
+            let visits = step_visits() - begun;
+            let limit = MAX_VISITS_PER_STEP * u64::from(size);
+            assert!(visits <= limit, "{outcome:?} of {size}: {visits} visits");
+        }
+    }
+}
+
+/// Guards against cycles that look at each run of a large job for an order that it may need.
+#[test]
+fn collecting_orders_visits_no_runs_that_need_none() {
+    let mut fixture = site(true);
+    fixture.submit(1, "letrafa", &[gang(400)]);
+    fixture.step();
+    fixture.scheduler.take_due_orders(fixture.now);
+    let begun = step_visits();
+    let orders = fixture.scheduler.take_due_orders(fixture.now);
+    fixture.commit();
+    assert_eq!((orders.len(), step_visits() - begun), (0, 0));
+}
