Plan wide steps in time linear in their tasks

Cause: placing a step searched all targets for each task, and planning room for it sorted the runs of each target for each task.

Change: the tightest target is filled at once, since each task makes it tighter. A plan keeps for each target what one more task there takes, and computes it anew only where a task was planned or a run set ends. The choices are the same.

--- a/crates/rattanwinch_scheduling/src/placement.rs
+++ b/crates/rattanwinch_scheduling/src/placement.rs
@@ -4,9 +4,11 @@
 
 use rattanwinch_types::TargetName;
 use rattanwinch_types::value;
+use smallvec::SmallVec;
 
 use crate::Label;
 use crate::Resources;
+use crate::shares::total_resources;
 use crate::target_speeds::SpeedClass;
 use crate::target_speeds::SpeedPreference;
 
@@ -156,10 +158,16 @@
         let Some((index, candidate)) = tightest else {
             break;
         };
-        left[index].0 = left[index].0.minus(demand.resources);
-        left[index].1 -= 1;
-        failed_here_count += usize::from(candidate.failed_here);
-        chosen.push(candidate.name.clone());
+        // With each further task the tightest target becomes tighter still, so it is filled at once.
+        let (free, max_tasks) = left[index];
+        let fitting = usize::try_from(free.max_count(demand.resources)).unwrap_or(usize::MAX);
+        let count = fitting.min(max_tasks).min(demand.count - chosen.len());
+        left[index].0 = free.minus(total_resources(demand.resources, count));
+        left[index].1 -= count;
+        if candidate.failed_here {
+            failed_here_count += count;
+        }
+        chosen.extend(std::iter::repeat_n(&candidate.name, count).cloned());
     }
     (chosen, failed_here_count)
 }
@@ -237,83 +245,142 @@
         sets: BTreeSet::new(),
         loss: Loss::default(),
     };
-    let mut taken: BTreeMap<&TargetName, usize> = BTreeMap::new();
+    let targets = group.iter().map(|candidate| {
+        let occupants_here = occupants.get(&candidate.name);
+        PlannedTarget::new(demand, candidate, occupants_here.map_or(&[], Vec::as_slice))
+    });
+    let mut targets: Vec<PlannedTarget<'_>> = targets.collect();
+    let targets_of_sets = targets_of_sets(&targets);
     while plan.targets.len() < demand.count {
-        let options = group.iter().filter_map(|candidate| {
-            let taken = taken.get(&candidate.name).copied().unwrap_or(0);
-            let occupants_here = occupants
-                .get(&candidate.name)
-                .map_or(&[][..], Vec::as_slice);
-            let (sets, loss) =
-                preempt_for_one_task(demand, candidate, taken, occupants_here, &plan.sets)?;
+        let options = targets.iter().enumerate().filter_map(|(index, target)| {
+            let (_, loss) = target.next.as_ref()?;
+            let candidate = target.candidate;
             let rank = demand.speed.rank(candidate.speed);
-            Some(((loss, rank, candidate.free.accelerators), *candidate, sets))
+            Some(((*loss, rank, candidate.free.accelerators), index))
         });
-        let best = options.min_by_key(|(key, ..)| *key);
-        let Some(((loss, ..), candidate, sets)) = best else {
+        let best = options.min_by_key(|(key, _)| *key);
+        let Some(((loss, ..), index)) = best else {
             break;
         };
         let total = plan.loss.plus(loss);
         if total.core_millis > max_lost_work {
             break;
         }
-        *taken.entry(&candidate.name).or_default() += 1;
-        plan.targets.push(candidate.name.clone());
-        plan.sets.extend(sets);
         plan.loss = total;
+        plan.targets.push(targets[index].candidate.name.clone());
+        let sets = targets[index].take_task(demand);
+        for set in sets {
+            for &elsewhere in targets_of_sets.get(&set).into_iter().flatten() {
+                if elsewhere != index {
+                    targets[elsewhere].end_set(set, demand);
+                }
+            }
+            plan.sets.insert(set);
+        }
     }
     let required = if demand.gang { demand.count } else { 1 };
     (plan.targets.len() >= required).then_some(plan)
 }
 
-/// Returns the further run sets that must end for one more task on a target, with their loss.
-fn preempt_for_one_task(
-    demand: &Demand,
-    candidate: &Candidate,
-    taken: usize,
-    occupants_here: &[Occupant],
-    ending: &BTreeSet<usize>,
-) -> Option<(BTreeSet<usize>, Loss)> {
-    if taken >= candidate.max_tasks {
-        return None;
-    }
-    let mut free = candidate.free;
-    for occupant in occupants_here
-        .iter()
-        .filter(|occupant| ending.contains(&occupant.set))
-    {
-        free = free.plus(occupant.resources);
+/// Returns the targets of each run set.
+fn targets_of_sets(targets: &[PlannedTarget<'_>]) -> BTreeMap<usize, SmallVec<[usize; 2]>> {
+    let mut of_sets: BTreeMap<usize, SmallVec<[usize; 2]>> = BTreeMap::new();
+    for (index, target) in targets.iter().enumerate() {
+        for occupant in &target.others {
+            of_sets.entry(occupant.set).or_default().push(index);
+        }
     }
-    for _ in 0..taken {
-        free = free.minus(demand.resources);
+    of_sets
+}
+
+/// A target while a preemption is planned.
+struct PlannedTarget<'a> {
+    candidate: &'a Candidate,
+    /// The number of planned tasks here.
+    taken: usize,
+    /// What the planned ends leave free beside the planned tasks.
+    free: Resources,
+    /// The run sets that need not end so far, those with the least loss first.
+    others: Vec<&'a Occupant>,
+    /// The further run sets that must end for one more task, with their loss; `None` if it has no
+    /// room here.
+    next: Option<(Vec<usize>, Loss)>,
+}
+
+impl<'a> PlannedTarget<'a> {
+    fn new(demand: &Demand, candidate: &'a Candidate, occupants: &'a [Occupant]) -> Self {
+        let mut others: Vec<_> = occupants.iter().collect();
+        others.sort_by_key(|occupant| occupant.loss);
+        let mut target = Self {
+            candidate,
+            taken: 0,
+            free: candidate.free,
+            others,
+            next: None,
+        };
+        target.update_next(demand);
+        target
     }
-    let mut others: Vec<_> = occupants_here
-        .iter()
-        .filter(|occupant| !ending.contains(&occupant.set))
-        .collect();
-    others.sort_by_key(|occupant| occupant.loss);
-    let mut chosen = Vec::new();
-    for occupant in others {
-        if free.fits(demand.resources) {
-            break;
+
+    /// Plans one more task; returns the run sets that must end for it.
+    fn take_task(&mut self, demand: &Demand) -> Vec<usize> {
+        let (sets, _) = self.next.take().unwrap_or_default();
+        self.taken += 1;
+        if !sets.is_empty() {
+            let ending: BTreeSet<usize> = sets.iter().copied().collect();
+            self.end_sets(|set| ending.contains(&set));
         }
-        free = free.plus(occupant.resources);
-        chosen.push(occupant);
+        self.free = self.free.minus(demand.resources);
+        self.update_next(demand);
+        sets
     }
-    if !free.fits(demand.resources) {
-        return None;
+
+    /// Takes into account that a run set ends, for a task on another target.
+    fn end_set(&mut self, ended: usize, demand: &Demand) {
+        self.end_sets(|set| set == ended);
+        self.update_next(demand);
+    }
+
+    fn end_sets(&mut self, is_ending: impl Fn(usize) -> bool) {
+        let free = &mut self.free;
+        self.others.retain(|occupant| {
+            let ends = is_ending(occupant.set);
+            if ends {
+                *free = free.plus(occupant.resources);
+            }
+            !ends
+        });
     }
-    // A large set that was chosen last may leave earlier ones unneeded.
-    for index in (0..chosen.len()).rev() {
-        let without = free.minus(chosen[index].resources);
-        if without.fits(demand.resources) {
-            free = without;
-            chosen.remove(index);
+
+    fn update_next(&mut self, demand: &Demand) {
+        self.next = None;
+        if self.taken >= self.candidate.max_tasks {
+            return;
+        }
+        let mut free = self.free;
+        let mut chosen = Vec::new();
+        for occupant in &self.others {
+            if free.fits(demand.resources) {
+                break;
+            }
+            free = free.plus(occupant.resources);
+            chosen.push(*occupant);
         }
+        if !free.fits(demand.resources) {
+            return;
+        }
+        // A large set that was chosen last may leave earlier ones unneeded.
+        let mut needed = Vec::new();
+        let mut loss = Loss::default();
+        for occupant in chosen.into_iter().rev() {
+            let without = free.minus(occupant.resources);
+            if without.fits(demand.resources) {
+                free = without;
+            } else {
+                needed.push(occupant.set);
+                loss = loss.plus(occupant.loss);
+            }
+        }
+        self.next = Some((needed, loss));
     }
-    let loss = chosen
-        .iter()
-        .fold(Loss::default(), |total, occupant| total.plus(occupant.loss));
-    let sets = chosen.into_iter().map(|occupant| occupant.set).collect();
-    Some((sets, loss))
 }
--- a/crates/rattanwinch_trials/src/bin/rattanwinch-trials.rs
+++ b/crates/rattanwinch_trials/src/bin/rattanwinch-trials.rs
@@ -84,6 +84,9 @@
         /// Jobs that are queued at once.
         #[arg(long, default_value_t = 1)]
         jobs: u32,
+        /// Thousandths of a core that each task takes; few of them let all tasks run at once.
+        #[arg(long, default_value_t = 1000)]
+        cpu_millis: u64,
         /// Seconds after which a row is stopped; a placement pass is always finished.
         #[arg(long, default_value_t = 20)]
         max_seconds: u64,
@@ -133,13 +136,17 @@
             shape,
             size,
             jobs,
+            cpu_millis,
             max_seconds,
             json,
         } => {
             let all = JobShape::value_variants();
             let shapes = if shape.is_empty() { all } else { &shape };
             let max_time = Duration::from_secs(max_seconds);
-            print(&measure_large_jobs(shapes, &size, jobs, max_time), json)
+            print(
+                &measure_large_jobs(shapes, &size, jobs, cpu_millis, max_time),
+                json,
+            )
         }
     }
 }
--- a/crates/rattanwinch_trials/src/large_jobs.rs
+++ b/crates/rattanwinch_trials/src/large_jobs.rs
@@ -77,7 +77,7 @@
 }
 
 impl JobShape {
-    fn describe(self, size: u32) -> JobDescription {
+    fn describe(self, size: u32, cpu_millis: u64) -> JobDescription {
         let (steps, repeats) = match self {
             Self::Gangs => (size.div_ceil(GANG_SIZE), 0),
             Self::Repeats => (REPEATED_STEPS, size / REPEATED_STEPS),
@@ -103,8 +103,8 @@
                 })
                 .gang(self == Self::Gangs)
                 .resources(Resources {
-                    cpu_millis: 1_000,
-                    memory_mb: 100,
+                    cpu_millis,
+                    memory_mb: cpu_millis / 10,
                     accelerators: 0,
                 })
                 .estimated_run_time(TASK_TIME)
@@ -156,7 +156,8 @@
     pub rows: Vec<LargeJobRow>,
 }
 
-/// Plays `jobs` jobs of each shape and size to their end, on one thread, for `max_time` at most.
+/// Plays `jobs` jobs of each shape and size to their end, on one thread, for `max_time` at most. Each
+/// task takes `cpu_millis` thousandths of a core.
 ///
 /// # Panics
 ///
@@ -166,12 +167,16 @@
     shapes: &[JobShape],
     sizes: &[u32],
     jobs: u32,
+    cpu_millis: u64,
     max_time: Duration,
 ) -> LargeJobReport {
     let cells = shapes
         .iter()
         .flat_map(|shape| sizes.iter().map(move |size| (*shape, *size)));
-    let rows = cells.map(|(shape, size)| Site::new().play(shape, size, jobs, max_time));
+    let rows = cells.map(|(shape, size)| {
+        let description = shape.describe(size, cpu_millis);
+        Site::new().play(shape, size, &description, jobs, max_time)
+    });
     LargeJobReport {
         rows: rows.collect(),
     }
@@ -205,7 +210,14 @@
         site
     }
 
-    fn play(mut self, shape: JobShape, size: u32, jobs: u32, max_time: Duration) -> LargeJobRow {
+    fn play(
+        mut self,
+        shape: JobShape,
+        size: u32,
+        description: &JobDescription,
+        jobs: u32,
+        max_time: Duration,
+    ) -> LargeJobRow {
         let mut row = LargeJobRow {
             shape,
             size,
@@ -220,7 +232,7 @@
         };
         // A full site refuses what it can't serve in time, so all are accepted before the first pass.
         for number in 0..jobs {
-            let job = self.new_job(shape, size, number);
+            let job = self.new_job(description, number);
             let begun = Instant::now();
             self.scheduler.admit(&job, self.now, self.now);
             self.scheduler.submit(Arc::new(job));
@@ -238,14 +250,14 @@
         row
     }
 
-    fn new_job(&self, shape: JobShape, size: u32, number: u32) -> AcceptedJob {
+    fn new_job(&self, description: &JobDescription, number: u32) -> AcceptedJob {
         AcceptedJob {
             id: JobId::from(format!("{number:016x}").as_str()),
             queue: queue(1),
             rules: queue_rules(1),
             organisation: Organisation::new(format!("organisation-{number}")).expect("a name"),
             accepted_at: self.now,
-            description: shape.describe(size),
+            description: description.clone(),
         }
     }
 
