Write the progress of a job in parts of 256 tasks

Cause: each commit in which a task of a job was placed or had ended wrote the state of all its tasks: some 800 KB for 8,000 tasks, built, encoded and sent for each end.

Change: tasks have their place in a part; a change marks its part, and a commit writes the marked ones, in the order of the tasks, so that what a task waits for is never behind it. A job of up to 256 tasks has the one record that it had. A record of an earlier version that holds more is kept whole. Deletes are done in their order: the job, then its progress, which alone means nothing; a new leader deletes progress that its predecessor has left without a job.

--- a/crates/rattanwinch_front/src/committer.rs
+++ b/crates/rattanwinch_front/src/committer.rs
@@ -61,11 +61,12 @@
 }
 
 impl Committer {
-    /// Commits all writes, in as few transactions as the store's limits allow.
+    /// Commits all writes, in as few transactions as the store's limits allow: puts in their order,
+    /// then deletes in theirs.
     pub(crate) async fn commit(&mut self, writes: Writes) -> Result<()> {
-        let mut deletes = writes.deletes;
+        let mut deletes = writes.deletes.into_iter().peekable();
         let mut puts = writes.puts.into_iter().peekable();
-        while puts.peek().is_some() || !deletes.is_empty() {
+        while puts.peek().is_some() || deletes.peek().is_some() {
             let mut part = Writes::default();
             let mut bytes = 0;
             let max_entries = MAX_TRANSACTION_ENTRIES - LEADER_KEY_ENTRIES;
@@ -75,7 +76,9 @@
                 part.puts.push(put);
             }
             let max_deletes = max_entries - part.puts.len();
-            part.deletes = deletes.split_off(deletes.len().saturating_sub(max_deletes));
+            if puts.peek().is_none() {
+                part.deletes = deletes.by_ref().take(max_deletes).collect();
+            }
             self.commit_batch(part).await?;
         }
         Ok(())
--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -66,6 +66,8 @@
     pub silences: SilentInstances,
     /// Upkeep waves, by number.
     pub waves: BTreeMap<u32, WaveRecord>,
+    /// Keys to delete, of jobs that a predecessor has removed in part.
+    pub stale_keys: Vec<String>,
 }
 
 /// Runs the scheduler of a site.
@@ -96,6 +98,8 @@
     pending_publication: BTreeMap<JobId, PublishedJob>,
     /// Ended jobs, and when this leader learnt of their end.
     ended: BTreeMap<JobId, Timestamp>,
+    /// Keys to delete, of jobs that a predecessor has removed in part.
+    stale_keys: Vec<String>,
     learned_metrics: LearnedMetrics,
     refusals: RecentRefusals,
 }
@@ -131,6 +135,7 @@
             current_commit_replies: BTreeMap::new(),
             pending_publication: BTreeMap::new(),
             ended,
+            stale_keys: inherited.stale_keys,
             learned_metrics: LearnedMetrics::default(),
             refusals: RecentRefusals::default(),
         }
--- a/crates/rattanwinch_front/src/leadership/elected.rs
+++ b/crates/rattanwinch_front/src/leadership/elected.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use rattanwinch_fleet::LeaderRecord;
@@ -15,6 +16,7 @@
 use crate::front_state::FrontState;
 use crate::leadership::Result;
 use crate::leadership::restored::Restored;
+use crate::records;
 use crate::records::ACCEPTED_PREFIX;
 use crate::records::AGENTS_KEY;
 use crate::records::PROGRESS_PREFIX;
@@ -26,6 +28,7 @@
 use crate::records::decode_progress;
 use crate::records::decode_silences;
 use crate::records::decode_wave;
+use crate::records::job_of_progress_key;
 
 /// An elected leader that hasn't loaded the jobs yet.
 pub(crate) struct Elected {
@@ -55,7 +58,9 @@
         if matches!(renewed, Ok(false)) {
             return Err(StoreError::lease_ended());
         }
-        let jobs = self.read_jobs(&accepted?, &progress?);
+        let (accepted, progress) = (accepted?, progress?);
+        let jobs = self.read_jobs(&accepted, &progress);
+        let stale_keys = Self::stale_keys(&accepted, &progress);
         info!(self.state.log, "jobs loaded"; "jobs" => jobs.len(), "epoch" => self.epoch);
         let waves = self.read_waves(&waves?);
         let agents = agents?.map(|item| decode_agents(&item.value)).transpose();
@@ -80,10 +85,21 @@
                 agents: agents.unwrap_or_default(),
                 silences: silences.unwrap_or_default(),
                 waves,
+                stale_keys,
             },
         })
     }
 
+    /// Returns the keys of progress without a job: a leader was replaced while it removed the job.
+    fn stale_keys(accepted: &[Item], progress: &[Item]) -> Vec<String> {
+        let ids = accepted.iter();
+        let ids = ids.filter_map(|item| item.key.strip_prefix(ACCEPTED_PREFIX));
+        let ids: BTreeSet<&str> = ids.collect();
+        let keys = progress.iter().map(|item| &item.key);
+        let stale = keys.filter(|key| job_of_progress_key(key).is_some_and(|id| !ids.contains(id)));
+        stale.cloned().collect()
+    }
+
     fn read_waves(&self, items: &[Item]) -> BTreeMap<u32, WaveRecord> {
         let records = items.iter().filter_map(|item| {
             let read = decode_wave(&item.key, &item.value);
@@ -102,19 +118,19 @@
         accepted: &[Item],
         progress: &[Item],
     ) -> Vec<(Arc<AcceptedJob>, JobProgress)> {
-        let progress: BTreeMap<&str, &Item> = progress
-            .iter()
-            .filter_map(|item| Some((item.key.strip_prefix(PROGRESS_PREFIX)?, item)))
-            .collect();
+        let mut parts: BTreeMap<&str, Vec<&Item>> = BTreeMap::new();
+        for item in progress {
+            if let Some(id) = job_of_progress_key(&item.key) {
+                parts.entry(id).or_default().push(item);
+            }
+        }
         let mut jobs = Vec::new();
         for item in accepted {
             let Some(id) = item.key.strip_prefix(ACCEPTED_PREFIX) else {
                 continue;
             };
-            let job_progress = progress
-                .get(id)
-                .map(|item| decode_progress(id, &item.value));
-            let job_progress = job_progress.transpose().map(Option::unwrap_or_default);
+            let parts = parts.remove(id).unwrap_or_default();
+            let job_progress = decode_parts(id, &parts);
             match (decode_accepted(id, &item.value), job_progress) {
                 (Ok(job), Ok(job_progress)) => jobs.push((Arc::new(job), job_progress)),
                 (Err(error), _) | (_, Err(error)) => {
@@ -126,3 +142,20 @@
         jobs
     }
 }
+
+/// Decodes the progress of a job from its parts, in the order of their keys: the first part comes
+/// first.
+fn decode_parts(id: &str, parts: &[&Item]) -> records::Result<JobProgress> {
+    let mut progress = JobProgress::default();
+    for item in parts {
+        let part = decode_progress(id, &item.value)?;
+        if item.key.len() == PROGRESS_PREFIX.len() + id.len() {
+            let tasks = std::mem::take(&mut progress.tasks);
+            progress = part;
+            progress.tasks.extend(tasks);
+        } else {
+            progress.tasks.extend(part.tasks);
+        }
+    }
+    Ok(progress)
+}
--- a/crates/rattanwinch_front/src/leadership/restored.rs
+++ b/crates/rattanwinch_front/src/leadership/restored.rs
@@ -158,10 +158,9 @@
 
 fn job_states(scheduler: &Scheduler) -> Vec<(JobId, PublishedJob)> {
     let jobs = scheduler.job_states().filter_map(|(id, queue, state)| {
-        let (accepted, _) = scheduler.job_record(id)?;
         let published = PublishedJob {
             queue: queue.clone(),
-            organisation: accepted.organisation.clone(),
+            organisation: scheduler.job_organisation(id)?.clone(),
             state,
         };
         Some((id.clone(), published))
--- a/crates/rattanwinch_front/src/records.rs
+++ b/crates/rattanwinch_front/src/records.rs
@@ -35,9 +35,24 @@
 /// Prefix of the keys of accepted jobs; the job's id follows.
 pub(crate) const ACCEPTED_PREFIX: &str = "rattanwinch/job/";
 
-/// Prefix of the keys of jobs' progress; the job's id follows.
+/// Prefix of the keys of jobs' progress; the job's id follows, and the number of a part other than the
+/// first.
 pub(crate) const PROGRESS_PREFIX: &str = "rattanwinch/progress/";
 
+/// Key of a part of a job's progress.
+pub(crate) fn progress_key(id: &JobId, part: u32) -> String {
+    match part {
+        0 => format!("{PROGRESS_PREFIX}{id}"),
+        part => format!("{PROGRESS_PREFIX}{id}/{part}"),
+    }
+}
+
+/// Id of the job whose progress a key holds. Ids contain no slash.
+pub(crate) fn job_of_progress_key(key: &str) -> Option<&str> {
+    let rest = key.strip_prefix(PROGRESS_PREFIX)?;
+    rest.split('/').next()
+}
+
 /// Key of the agents' addresses.
 pub(crate) const AGENTS_KEY: &str = "rattanwinch/agents";
 
@@ -204,6 +219,8 @@
     failed: bool,
     #[serde(default, skip_serializing_if = "is_false")]
     started: bool,
+    #[serde(default, skip_serializing_if = "is_false")]
+    split: bool,
     tasks: Vec<StoredTask>,
 }
 
@@ -254,6 +271,7 @@
         cancelled: progress.cancelled,
         failed: progress.failed,
         started: progress.started,
+        split: progress.is_split,
         tasks: tasks.collect(),
     };
     serde_json::to_vec(&stored).expect("a record of plain fields is valid JSON")
@@ -291,6 +309,7 @@
         cancelled: stored.cancelled,
         failed: stored.failed,
         started: stored.started,
+        is_split: stored.split,
         tasks: tasks.collect(),
     })
 }
--- a/crates/rattanwinch_scheduling/src/job.rs
+++ b/crates/rattanwinch_scheduling/src/job.rs
@@ -1,6 +1,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::ops::Bound;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -107,9 +108,25 @@
         pub started: bool,
         /// The tasks that have been placed.
         pub tasks: Vec<TaskProgress>,
+        /// The progress is written in parts, of which the first alone holds the other fields.
+        pub is_split: bool,
     }
 }
 
+value! {
+    /// A part of the progress of a job that is made durable by itself.
+    pub struct ProgressPart {
+        /// The number of the part, from 0.
+        pub number: u32,
+        /// The progress of its tasks. In other parts than the first, the other fields mean nothing.
+        pub progress: JobProgress,
+    }
+}
+
+/// The number of tasks in a part of a job's progress. An end writes its part again, so that what it
+/// writes doesn't grow with the job.
+const TASKS_PER_PART: usize = 256;
+
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Task {
     pub last_run: u32,
@@ -169,6 +186,13 @@
     unfinished_tasks: usize,
     /// The targets on which a task has failed.
     failed_on: BTreeSet<TargetName>,
+    tasks_per_part: usize,
+    /// The parts that have changed since they were taken for a commit.
+    changed_parts: BTreeSet<usize>,
+    /// The parts with new checkpoints or a first start only.
+    unsaved_parts: BTreeSet<usize>,
+    /// The parts beyond the first that have been taken for a commit.
+    written_parts: BTreeSet<usize>,
 }
 
 impl Job {
@@ -194,6 +218,10 @@
             ready: BTreeSet::new(),
             scanned_to: None,
             failed_on: BTreeSet::new(),
+            tasks_per_part: TASKS_PER_PART,
+            changed_parts: BTreeSet::new(),
+            unsaved_parts: BTreeSet::new(),
+            written_parts: BTreeSet::new(),
         };
         for occurrence in 0..job.accepted.description.occurrences() {
             for (step, _) in (0_u32..).zip(&steps) {
@@ -213,6 +241,17 @@
             task.done || task.checkpoint.is_some() || !task.failed_runs.is_empty()
         };
         job.started = progress.started || progress.tasks.iter().any(has_run);
+        let positions = progress.tasks.iter();
+        let positions = positions.filter_map(|task| job.task_position(&task.task));
+        let parts: BTreeSet<usize> = positions
+            .map(|position| position / TASKS_PER_PART)
+            .collect();
+        if !progress.is_split && parts.iter().any(|&part| part > 0) {
+            // An earlier version has written all tasks into the first part.
+            job.tasks_per_part = usize::MAX;
+        } else {
+            job.written_parts = parts.into_iter().filter(|&part| part > 0).collect();
+        }
         for saved in progress.tasks {
             let Some(task) = job.task_mut(&saved.task) else {
                 continue;
@@ -227,29 +266,95 @@
                 job.set_done(&saved.task);
             }
         }
+        job.changed_parts.clear();
         job
     }
 
     pub(crate) fn progress(&self) -> JobProgress {
-        let placed = self.task_ids().filter_map(|id| {
-            let task = self.task(&id)?;
-            (task.last_run > 0).then(|| TaskProgress {
-                last_run: task.last_run,
-                failed_runs: task.failed_runs.clone(),
-                done: task.done,
-                placed_on: task.placed_on.clone(),
-                checkpoint: task.checkpoint.clone().filter(|_| !task.done),
-                task: id,
-            })
+        self.progress_of(0..self.tasks.len())
+    }
+
+    /// Returns the changed parts of the progress, in the order of their tasks, to be made durable in
+    /// that order: what a task waits for is before it.
+    pub(crate) fn take_changed_parts(&mut self) -> Vec<ProgressPart> {
+        let changed = std::mem::take(&mut self.changed_parts);
+        let parts = changed.into_iter().map(|part| {
+            if part > 0 {
+                self.written_parts.insert(part);
+            }
+            let first = part.saturating_mul(self.tasks_per_part);
+            let end = first.saturating_add(self.tasks_per_part);
+            ProgressPart {
+                number: u32::try_from(part).unwrap_or(u32::MAX),
+                progress: self.progress_of(first..end.min(self.tasks.len())),
+            }
+        });
+        parts.collect()
+    }
+
+    /// Returns the numbers of the parts beyond the first that may be durable.
+    pub(crate) fn written_parts(&self) -> impl Iterator<Item = u32> {
+        let parts = self.written_parts.iter();
+        parts.map(|&part| u32::try_from(part).unwrap_or(u32::MAX))
+    }
+
+    /// Has the new checkpoints made durable.
+    pub(crate) fn save_checkpoints(&mut self) {
+        self.changed_parts.append(&mut self.unsaved_parts);
+    }
+
+    /// Drops the parts that are made durable from those with new checkpoints; returns true if there
+    /// are others.
+    pub(crate) fn has_unsaved_parts(&mut self) -> bool {
+        let changed = &self.changed_parts;
+        self.unsaved_parts.retain(|part| !changed.contains(part));
+        !self.unsaved_parts.is_empty()
+    }
+
+    /// Has the first part made durable, which holds what isn't about a single task.
+    pub(crate) fn mark_changed(&mut self) {
+        self.changed_parts.insert(0);
+    }
+
+    fn mark_task_changed(&mut self, id: &TaskId) {
+        if let Some(position) = self.task_position(id) {
+            self.changed_parts.insert(position / self.tasks_per_part);
+        }
+    }
+
+    fn progress_of(&self, positions: Range<usize>) -> JobProgress {
+        count_step_visits(positions.len());
+        let first = positions.start;
+        let tasks = self.tasks.get(positions).unwrap_or_default();
+        let placed = (first..).zip(tasks).filter(|(_, task)| task.last_run > 0);
+        let placed = placed.map(|(position, task)| TaskProgress {
+            last_run: task.last_run,
+            failed_runs: task.failed_runs.clone(),
+            done: task.done,
+            placed_on: task.placed_on.clone(),
+            checkpoint: task.checkpoint.clone().filter(|_| !task.done),
+            task: self.task_at(position),
         });
         JobProgress {
             cancelled: self.cancelled,
             failed: self.failed,
             started: self.started,
             tasks: placed.collect(),
+            is_split: self.tasks.len() > self.tasks_per_part,
         }
     }
 
+    fn task_at(&self, position: usize) -> TaskId {
+        let steps = &self.accepted.description.steps;
+        let tasks = steps.task_count().max(1);
+        let (step, index) = steps.task_at(position % tasks);
+        self.task_id(
+            u32::try_from(position / tasks).unwrap_or(u32::MAX),
+            step,
+            index,
+        )
+    }
+
     pub(crate) fn state(&self) -> JobState {
         if self.unfinished_tasks == 0 {
             JobState::Completed
@@ -266,7 +371,11 @@
 
     /// Records that a task has started; returns true if it is the first.
     pub(crate) fn mark_started(&mut self) -> bool {
-        !std::mem::replace(&mut self.started, true)
+        let is_first = !std::mem::replace(&mut self.started, true);
+        if is_first {
+            self.unsaved_parts.insert(0);
+        }
+        is_first
     }
 
     pub(crate) fn id(&self) -> &JobId {
@@ -317,18 +426,6 @@
         })
     }
 
-    fn task_ids(&self) -> impl Iterator<Item = TaskId> + '_ {
-        let occurrences = 0..self.accepted.description.occurrences();
-        occurrences.flat_map(move |occurrence| {
-            let steps = 0..self.accepted.description.steps.len();
-            steps.flat_map(move |step| {
-                let step = u32::try_from(step).unwrap_or(u32::MAX);
-                let count = self.step(step).map_or(0, |description| description.count);
-                (0..count).map(move |index| self.task_id(occurrence, step, index))
-            })
-        })
-    }
-
     fn step_position(&self, occurrence: u32, step: u32) -> usize {
         occurrence as usize * self.accepted.description.steps.len() + step as usize
     }
@@ -395,7 +492,9 @@
         };
         task.last_run = run;
         let was_placed = task.placed_on.replace(instance).is_some();
-        if !was_placed && !task.done {
+        let is_done = task.done;
+        self.mark_task_changed(id);
+        if !was_placed && !is_done {
             self.update_step(&id.step, |step| step.unplaced -= 1);
         }
     }
@@ -406,7 +505,11 @@
             return false;
         };
         let was_placed = task.placed_on.take().is_some();
-        if was_placed && !task.done {
+        let is_done = task.done;
+        if was_placed {
+            self.mark_task_changed(id);
+        }
+        if was_placed && !is_done {
             self.update_step(&id.step, |step| step.unplaced += 1);
         }
         was_placed
@@ -420,6 +523,7 @@
         task.done = true;
         let was_placed = task.placed_on.is_some();
         self.unfinished_tasks -= 1;
+        self.mark_task_changed(id);
         self.update_step(&id.step, |step| {
             step.unfinished -= 1;
             step.unplaced -= u32::from(!was_placed);
@@ -546,6 +650,9 @@
             checkpoint.is_some() && run.number >= task.last_run && task.checkpoint != checkpoint;
         if newer {
             task.checkpoint = checkpoint;
+            if let Some(position) = self.task_position(&shared) {
+                self.unsaved_parts.insert(position / self.tasks_per_part);
+            }
         }
         newer
     }
@@ -568,11 +675,17 @@
         if task.last_run == run.number {
             changed = self.remove_placement(&run.task);
         }
-        match outcome {
-            RunOutcome::Done if !long_running => self.complete_run(run, is_gang) || changed,
-            RunOutcome::Failed => self.count_failure(run, long_running, target) || changed,
-            _ => changed,
+        changed |= match outcome {
+            RunOutcome::Done if !long_running => self.complete_run(run, is_gang),
+            RunOutcome::Failed => self.count_failure(run, long_running, target),
+            _ => false,
+        };
+        if changed {
+            // The target may forget the checkpoint once the end is acknowledged.
+            let shared = self.shared_state_task(&run.task);
+            self.mark_task_changed(&shared);
         }
+        changed
     }
 
     /// Marks the tasks of a run as done, if it is the latest; an older run may have been replaced.
@@ -607,8 +720,10 @@
             return false;
         }
         task.failed_runs.push(run.number);
-        let is_last = task.failed_runs.len() >= max_attempts as usize;
-        self.failed |= is_last && !long_running;
+        if task.failed_runs.len() >= max_attempts as usize && !long_running {
+            self.failed = true;
+            self.mark_changed();
+        }
         self.avoid_target(&shared, target);
         true
     }
--- a/crates/rattanwinch_scheduling/src/job_steps.rs
+++ b/crates/rattanwinch_scheduling/src/job_steps.rs
@@ -186,6 +186,16 @@
         self.facts.first_tasks.get(step as usize).copied()
     }
 
+    /// Returns the step and the index of the task at a position within an occurrence.
+    pub(crate) fn task_at(&self, position: usize) -> (u32, u32) {
+        let first_tasks = &self.facts.first_tasks;
+        let step = first_tasks.partition_point(|&first| first <= position);
+        let step = step.saturating_sub(1);
+        let index = position - first_tasks.get(step).copied().unwrap_or(0);
+        let number = |number| u32::try_from(number).unwrap_or(u32::MAX);
+        (number(step), number(index))
+    }
+
     /// Returns the number of tasks of an occurrence.
     pub(crate) fn task_count(&self) -> usize {
         self.facts.tasks
--- a/crates/rattanwinch_scheduling/src/lib.rs
+++ b/crates/rattanwinch_scheduling/src/lib.rs
@@ -61,6 +61,7 @@
 pub use job::AcceptedJob;
 pub use job::JobProgress;
 pub use job::JobState;
+pub use job::ProgressPart;
 pub use job::TaskProgress;
 pub use job_description::JobDescription;
 pub use job_description::MAX_JOB_TASKS;
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -14,6 +14,7 @@
 use crate::JobId;
 use crate::JobProgress;
 use crate::JobState;
+use crate::ProgressPart;
 use crate::QueueName;
 use crate::Resources;
 use crate::RunId;
@@ -212,7 +213,9 @@
     /// Adds a job; the job is accepted once it is durable.
     pub fn submit(&mut self, accepted: Arc<AcceptedJob>) {
         let id = accepted.id.clone();
-        self.jobs.insert(id.clone(), Job::new(accepted));
+        let mut job = Job::new(accepted);
+        job.mark_changed();
+        self.jobs.insert(id.clone(), job);
         self.open_jobs.insert(id.clone());
         self.changed_jobs.insert(id);
         self.placement_needed = true;
@@ -225,6 +228,7 @@
         };
         if !job.state().is_final() {
             job.cancelled = true;
+            job.mark_changed();
             self.changed_jobs.insert(id.clone());
             self.close_if_final(id);
         }
@@ -259,7 +263,21 @@
         self.changed_jobs.contains(id)
     }
 
-    /// Returns the record to write for a job.
+    /// Returns the record to write for a job in [`Changes::jobs`]: the parts of its progress that have
+    /// changed since the last call. They must become durable in this order.
+    pub fn take_job_record(&mut self, id: &JobId) -> Option<(Arc<AcceptedJob>, Vec<ProgressPart>)> {
+        let job = self.jobs.get_mut(id)?;
+        let parts = job.take_changed_parts();
+        Some((Arc::clone(&job.accepted), parts))
+    }
+
+    /// Returns the numbers of the parts of a job's progress beyond the first that may be durable.
+    pub fn written_parts(&self, id: &JobId) -> impl Iterator<Item = u32> {
+        let job = self.jobs.get(id);
+        job.into_iter().flat_map(Job::written_parts)
+    }
+
+    /// Returns the whole record of a job.
     #[must_use]
     pub fn job_record(&self, id: &JobId) -> Option<(Arc<AcceptedJob>, JobProgress)> {
         let job = self.jobs.get(id)?;
@@ -284,6 +302,11 @@
     pub fn take_changes(&mut self, now: Timestamp) -> Changes {
         if now >= self.next_progress_write_at && !self.unsaved_progress.is_empty() {
             self.next_progress_write_at = now + self.limits.progress_write_interval;
+            for id in &self.unsaved_progress {
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.save_checkpoints();
+                }
+            }
             self.changed_jobs.append(&mut self.unsaved_progress);
         }
         let silent_instances = self.take_silence_changes(now);
@@ -299,7 +322,11 @@
 
     fn take_changed_jobs(&mut self) -> Vec<JobId> {
         let changed = std::mem::take(&mut self.changed_jobs);
-        self.unsaved_progress.retain(|job| !changed.contains(job));
+        let jobs = &mut self.jobs;
+        self.unsaved_progress.retain(|id| {
+            let job = jobs.get_mut(id);
+            !changed.contains(id) || job.is_some_and(Job::has_unsaved_parts)
+        });
         changed.into_iter().collect()
     }
 
--- a/crates/rattanwinch_scheduling/tests/decisions/large_jobs.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/large_jobs.rs
@@ -1,16 +1,21 @@
 //! Jobs of many steps. Work is counted in visits of steps, so the verdict doesn't depend on the
 //! speed of the machine.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rattanwinch_scheduling::JobDescription;
+use rattanwinch_scheduling::JobId;
+use rattanwinch_scheduling::JobProgress;
 use rattanwinch_scheduling::LatencyObjective;
 use rattanwinch_scheduling::Resources;
 use rattanwinch_scheduling::RunOutcome;
+use rattanwinch_scheduling::Scheduler;
 use rattanwinch_scheduling::StepDescription;
 use rattanwinch_scheduling::step_visits;
 
 use crate::fixture::Fixture;
+use crate::fixture::limits;
 
 /// Visits that a placement pass may take for each step that waits, and for each link between steps.
 const MAX_VISITS_PER_STEP: u64 = 8;
@@ -172,3 +177,117 @@
     fixture.commit();
     assert_eq!((orders.len(), step_visits() - begun), (0, 0));
 }
+
+/// What the store holds of a job's progress, by part.
+type StoredParts = BTreeMap<u32, JobProgress>;
+
+/// Writes what has changed of a job; returns the number of tasks in it.
+fn store_changes(fixture: &mut Fixture, job: &JobId, stored: &mut StoredParts) -> usize {
+    let changes = fixture.scheduler.take_changes(fixture.now);
+    let mut tasks = 0;
+    if changes.jobs.contains(job) {
+        let record = fixture.scheduler.take_job_record(job);
+        for part in record.expect("a job").1 {
+            tasks += part.progress.tasks.len();
+            stored.insert(part.number, part.progress);
+        }
+    }
+    fixture.scheduler.mark_committed(&changes);
+    tasks
+}
+
+/// Guards against commits that write the progress of all tasks of a job for the end of one.
+#[test]
+fn an_end_writes_a_bounded_part_of_a_job() {
+    let mut fixture = site(true);
+    let job = fixture.submit(1, "letrafa", &[gang(10), gang(4_000)]);
+    let started = fixture.step();
+    let mut stored = StoredParts::new();
+    store_changes(&mut fixture, &job, &mut stored);
+    fixture.end(&started[20].1.run, RunOutcome::Failed);
+    let tasks = store_changes(&mut fixture, &job, &mut stored);
+    assert!((1..=512).contains(&tasks), "{tasks} tasks written");
+}
+
+/// Guards against parts of a job's progress that a change does not write, and a successor that reads
+/// parts wrongly: it would run tasks again or lose some.
+#[test]
+fn a_job_restored_from_its_parts_is_the_same() {
+    let mut fixture = site(true);
+    let steps: Vec<_> = (0..1_000).map(|_| step([])).collect();
+    let job = fixture.submit(1, "letrafa", &steps);
+    let mut stored = StoredParts::new();
+    for round in 0..12 {
+        let started = fixture.step();
+        // Durable when the fixture has committed it; written before, like everything else.
+        let record = fixture.scheduler.take_job_record(&job).expect("a job");
+        stored.extend(
+            record
+                .1
+                .into_iter()
+                .map(|part| (part.number, part.progress)),
+        );
+        for (number, (_, start)) in started.iter().enumerate() {
+            let outcomes = [RunOutcome::Done, RunOutcome::Failed, RunOutcome::Stopped];
+            if number % 4 != round % 4 {
+                fixture.end(&start.run, outcomes[number % 3]);
+            }
+        }
+        store_changes(&mut fixture, &job, &mut stored);
+        let (accepted, whole) = fixture.scheduler.job_record(&job).expect("a job");
+        let mut merged = stored[&0].clone();
+        merged.tasks = stored
+            .values()
+            .flat_map(|part| part.tasks.clone())
+            .collect();
+        assert_eq!(merged, whole, "round {round}");
+        let restored = Scheduler::restore(
+            limits(),
+            fixture.rules.clone(),
+            [(accepted, merged)],
+            fixture.now,
+        );
+        assert_eq!(restored.job_record(&job).expect("a job").1, whole);
+        fixture.wait(400);
+    }
+    let parts: Vec<u32> = fixture.scheduler.written_parts(&job).collect();
+    assert_eq!(
+        parts,
+        stored
+            .keys()
+            .copied()
+            .filter(|&part| part > 0)
+            .collect::<Vec<_>>()
+    );
+}
+
+/// Guards against a job of an earlier version, whose progress is one record, that is written in parts
+/// from then on: a leader lost between two of them would lose what the record held.
+#[test]
+fn progress_that_was_written_whole_stays_whole() {
+    let mut fixture = site(true);
+    let steps: Vec<_> = (0..1_000).map(|_| gang(1)).collect();
+    let job = fixture.submit(1, "letrafa", &steps);
+    let started = fixture.step();
+    assert!(started.len() > 512, "{} started", started.len());
+    let (accepted, mut whole) = fixture.scheduler.job_record(&job).expect("a job");
+    whole.is_split = false;
+    let rules = fixture.rules.clone();
+    let restored = Scheduler::restore(limits(), rules, [(accepted, whole)], fixture.now);
+    fixture.scheduler = restored;
+    fixture.wait(100);
+    let last = &started[started.len() - 1].1.run;
+    fixture.end(last, RunOutcome::Done);
+    let (_, parts) = fixture.scheduler.take_job_record(&job).expect("a job");
+    let written: Vec<_> = parts
+        .iter()
+        .map(|part| {
+            (
+                part.number,
+                part.progress.tasks.len(),
+                part.progress.is_split,
+            )
+        })
+        .collect();
+    assert_eq!(written, [(0, started.len(), false)]);
+}
--- a/crates/rattanwinch_trials/src/large_jobs.rs
+++ b/crates/rattanwinch_trials/src/large_jobs.rs
@@ -276,7 +276,7 @@
         measure(&mut row.longest_other_ms, || {
             let changes = scheduler.take_changes(now);
             for id in &changes.jobs {
-                std::hint::black_box(scheduler.job_record(id));
+                std::hint::black_box(scheduler.take_job_record(id));
             }
             scheduler.mark_committed(&changes);
         });
