Show placement passes that take long

Cause: while a pass went on for minutes, no metric and no log line told so; the leader's lease was renewed and its log was silent.

Change: the front records the duration of each pass in rattanwinch_placement_pass_seconds, and logs at most one pass a second that took 20 ms or more, with the number of steps that it has looked at and the job with most of them.

--- a/crates/rattanwinch_front/src/coordinator.rs
+++ b/crates/rattanwinch_front/src/coordinator.rs
@@ -1,6 +1,7 @@
 mod admission;
 mod calls;
 mod commits;
+mod passes;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -100,6 +101,8 @@
     ended: BTreeMap<JobId, Timestamp>,
     /// Keys to delete, of jobs that a predecessor has removed in part.
     stale_keys: Vec<String>,
+    /// When the last slow placement pass was logged.
+    slow_pass_logged_at: Option<Timestamp>,
     learned_metrics: LearnedMetrics,
     refusals: RecentRefusals,
 }
@@ -136,6 +139,7 @@
             pending_publication: BTreeMap::new(),
             ended,
             stale_keys: inherited.stale_keys,
+            slow_pass_logged_at: None,
             learned_metrics: LearnedMetrics::default(),
             refusals: RecentRefusals::default(),
         }
@@ -462,8 +466,7 @@
         if may_start_tasks {
             self.upkeep.run_due(&mut self.scheduler, now);
             if is_tick || self.scheduler.needs_placement() {
-                self.scheduler
-                    .place_tasks(now, self.state.clock.wall_time());
+                self.place_tasks(now);
             }
         }
         if !self.local_leader.is_lease_confirmed(now) {
--- a/crates/rattanwinch_scheduling/src/job_description.rs
+++ b/crates/rattanwinch_scheduling/src/job_description.rs
@@ -9,8 +9,8 @@
 use crate::Label;
 use crate::Resources;
 
-/// The maximum number of tasks of a job over all its occurrences. The state of a larger job would
-/// not fit into one value of the store.
+/// The maximum number of tasks of a job over all its occurrences. Each may have a start order with
+/// its payload of up to 4,000 bytes in the memory of the front that schedules, which is 120 MB or more.
 pub const MAX_JOB_TASKS: usize = 8_000;
 
 value! {
@@ -126,6 +126,12 @@
     /// Returns true if steps depend only on earlier ones, none is empty, and the task limit holds.
     #[must_use]
     pub fn is_well_formed(&self) -> bool {
-        self.steps.is_well_formed() && self.task_count() <= MAX_JOB_TASKS
+        self.steps.is_well_formed() && !self.has_too_many_tasks()
+    }
+
+    /// Returns true if the job has more than [`MAX_JOB_TASKS`] tasks.
+    #[must_use]
+    pub fn has_too_many_tasks(&self) -> bool {
+        self.task_count() > MAX_JOB_TASKS
     }
 }
--- a/crates/rattanwinch_scheduling/src/lib.rs
+++ b/crates/rattanwinch_scheduling/src/lib.rs
@@ -108,3 +108,4 @@
 pub use upkeep_wave::MachineState;
 pub use upkeep_wave::UpkeepOutcome;
 pub use upkeep_wave::UpkeepWave;
+pub use waiting::PassWork;
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -14,6 +14,7 @@
 use crate::JobId;
 use crate::JobProgress;
 use crate::JobState;
+use crate::PassWork;
 use crate::ProgressPart;
 use crate::QueueName;
 use crate::Resources;
@@ -73,6 +74,7 @@
     pub(crate) unreported_instances: BTreeSet<TargetInstance>,
     /// An event since the last placement pass may let a waiting task start.
     placement_needed: bool,
+    pub(crate) last_pass: PassWork,
     /// Since when each waiting step has been ready.
     pub(crate) ready_since: BTreeMap<StepId, Timestamp>,
     /// When this scheduler took over; the silence of unreported instances is measured from then.
@@ -135,6 +137,7 @@
             starts_held: false,
             unreported_instances: BTreeSet::new(),
             placement_needed: true,
+            last_pass: PassWork::default(),
             ready_since: BTreeMap::new(),
             started_at: now,
             changed_jobs: BTreeSet::new(),
@@ -202,6 +205,12 @@
         self.placement_needed
     }
 
+    /// Returns what the last placement pass has looked at.
+    #[must_use]
+    pub const fn last_pass(&self) -> &PassWork {
+        &self.last_pass
+    }
+
     pub(crate) fn request_placement(&mut self) {
         self.placement_needed = true;
     }
--- a/crates/rattanwinch_scheduling/src/waiting.rs
+++ b/crates/rattanwinch_scheduling/src/waiting.rs
@@ -5,6 +5,7 @@
 
 use rattanwinch_types::Organisation;
 use rattanwinch_types::Timestamp;
+use rattanwinch_types::value;
 use smallvec::SmallVec;
 use smallvec::smallvec;
 
@@ -54,6 +55,27 @@
     pub turn: Turn,
 }
 
+value! {
+    /// What a placement pass has looked at.
+    #[derive(Default)]
+    pub struct PassWork {
+        /// The steps that could start, with one more for each failed task that is tried again.
+        pub steps: usize,
+        /// The job with most of them, and how many.
+        pub largest_job: Option<(JobId, usize)>,
+    }
+}
+
+impl PassWork {
+    fn add(&mut self, job: &JobId, steps: usize) {
+        self.steps += steps;
+        let largest = self.largest_job.as_ref();
+        if largest.map_or(0, |(_, steps)| *steps) < steps {
+            self.largest_job = Some((job.clone(), steps));
+        }
+    }
+}
+
 impl WaitingStep {
     pub(crate) fn description(&self) -> &StepDescription {
         &self.steps[self.step.step as usize]
@@ -170,11 +192,13 @@
         let mut ready = BTreeSet::new();
         let running = self.tasks_of_unknown_runs();
         let max_steps = self.max_steps_per_job();
+        self.last_pass = PassWork::default();
         for id in &self.open_jobs {
             let Some(job) = self.jobs.get_mut(id) else {
                 continue;
             };
             let groups = ready_task_groups(job, max_steps, wall);
+            self.last_pass.add(id, groups.len());
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
