Look for room for a few steps of a guaranteed job in each pass

Change: it plans for the first eight of each job; the next have their turn as these start. A job with up to eight blocked steps is treated as before.

The extended test fails without the limit.

--- a/crates/rattanwinch_scheduling/src/placement.rs
+++ b/crates/rattanwinch_scheduling/src/placement.rs
@@ -9,6 +9,7 @@
 use crate::Label;
 use crate::Resources;
 use crate::shares::total_resources;
+use crate::step_visits::count_step_visits;
 use crate::target_speeds::SpeedClass;
 use crate::target_speeds::SpeedPreference;
 
@@ -309,6 +310,7 @@
 
 impl<'a> PlannedTarget<'a> {
     fn new(demand: &Demand, candidate: &'a Candidate, occupants: &'a [Occupant]) -> Self {
+        count_step_visits(occupants.len());
         let mut others: Vec<_> = occupants.iter().collect();
         others.sort_by_key(|occupant| occupant.loss);
         let mut target = Self {
@@ -366,6 +368,7 @@
             free = free.plus(occupant.resources);
             chosen.push(*occupant);
         }
+        count_step_visits(chosen.len() + 1);
         if !free.fits(demand.resources) {
             return;
         }
--- a/crates/rattanwinch_scheduling/src/placement_pass.rs
+++ b/crates/rattanwinch_scheduling/src/placement_pass.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use crate::Event;
+use crate::JobId;
 use crate::RunId;
 use crate::Scheduler;
 use crate::TaskId;
@@ -24,6 +25,10 @@
 /// guarantee; more would leave targets idle.
 const MAX_BLOCKED_STEPS: usize = 3;
 
+/// The maximum number of blocked steps of a job within a guarantee for which a pass looks for room.
+/// The others have their turn as these start; a plan for each of some thousand takes too long.
+const MAX_GUARANTEED_STEPS: usize = 8;
+
 /// How long a step waits for targets that are not suspected of failing all runs.
 const MAX_WAIT_FOR_TRUSTED: Duration = Duration::from_secs(2);
 
@@ -43,6 +48,7 @@
         let mut pass = self.begin_reclaim_pass(&steps, guaranteed_jobs, room, now, wall);
         self.backlog.clear();
         let mut blocked = 0;
+        let mut guaranteed: BTreeMap<JobId, usize> = BTreeMap::new();
         for mut waiting in steps {
             let mut reclaim = pass.underway.remove(&waiting.group);
             if let Some(reclaim) = &mut reclaim {
@@ -67,7 +73,10 @@
                 pass.kept.insert(waiting.group.clone(), reclaim);
                 continue;
             }
-            if waiting.guaranteed || reclaim.is_some() || blocked < MAX_BLOCKED_STEPS {
+            let of_job = guaranteed.entry(waiting.step.job.clone()).or_insert(0);
+            *of_job += usize::from(waiting.guaranteed);
+            let is_guaranteed = waiting.guaranteed && *of_job <= MAX_GUARANTEED_STEPS;
+            if is_guaranteed || reclaim.is_some() || blocked < MAX_BLOCKED_STEPS {
                 blocked += 1;
                 self.make_room(&waiting, &demand, reclaim, &mut pass, now);
             }
--- a/crates/rattanwinch_scheduling/tests/decisions/large_jobs.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/large_jobs.rs
@@ -122,15 +122,26 @@
 /// orders, reports and other callers that wait for the pass.
 #[test]
 fn a_pass_visits_a_bounded_number_of_steps() {
-    let mut fixture = site(true);
-    for organisation in ["letrafa", "bpgfs", "msob"] {
-        fixture.submit(1, organisation, &independent(4_000));
+    for (priority, guarantee) in [(1, 0), (0, 8)] {
+        let mut fixture = site(true);
+        let organisations = ["letrafa", "bpgfs", "msob"];
+        for organisation in organisations {
+            fixture.guarantee(organisation, guarantee);
+        }
+        // Work that fills the site and that urgent steps may displace.
+        fixture.submit(2, "kahu", &independent(400));
+        fixture.step();
+        for organisation in organisations {
+            fixture.submit(priority, organisation, &independent(4_000));
+        }
+        let begun = step_visits();
+        fixture.scheduler.place_tasks(fixture.now, fixture.now);
+        let visits = step_visits() - begun;
+        assert!(
+            visits <= MAX_VISITS_PER_PASS,
+            "priority {priority}: {visits} visits"
+        );
     }
-    fixture.step();
-    let begun = step_visits();
-    fixture.scheduler.place_tasks(fixture.now, fixture.now);
-    let visits = step_visits() - begun;
-    assert!(visits <= MAX_VISITS_PER_PASS, "{visits} visits");
 }
 
 /// A gang of `size` tasks that fit onto the targets of a site.
--- a/crates/rattanwinch_trials/src/bin/rattanwinch-trials.rs
+++ b/crates/rattanwinch_trials/src/bin/rattanwinch-trials.rs
@@ -87,6 +87,9 @@
         /// Thousandths of a core that each task takes; few of them let all tasks run at once.
         #[arg(long, default_value_t = 1000)]
         cpu_millis: u64,
+        /// Priority of the jobs; those of priority 0 are within guarantees.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u32).range(..2))]
+        priority: u32,
         /// Seconds after which a row is stopped; a placement pass is always finished.
         #[arg(long, default_value_t = 20)]
         max_seconds: u64,
@@ -137,6 +140,7 @@
             size,
             jobs,
             cpu_millis,
+            priority,
             max_seconds,
             json,
         } => {
@@ -144,7 +148,7 @@
             let shapes = if shape.is_empty() { all } else { &shape };
             let max_time = Duration::from_secs(max_seconds);
             print(
-                &measure_large_jobs(shapes, &size, jobs, cpu_millis, max_time),
+                &measure_large_jobs(shapes, &size, jobs, cpu_millis, priority, max_time),
                 json,
             )
         }
--- a/crates/rattanwinch_trials/src/large_jobs.rs
+++ b/crates/rattanwinch_trials/src/large_jobs.rs
@@ -50,6 +50,9 @@
 const GANG_SIZE: u32 = 4;
 const REPEATED_STEPS: u32 = 10;
 
+/// Accelerators guaranteed to each organisation.
+const GUARANTEE: u64 = 8;
+
 /// Widest row of a lattice, and the most links of one: their numbers have to fit into the body of a
 /// submission.
 const MAX_ROW: u32 = 32;
@@ -157,7 +160,7 @@
 }
 
 /// Plays `jobs` jobs of each shape and size to their end, on one thread, for `max_time` at most. Each
-/// task takes `cpu_millis` thousandths of a core.
+/// task takes `cpu_millis` thousandths of a core. Jobs of priority 0 are within guarantees.
 ///
 /// # Panics
 ///
@@ -168,6 +171,7 @@
     sizes: &[u32],
     jobs: u32,
     cpu_millis: u64,
+    priority: u32,
     max_time: Duration,
 ) -> LargeJobReport {
     let cells = shapes
@@ -175,7 +179,8 @@
         .flat_map(|shape| sizes.iter().map(move |size| (*shape, *size)));
     let rows = cells.map(|(shape, size)| {
         let description = shape.describe(size, cpu_millis);
-        Site::new().play(shape, size, &description, jobs, max_time)
+        let site = Site::new(priority, jobs);
+        site.play(shape, size, &description, jobs, max_time)
     });
     LargeJobReport {
         rows: rows.collect(),
@@ -186,6 +191,8 @@
 struct Site {
     scheduler: Scheduler,
     now: Timestamp,
+    /// The priority of all jobs.
+    priority: u32,
     reports: Vec<TargetReport>,
     /// When the runs of each target end.
     ends: Vec<BTreeMap<(Timestamp, RunId), ()>>,
@@ -193,13 +200,19 @@
 }
 
 impl Site {
-    fn new() -> Self {
+    fn new(priority: u32, jobs: u32) -> Self {
         let now = Timestamp::from_millis(1_000_000);
+        let mut rules = rules();
+        if priority == 0 {
+            let guarantees = (0..jobs).map(|number| (organisation(number), GUARANTEE));
+            rules.guarantees = guarantees.collect();
+        }
         let limits =
             SchedulingLimits::for_site(SILENCE_TIMEOUT, REPORT_INTERVAL, RECLAIM_TIME, STOP_TIME);
         let mut site = Self {
-            scheduler: Scheduler::restore(limits, rules(), [], now),
+            scheduler: Scheduler::restore(limits, rules, [], now),
             now,
+            priority,
             reports: (0..TARGETS).map(empty_target).collect(),
             ends: vec![BTreeMap::new(); TARGETS as usize],
             sequences: vec![0; TARGETS as usize],
@@ -253,9 +266,9 @@
     fn new_job(&self, description: &JobDescription, number: u32) -> AcceptedJob {
         AcceptedJob {
             id: JobId::from(format!("{number:016x}").as_str()),
-            queue: queue(1),
-            rules: queue_rules(1),
-            organisation: Organisation::new(format!("organisation-{number}")).expect("a name"),
+            queue: queue(self.priority),
+            rules: queue_rules(self.priority),
+            organisation: organisation(number),
             accepted_at: self.now,
             description: description.clone(),
         }
@@ -332,6 +345,10 @@
     }
 }
 
+fn organisation(number: u32) -> Organisation {
+    Organisation::new(format!("organisation-{number}")).expect("a name")
+}
+
 /// Runs a part of a cycle, and raises `longest` to its duration in milliseconds.
 fn measure(longest: &mut f64, part: impl FnOnce()) {
     let begun = Instant::now();
