Let the test of bounded passes reserve room for blocked steps

Change: the site is full of the jobs' own tasks, and the measured pass comes a second later, when blocked steps have room reserved.

--- a/crates/rattanwinch_scheduling/tests/decisions/large_jobs.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/large_jobs.rs
@@ -128,12 +128,12 @@
         for organisation in organisations {
             fixture.guarantee(organisation, guarantee);
         }
-        // Work that fills the site and that urgent steps may displace.
-        fixture.submit(2, "kahu", &independent(400));
-        fixture.step();
         for organisation in organisations {
             fixture.submit(priority, organisation, &independent(4_000));
         }
+        fixture.step();
+        // Until blocked steps have room reserved.
+        fixture.wait(1_000);
         let begun = step_visits();
         fixture.scheduler.place_tasks(fixture.now, fixture.now);
         let visits = step_visits() - begun;
