Remember how long steps wait that only some passes look at

Cause: in a job with more ready steps than a pass looks at, the steps behind the first ones are seen in turn. Each pass without them forgot since when they had waited and their tickets, so those that wait for their preferred rack, or for advice, never started while the first ones were blocked. Room that a pass made for one of them was given up by the next.

Change: while passes take turns, a step is forgotten once it is placed or its job ends. Room is made only for the steps that each pass looks at.

--- a/crates/rattanwinch_scheduling/src/advisor_tickets.rs
+++ b/crates/rattanwinch_scheduling/src/advisor_tickets.rs
@@ -129,6 +129,12 @@
         }
     }
 
+    /// Removes the tickets of a step.
+    pub(crate) fn forget_step(&mut self, step: &StepId) {
+        self.steps.remove(step);
+        self.pending.remove(step);
+    }
+
     /// Removes the steps that no longer need tickets.
     pub(crate) fn retain(&mut self, is_needed: impl Fn(&StepId) -> bool) {
         self.steps.retain(|step, _| is_needed(step));
--- a/crates/rattanwinch_scheduling/src/job.rs
+++ b/crates/rattanwinch_scheduling/src/job.rs
@@ -558,9 +558,23 @@
         self.ready.len()
     }
 
+    /// Returns true if a step may be placed once its occurrence is due.
+    pub(crate) fn is_step_ready(&self, step: &StepId) -> bool {
+        self.ready.contains(&ReadyStep {
+            occurrence: step.occurrence,
+            path: Reverse(self.accepted.description.steps.path_from(step.step)),
+            step: step.step,
+        })
+    }
+
     /// Returns the steps that are due, have completed dependencies, and have unplaced tasks; at most
-    /// `max_steps`, half of them the first ones and the others in turn, from call to call.
-    pub(crate) fn ready_steps(&mut self, max_steps: usize, wall: Timestamp) -> Vec<StepId> {
+    /// `max_steps`: half of them the first ones, and the others in turn, from call to call. The second
+    /// value tells how many are the first ones.
+    pub(crate) fn ready_steps(
+        &mut self,
+        max_steps: usize,
+        wall: Timestamp,
+    ) -> (Vec<StepId>, usize) {
         let job = &self.accepted;
         let is_due = |ready: &&ReadyStep| {
             let due = job.description.due(ready.occurrence);
@@ -573,7 +587,10 @@
         };
         if self.ready.len() <= max_steps {
             self.scanned_to = None;
-            return self.ready.iter().take_while(is_due).map(id).collect();
+            return (
+                self.ready.iter().take_while(is_due).map(id).collect(),
+                max_steps,
+            );
         }
         let first = max_steps.div_ceil(2);
         let mut ready: Vec<&ReadyStep> = self.ready.iter().take_while(is_due).take(first).collect();
@@ -589,7 +606,7 @@
         let scanned_to = ready.last().copied().copied();
         let ready = ready.into_iter().map(id).collect();
         self.scanned_to = scanned_to.filter(|_| !is_last);
-        ready
+        (ready, before)
     }
 
     /// Returns the tasks of a step that may be placed and whether each has failed before; for a gang
--- a/crates/rattanwinch_scheduling/src/placement_pass.rs
+++ b/crates/rattanwinch_scheduling/src/placement_pass.rs
@@ -73,6 +73,12 @@
                 pass.kept.insert(waiting.group.clone(), reclaim);
                 continue;
             }
+            if waiting.is_seen_seldom {
+                // What an earlier pass began is still used.
+                pass.kept
+                    .extend(reclaim.map(|reclaim| (waiting.group.clone(), reclaim)));
+                continue;
+            }
             let of_job = guaranteed.entry(waiting.step.job.clone()).or_insert(0);
             *of_job += usize::from(waiting.guaranteed);
             let is_guaranteed = waiting.guaranteed && *of_job <= MAX_GUARANTEED_STEPS;
@@ -307,6 +313,7 @@
             let active = ActiveRun::placed(instance.clone(), resources, ticket, now);
             self.active.insert(RunId { task, number }, active);
         }
+        self.forget_placed_step(&waiting.step);
         self.mark_changed(&waiting.step.job);
         self.record_event(Event::Placed {
             step: waiting.step.clone(),
--- a/crates/rattanwinch_scheduling/src/scheduler.rs
+++ b/crates/rattanwinch_scheduling/src/scheduler.rs
@@ -75,6 +75,8 @@
     /// An event since the last placement pass may let a waiting task start.
     placement_needed: bool,
     pub(crate) last_pass: PassWork,
+    /// So many steps are ready that a pass looks at some of them only.
+    pub(crate) takes_turns: bool,
     /// Since when each waiting step has been ready.
     pub(crate) ready_since: BTreeMap<StepId, Timestamp>,
     /// When this scheduler took over; the silence of unreported instances is measured from then.
@@ -138,6 +140,7 @@
             unreported_instances: BTreeSet::new(),
             placement_needed: true,
             last_pass: PassWork::default(),
+            takes_turns: false,
             ready_since: BTreeMap::new(),
             started_at: now,
             changed_jobs: BTreeSet::new(),
@@ -473,6 +476,7 @@
         if !self.open_jobs.remove(id) {
             return;
         }
+        self.forget_waiting_steps(id);
         self.record_event(Event::Finished {
             job: id.clone(),
             state,
--- a/crates/rattanwinch_scheduling/src/waiting.rs
+++ b/crates/rattanwinch_scheduling/src/waiting.rs
@@ -53,6 +53,8 @@
     pub guaranteed: bool,
     /// Its turn among the steps of its priority.
     pub turn: Turn,
+    /// Only some passes look at the step, so none makes room for it.
+    pub is_seen_seldom: bool,
 }
 
 value! {
@@ -82,15 +84,20 @@
     }
 }
 
+/// Ready tasks of a step that are placed together.
+struct ReadyGroup {
+    group: TaskGroup,
+    task_indices: SmallVec<[u32; 8]>,
+    is_seen_seldom: bool,
+}
+
 /// Groups the ready tasks of a job for placement: by step, with each failed task on its own, since
 /// it avoids the targets on which it failed.
-fn ready_task_groups(
-    job: &mut Job,
-    max_steps: usize,
-    wall: Timestamp,
-) -> Vec<(TaskGroup, SmallVec<[u32; 8]>)> {
+fn ready_task_groups(job: &mut Job, max_steps: usize, wall: Timestamp) -> Vec<ReadyGroup> {
     let mut groups = Vec::new();
-    for step in job.ready_steps(max_steps, wall) {
+    let (steps, first) = job.ready_steps(max_steps, wall);
+    for (number, step) in steps.into_iter().enumerate() {
+        let is_seen_seldom = number >= first;
         let is_gang = job
             .step(step.step)
             .is_some_and(|description| description.gang);
@@ -101,13 +108,21 @@
                     step: step.clone(),
                     retried_task: Some(index),
                 };
-                groups.push((group, smallvec![index]));
+                groups.push(ReadyGroup {
+                    group,
+                    task_indices: smallvec![index],
+                    is_seen_seldom,
+                });
             } else {
                 fresh.push(index);
             }
         }
         if !fresh.is_empty() {
-            groups.push((first_attempts(step), fresh));
+            groups.push(ReadyGroup {
+                group: first_attempts(step),
+                task_indices: fresh,
+                is_seen_seldom,
+            });
         }
     }
     groups
@@ -202,7 +217,12 @@
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            for (group, mut task_indices) in groups {
+            for ready_group in groups {
+                let ReadyGroup {
+                    group,
+                    mut task_indices,
+                    is_seen_seldom,
+                } = ready_group;
                 let step = group.step.clone();
                 let Some(description) = job.step(step.step) else {
                     continue;
@@ -230,6 +250,7 @@
                     lateness,
                     can_be_of_use: can_be_of_use(job, &step, lateness, wall),
                     turn: Turn::of(lateness),
+                    is_seen_seldom,
                     accepted_at: job.accepted.accepted_at,
                     organisation: organisation.clone(),
                     waited: now.since(since),
@@ -238,12 +259,40 @@
                 });
             }
         }
-        self.ready_since.retain(|step, _| ready.contains(step));
-        self.advisor_tickets.retain(|step| ready.contains(step));
+        // Otherwise each step is forgotten once it is placed, or its job ends.
+        self.takes_turns = max_steps < usize::MAX;
+        if !self.takes_turns {
+            self.ready_since.retain(|step, _| ready.contains(step));
+            self.advisor_tickets.retain(|step| ready.contains(step));
+        }
         self.sort_steps(&mut all, guaranteed_jobs, wall);
         all
     }
 
+    /// Forgets since when a step has waited, unless it still does. Without turns, the next pass does.
+    pub(crate) fn forget_placed_step(&mut self, step: &StepId) {
+        let job = self.jobs.get(&step.job);
+        if self.takes_turns && !job.is_some_and(|job| job.is_step_ready(step)) {
+            self.ready_since.remove(step);
+            self.advisor_tickets.forget_step(step);
+        }
+    }
+
+    /// Forgets since when the steps of a closed job have waited.
+    pub(crate) fn forget_waiting_steps(&mut self, job: &JobId) {
+        let first = StepId {
+            job: job.clone(),
+            occurrence: 0,
+            step: 0,
+        };
+        let of_job = self.ready_since.range(first..).map(|(step, _)| step);
+        let of_job = of_job.take_while(|step| step.job == *job).cloned();
+        for step in of_job.collect::<Vec<_>>() {
+            self.ready_since.remove(&step);
+            self.advisor_tickets.forget_step(&step);
+        }
+    }
+
     pub(crate) fn demand(&self, waiting: &WaitingStep) -> Demand {
         let locality_wait = if waiting.priority == 0 {
             self.limits.urgent_locality_wait
--- a/crates/rattanwinch_scheduling/tests/decisions/large_jobs.rs
+++ b/crates/rattanwinch_scheduling/tests/decisions/large_jobs.rs
@@ -144,6 +144,26 @@
     }
 }
 
+/// Guards against steps that only some passes look at and that forget in between how long they have
+/// waited: those that wait for their preferred rack would never start beside blocked ones.
+#[test]
+fn steps_behind_many_blocked_ones_start_on_any_rack() {
+    let mut fixture = site(true);
+    let mut blocked = step([]);
+    blocked.required_label = Some("nowhere".into());
+    blocked.estimated_run_time = Duration::from_secs(100);
+    let mut with_data = step([]);
+    with_data.resources.cpu_millis = 10;
+    with_data.data_rack = Some("nowhere".into());
+    let steps = [vec![blocked; 1_200], vec![with_data; 400]].concat();
+    let job = fixture.submit(1, "letrafa", &steps);
+    for _ in 0..40 {
+        fixture.step();
+        fixture.wait(150);
+    }
+    assert_eq!(fixture.running(&job).len(), 400);
+}
+
 /// A gang of `size` tasks that fit onto the targets of a site.
 fn gang(size: u32) -> StepDescription {
     StepDescription::builder()
