Count only due steps against the limit of a placement pass

Cause: a repeated job lists the first steps of all its occurrences as ready, those of future ones too. With over 1,000 of them, passes took turns though few were due.

Change: only steps of due occurrences count, and a job whose due steps fit into its share is looked at whole.

--- a/crates/rattanwinch_scheduling/src/job.rs
+++ b/crates/rattanwinch_scheduling/src/job.rs
@@ -553,9 +553,21 @@
         tasks.unwrap_or_default()
     }
 
-    /// Returns the number of steps that may be placed once their occurrences are due.
-    pub(crate) fn ready_step_count(&self) -> usize {
-        self.ready.len()
+    /// Returns the ready steps of occurrences that are due, in their order.
+    fn due_steps(&self, wall: Timestamp) -> impl Iterator<Item = &ReadyStep> {
+        self.ready
+            .iter()
+            .take_while(move |ready| self.is_due(ready, wall))
+    }
+
+    fn is_due(&self, ready: &ReadyStep, wall: Timestamp) -> bool {
+        let due = self.accepted.description.due(ready.occurrence);
+        due.is_none_or(|due| wall >= due)
+    }
+
+    /// Returns the number of steps that may be placed, `max` at most.
+    pub(crate) fn count_ready_steps(&self, max: usize, wall: Timestamp) -> usize {
+        self.due_steps(wall).take(max).count()
     }
 
     /// Returns true if a step may be placed once its occurrence is due.
@@ -576,29 +588,26 @@
         wall: Timestamp,
     ) -> (Vec<StepId>, usize) {
         let job = &self.accepted;
-        let is_due = |ready: &&ReadyStep| {
-            let due = job.description.due(ready.occurrence);
-            due.is_none_or(|due| wall >= due)
-        };
         let id = |ready: &ReadyStep| StepId {
             job: job.id.clone(),
             occurrence: ready.occurrence,
             step: ready.step,
         };
-        if self.ready.len() <= max_steps {
+        let seen = max_steps.saturating_add(1);
+        let mut ready: Vec<&ReadyStep> = self.due_steps(wall).take(seen).collect();
+        if ready.len() <= max_steps {
+            let ready = ready.into_iter().map(id).collect();
             self.scanned_to = None;
-            return (
-                self.ready.iter().take_while(is_due).map(id).collect(),
-                max_steps,
-            );
+            return (ready, max_steps);
         }
         let first = max_steps.div_ceil(2);
-        let mut ready: Vec<&ReadyStep> = self.ready.iter().take_while(is_due).take(first).collect();
+        ready.truncate(first);
         let last = ready.last().copied().copied();
         let from = last.max(self.scanned_to);
         let from = from.map_or(Bound::Unbounded, Bound::Excluded);
         let further = self.ready.range((from, Bound::Unbounded));
-        let further = further.take_while(is_due).take(max_steps - first);
+        let further = further.take_while(|ready| self.is_due(ready, wall));
+        let further = further.take(max_steps - first);
         let before = ready.len();
         ready.extend(further);
         // The turn begins again after the last one.
--- a/crates/rattanwinch_scheduling/src/waiting.rs
+++ b/crates/rattanwinch_scheduling/src/waiting.rs
@@ -178,10 +178,11 @@
 
     /// Returns how many ready steps of each job a placement pass looks at: the same number for all
     /// jobs that have more than that.
-    fn max_steps_per_job(&self) -> usize {
-        let jobs = self.open_jobs.iter().filter_map(|id| self.jobs.get(id));
-        let mut counts: Vec<usize> = jobs.map(Job::ready_step_count).collect();
+    fn max_steps_per_job(&self, wall: Timestamp) -> usize {
         let mut left = MAX_STEPS_PER_PASS;
+        let jobs = self.open_jobs.iter().filter_map(|id| self.jobs.get(id));
+        let counts = jobs.map(|job| job.count_ready_steps(left + 1, wall));
+        let mut counts: Vec<usize> = counts.collect();
         if counts.iter().sum::<usize>() <= left {
             return usize::MAX;
         }
@@ -206,7 +207,7 @@
         let mut all = Vec::new();
         let mut ready = BTreeSet::new();
         let running = self.tasks_of_unknown_runs();
-        let max_steps = self.max_steps_per_job();
+        let max_steps = self.max_steps_per_job(wall);
         self.last_pass = PassWork::default();
         for id in &self.open_jobs {
             let Some(job) = self.jobs.get_mut(id) else {
